--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,478 @@
+// Package wire reads and writes the line protocol between the simulator and the policy. It decides nothing:
+// it turns lines into policy events and policy actions into lines.
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"springflow/policy"
+)
+
+// Kind says what a line is.
+type Kind uint8
+
+const (
+	Round    Kind = iota // a batch starts: Now and Batch
+	Turn                 // the batch ends
+	Create               // an instance starts: Instance, Seed and Settings
+	PowerOff             // an instance was killed: Instance
+	Event                // something happened at an instance: Instance and Event
+)
+
+// Message is one decoded line. The Decoder that filled it reuses it.
+type Message struct {
+	Kind     Kind
+	Now      time.Duration
+	Batch    int64
+	Instance int64
+	Seed     uint64
+	Settings policy.Settings
+	Event    policy.Event
+}
+
+// Decoder decodes lines. It reuses its memory and is not safe for concurrent use.
+type Decoder struct {
+	parser  fastjson.Parser
+	msg     Message
+	row     []*fastjson.Value
+	name    string
+	err     error
+	entries []policy.Entry
+	names   map[string]string
+}
+
+// Decode reads one line. The message is valid until the next call.
+func (d *Decoder) Decode(line []byte) (*Message, error) {
+	v, err := d.parser.ParseBytes(line)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %v", err)
+	}
+	row, err := v.Array()
+	if err != nil || len(row) == 0 {
+		return nil, errors.New("a message must be an array that starts with its name")
+	}
+	name, err := row[0].StringBytes()
+	if err != nil {
+		return nil, errors.New("a message must start with its name")
+	}
+	d.row, d.err, d.name = row[1:], nil, d.intern(name)
+	m := &d.msg
+	m.Event = policy.Event{}
+	switch d.name {
+	case "round":
+		m.Kind, m.Now, m.Batch = Round, d.seconds(0, "clock_s", true), d.integer(1, "round")
+	case "your_turn":
+		m.Kind = Turn
+	case "create":
+		m.Kind, m.Instance = Create, d.integer(0, "who")
+		m.Seed = d.seed(1, "salt")
+		d.settings(2)
+	case "power_off":
+		m.Kind, m.Instance = PowerOff, d.integer(0, "who")
+	default:
+		m.Kind = Event
+		if !d.event(&m.Event) {
+			return nil, fmt.Errorf("unknown message %q", d.name)
+		}
+		m.Instance = d.integer(0, "who")
+	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	return m, nil
+}
+
+func (d *Decoder) event(ev *policy.Event) bool {
+	switch d.name {
+	case "demand":
+		ev.Kind, ev.ID = policy.EvRequest, d.text(1, "corr", true)
+		ev.Class = d.text(2, "service", true)
+		if d.has(3) && d.row[3].Type() == fastjson.TypeString { // 0 stands for none
+			ev.Tenant = d.text(3, "client_group", false)
+		}
+		ev.Left = d.seconds(5, "grace_s", true)
+		if d.has(7) {
+			ev.Repeat = d.boolean(7, "repeat")
+		}
+	case "ended":
+		ev.Kind, ev.ID = policy.EvOutcome, d.text(1, "corr", true)
+		ev.Attempt, ev.Server = int(d.integer(2, "seq_no")), d.server(3)
+		ev.Took, ev.Last = d.seconds(4, "wait_time_s", true), d.boolean(5, "last")
+		ev.Outcome = d.outcome(6)
+		ev.Load = d.load(7)
+	case "abandoned":
+		ev.Kind, ev.ID = policy.EvGone, d.text(1, "corr", true)
+	case "targets":
+		ev.Kind = policy.EvList
+		d.list(ev)
+	case "tick_due":
+		ev.Kind, ev.Token = policy.EvTimer, d.text(1, "nonce", true)
+	case "flowing", "checked", "memo":
+		ev.Kind = policy.EvOther
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *Decoder) fail(field, want string) {
+	if d.err == nil {
+		d.err = fmt.Errorf("%s: %s: %s", d.name, field, want)
+	}
+}
+
+func (d *Decoder) has(i int) bool {
+	return i < len(d.row) && d.row[i].Type() != fastjson.TypeNull
+}
+
+// intern returns b as a string, sharing the few names that come again and again.
+func (d *Decoder) intern(b []byte) string {
+	if s, ok := d.names[string(b)]; ok {
+		return s
+	}
+	if d.names == nil || len(d.names) > 1000 {
+		d.names = map[string]string{}
+	}
+	s := string(b)
+	d.names[s] = s
+	return s
+}
+
+func (d *Decoder) text(i int, field string, required bool) string {
+	if !d.has(i) {
+		if required {
+			d.fail(field, "missing")
+		}
+		return ""
+	}
+	b, err := d.row[i].StringBytes()
+	if err != nil {
+		d.fail(field, "must be text")
+	}
+	if field == "corr" {
+		return string(b)
+	}
+	return d.intern(b)
+}
+
+func (d *Decoder) number(i int, field string, required bool) float64 {
+	if !d.has(i) {
+		if required {
+			d.fail(field, "missing")
+		}
+		return 0
+	}
+	f, err := d.row[i].Float64()
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		d.fail(field, "must be a number")
+		return 0
+	}
+	return f
+}
+
+func (d *Decoder) seconds(i int, field string, required bool) time.Duration {
+	f := d.number(i, field, required)
+	if math.Abs(f) > 9e9 {
+		d.fail(field, "is out of range")
+		return 0
+	}
+	return seconds(f)
+}
+
+// seconds turns a number of seconds into a duration, rounded to the wire's microsecond.
+func seconds(f float64) time.Duration {
+	return time.Duration(math.Round(f*1e6)) * time.Microsecond
+}
+
+func (d *Decoder) integer(i int, field string) int64 {
+	if !d.has(i) {
+		d.fail(field, "missing")
+		return 0
+	}
+	n, err := d.row[i].Int64()
+	if err != nil {
+		d.fail(field, "must be a whole number")
+	}
+	return n
+}
+
+func (d *Decoder) seed(i int, field string) uint64 {
+	if !d.has(i) {
+		d.fail(field, "missing")
+		return 0
+	}
+	if n, err := d.row[i].Uint64(); err == nil {
+		return n
+	}
+	return uint64(d.integer(i, field))
+}
+
+func (d *Decoder) boolean(i int, field string) bool {
+	if !d.has(i) {
+		d.fail(field, "missing")
+		return false
+	}
+	v, err := d.row[i].Bool()
+	if err != nil {
+		d.fail(field, "must be true or false")
+	}
+	return v
+}
+
+func (d *Decoder) server(i int) uint32 {
+	n := d.integer(i, "backend")
+	if n < 0 || n > math.MaxUint32 {
+		d.fail("backend", "is out of range")
+	}
+	return uint32(n)
+}
+
+func (d *Decoder) outcome(i int) policy.Outcome {
+	name := d.text(i, "outcome", true)
+	switch name {
+	case "Ok":
+		return policy.OK
+	case "Failed":
+		return policy.Failed
+	case "QueueFull":
+		return policy.Full
+	case "TimedOut":
+		return policy.TimedOut
+	case "ConnectError":
+		return policy.ConnectFailed
+	case "ResetByPeer":
+		return policy.Reset
+	case "Canceled":
+		return policy.Canceled
+	case "Ignored":
+		return policy.Moot
+	}
+	d.fail("outcome", "unknown value "+strconv.Quote(name))
+	return policy.OK
+}
+
+func (d *Decoder) load(i int) policy.Load {
+	if !d.has(i) {
+		return policy.Load{}
+	}
+	o, err := d.row[i].Object()
+	if err != nil {
+		d.fail("load", "must be an object")
+		return policy.Load{}
+	}
+	get := func(name string) float64 {
+		v := o.Get(name)
+		if v == nil || v.Type() == fastjson.TypeNull {
+			return -1
+		}
+		f, err := v.Float64()
+		if err != nil {
+			d.fail("load", name+" must be a number")
+		}
+		return f
+	}
+	l := policy.Load{Queue: get("depth"), Held: get("concurrent"), Work: max(get("mean_ms"), 0) / 1e3}
+	l.Known = l.Queue >= 0 || l.Held >= 0
+	return l
+}
+
+func (d *Decoder) list(ev *policy.Event) {
+	switch how := d.text(1, "how", true); how {
+	case "incr":
+		ev.List = policy.ListDelta
+	case "total":
+		ev.List = policy.ListFull
+	case "warm_copy":
+		ev.List = policy.ListCached
+	case "lost":
+		ev.List = policy.ListFailed
+	default:
+		d.fail("how", "unknown value "+strconv.Quote(how))
+	}
+	d.entries = d.entries[:0]
+	if !d.has(3) {
+		if ev.List != policy.ListFailed {
+			d.fail("items", "missing")
+		}
+		return
+	}
+	items, err := d.row[3].Array()
+	if err != nil {
+		d.fail("items", "must be an array")
+		return
+	}
+	event := d.row
+	for _, item := range items {
+		row, err := item.Array()
+		if err != nil {
+			d.fail("items", "an entry must be an array")
+			return
+		}
+		d.row = row
+		e := policy.Entry{Zone: d.text(1, "az", false), Kind: d.text(3, "shape", false),
+			Launched: d.seconds(4, "launched_s", false), ID: d.server(6)}
+		if d.has(2) {
+			e.Cell = d.integer(2, "unit_group")
+		}
+		switch s := d.text(5, "availability", true); s {
+		case "active":
+			e.State = policy.Active
+		case "leaving":
+			e.State = policy.Leaving
+		case "left":
+			e.State = policy.Left
+		default:
+			d.fail("availability", "unknown value "+strconv.Quote(s))
+		}
+		d.entries = append(d.entries, e)
+	}
+	d.row = event
+	ev.Entries = d.entries
+}
+
+// info is the settings object of a create message; keys that are not named here are skipped.
+type info struct {
+	Balancers *int    `json:"balancers"`
+	Zone      string  `json:"zone"`
+	Discovery string  `json:"discovery"`
+	OverShare float64 `json:"over_share_worth"`
+	Grades    []struct {
+		Name      string  `json:"name"`
+		Aim       float64 `json:"aim_s"`
+		Deadline  float64 `json:"deadline_s"`
+		Gain      float64 `json:"gain"`
+		LateWorth float64 `json:"late_worth"`
+		Effect    string  `json:"effect"`
+		Group     string  `json:"group"`
+		Window    float64 `json:"repeat_window_s"`
+	} `json:"grades"`
+	Projects []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_per_s"`
+	} `json:"projects"`
+	Limits struct {
+		Cancel      bool    `json:"cancel"`
+		RetryAfter  *bool   `json:"retry_after"`
+		MaxRetry    float64 `json:"max_retry_after_s"`
+		MaxAttempts *int    `json:"max_attempts"`
+	} `json:"policy_limits"`
+	Rules struct {
+		ColdFor    float64 `json:"cold_s"`
+		ColdShare  float64 `json:"cold_share"`
+		DrainGrace float64 `json:"drain_grace_s"`
+		FallFor    float64 `json:"fall_s"`
+		FallFactor float64 `json:"overload_factor"`
+		MustAskIn  float64 `json:"must_ask_in_s"`
+	} `json:"invariants"`
+}
+
+func (d *Decoder) settings(i int) {
+	if !d.has(i) {
+		d.fail("info", "missing")
+		return
+	}
+	var in info
+	if err := json.Unmarshal(d.row[i].MarshalTo(nil), &in); err != nil {
+		d.fail("info", err.Error())
+		return
+	}
+	s := policy.Settings{Zone: in.Zone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
+		Cancel: in.Limits.Cancel, MustAskIn: seconds(in.Rules.MustAskIn),
+		DrainGrace: seconds(in.Rules.DrainGrace),
+		ColdShare:  in.Rules.ColdShare, ColdFor: seconds(in.Rules.ColdFor),
+		FallFactor: in.Rules.FallFactor, FallFor: seconds(in.Rules.FallFor)}
+	if in.Balancers != nil {
+		s.Nodes = *in.Balancers
+	}
+	if in.Limits.MaxAttempts != nil {
+		s.MaxAttempts = *in.Limits.MaxAttempts
+	}
+	if in.Limits.RetryAfter == nil || *in.Limits.RetryAfter {
+		s.RetryAfter = seconds(in.Limits.MaxRetry)
+	}
+	switch in.Discovery {
+	case "ask":
+		s.MustAsk = true
+	case "push", "":
+	default:
+		d.fail("discovery", "unknown value "+strconv.Quote(in.Discovery))
+	}
+	effects := map[string]policy.Effect{"free": policy.Safe, "guarded": policy.Keyed, "single_shot": policy.Unsafe}
+	groups := map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
+	for _, g := range in.Grades {
+		effect, ok := effects[g.Effect]
+		group, ok2 := groups[g.Group]
+		if !ok || !ok2 {
+			d.fail("grades", fmt.Sprintf("%s: unknown effect %q or group %q", g.Name, g.Effect, g.Group))
+		}
+		s.Classes = append(s.Classes, policy.Class{Name: g.Name, Aim: seconds(g.Aim), Deadline: seconds(g.Deadline),
+			Worth: g.Gain, LateWorth: g.LateWorth, Effect: effect, Group: group, Window: seconds(g.Window)})
+	}
+	for _, t := range in.Projects {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, QuotaPerS: t.Quota})
+	}
+	d.msg.Settings = s
+}
+
+// AppendAction appends the line of one action of an instance.
+func AppendAction(buf []byte, who int64, a *policy.Action) []byte {
+	switch a.Kind {
+	case policy.ActSend:
+		buf = appendID(appendHead(buf, "relay", who), a.ID)
+		buf = strconv.AppendUint(append(buf, ','), uint64(a.Server), 10)
+		buf = appendSeconds(buf, a.Wait)
+	case policy.ActCancel:
+		buf = appendID(appendHead(buf, "retract", who), a.ID)
+		buf = strconv.AppendInt(append(buf, ','), int64(a.Attempt), 10)
+	case policy.ActRefuse:
+		buf = appendSeconds(appendID(appendHead(buf, "say_no", who), a.ID), a.Wait)
+	case policy.ActFail:
+		buf = appendID(appendHead(buf, "report_failure", who), a.ID)
+	case policy.ActTimer:
+		buf = appendSeconds(appendID(appendHead(buf, "notify_me", who), a.Token), a.At)
+	case policy.ActWatch:
+		buf = append(appendHead(buf, "stream_changes", who), ",true"...)
+	case policy.ActFetch:
+		buf = appendHead(buf, "list_all", who)
+	case policy.ActLog:
+		buf = appendID(appendHead(buf, "say_log", who), a.Text)
+	}
+	return append(buf, "]\n"...)
+}
+
+// AppendGiveIn appends the line that reports a broken instance.
+func AppendGiveIn(buf []byte, who int64, message string) []byte {
+	return append(appendID(appendHead(buf, "give_in", who), message), "]\n"...)
+}
+
+// AppendDone appends the line that ends a reply.
+func AppendDone(buf []byte, batch int64) []byte {
+	return append(appendHead(buf, "done", batch), "]\n"...)
+}
+
+func appendHead(buf []byte, name string, n int64) []byte {
+	buf = append(append(append(buf, '[', '"'), name...), '"', ',')
+	return strconv.AppendInt(buf, n, 10)
+}
+
+func appendID(buf []byte, s string) []byte {
+	buf = append(buf, ',')
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c < 0x20 || c == '"' || c == '\\' || c >= 0x7f {
+			quoted, _ := json.Marshal(s) // a string always marshals
+			return append(buf, quoted...)
+		}
+	}
+	return append(append(append(buf, '"'), s...), '"')
+}
+
+func appendSeconds(buf []byte, t time.Duration) []byte {
+	return strconv.AppendFloat(append(buf, ','), math.Ceil(float64(t)/1e3)/1e6, 'f', -1, 64)
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,226 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// Effect says what repeating a request would do.
+type Effect uint8
+
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // carries a key; backends of one group drop repeats inside Class.Window
+	Unsafe               // must never run twice
+)
+
+// Group says which backends share the memory that drops repeats of a keyed request.
+type Group uint8
+
+const (
+	GroupAll  Group = iota // every backend
+	GroupZone              // the backends of one zone
+	GroupCell              // the backends of one cell
+)
+
+// Class describes one kind of request.
+type Class struct {
+	Name      string
+	Aim       time.Duration // an answer within this earns the full worth
+	Deadline  time.Duration // the client's whole patience; 0 means none was told
+	Worth     float64
+	LateWorth float64 // share of the worth that is paid after the aim
+	Effect    Effect
+	Group     Group
+	Window    time.Duration // keyed: how long repeats are dropped, from the send of the first attempt
+}
+
+// Tenant is one customer of the service. QuotaPerS is its share in requests a second, over all nodes.
+type Tenant struct {
+	Name      string
+	QuotaPerS float64
+}
+
+// Settings is what a node is told at its start. Durations and counts left zero mean "not told".
+type Settings struct {
+	Zone        string        // zone of this node
+	Nodes       int           // nodes in service, this one included; at least 1
+	MustAsk     bool          // the list comes only when asked for
+	MustAskIn   time.Duration // after a loss the list must be asked for within this; 0 when not told
+	Classes     []Class
+	Tenants     []Tenant
+	OverShare   float64       // worth of a request past its tenant's share, as a part of the usual
+	MaxAttempts int           // attempts for one request; at least 1
+	Cancel      bool          // attempts may be cancelled
+	RetryAfter  time.Duration // longest retry-after that clients honour; 0 when they see none
+	DrainGrace  time.Duration
+	ColdShare   float64 // a cold backend's capacity at its start, as a part of the full
+	ColdFor     time.Duration
+	FallFactor  float64       // this multiple of its present capacity,
+	FallFor     time.Duration // sent for this long, brings a cold backend down
+}
+
+// Validate reports the first setting that makes no sense.
+func (s *Settings) Validate() error {
+	if len(s.Classes) == 0 {
+		return errors.New("policy: Classes: at least one class is needed")
+	}
+	seen := map[string]bool{}
+	for i, c := range s.Classes {
+		switch {
+		case c.Name == "" || seen[c.Name]:
+			return fmt.Errorf("policy: Classes[%d].Name: %q is empty or used twice", i, c.Name)
+		case c.Aim < 0:
+			return fmt.Errorf("policy: Classes[%d] (%s): Aim: %v is negative", i, c.Name, c.Aim)
+		case c.Deadline < 0:
+			return fmt.Errorf("policy: Classes[%d] (%s): Deadline: %v is negative", i, c.Name, c.Deadline)
+		case c.Window < 0:
+			return fmt.Errorf("policy: Classes[%d] (%s): Window: %v is negative", i, c.Name, c.Window)
+		case !(c.Worth >= 0 && c.Worth <= math.MaxFloat64):
+			return fmt.Errorf("policy: Classes[%d] (%s): Worth: %v must not be negative", i, c.Name, c.Worth)
+		case !(c.LateWorth >= 0 && c.LateWorth <= math.MaxFloat64):
+			return fmt.Errorf("policy: Classes[%d] (%s): LateWorth: %v must not be negative", i, c.Name, c.LateWorth)
+		case c.Effect > Unsafe:
+			return fmt.Errorf("policy: Classes[%d] (%s): Effect: unknown value %d", i, c.Name, c.Effect)
+		case c.Group > GroupCell:
+			return fmt.Errorf("policy: Classes[%d] (%s): Group: unknown value %d", i, c.Name, c.Group)
+		}
+		seen[c.Name] = true
+	}
+	for i, t := range s.Tenants {
+		if !(t.QuotaPerS >= 0 && t.QuotaPerS <= math.MaxFloat64) {
+			return fmt.Errorf("policy: Tenants[%d] (%s): QuotaPerS: %v must not be negative", i, t.Name, t.QuotaPerS)
+		}
+	}
+	switch {
+	case s.Nodes < 1:
+		return fmt.Errorf("policy: Nodes: %d is below 1", s.Nodes)
+	case s.MaxAttempts < 1:
+		return fmt.Errorf("policy: MaxAttempts: %d is below 1", s.MaxAttempts)
+	case !(s.ColdShare >= 0 && s.ColdShare <= 1):
+		return fmt.Errorf("policy: ColdShare: %v is outside 0 to 1", s.ColdShare)
+	}
+	for _, v := range []struct {
+		name  string
+		value float64
+	}{
+		{"MustAskIn", s.MustAskIn.Seconds()}, {"RetryAfter", s.RetryAfter.Seconds()},
+		{"DrainGrace", s.DrainGrace.Seconds()}, {"ColdFor", s.ColdFor.Seconds()}, {"FallFor", s.FallFor.Seconds()},
+		{"FallFactor", s.FallFactor}, {"OverShare", s.OverShare},
+	} {
+		if !(v.value >= 0 && v.value <= math.MaxFloat64) {
+			return fmt.Errorf("policy: %s: %v must be a number that is not negative", v.name, v.value)
+		}
+	}
+	return nil
+}
+
+// EventKind names what happened.
+type EventKind uint8
+
+const (
+	EvRequest EventKind = iota // a client request arrived
+	EvOutcome                  // an attempt ended
+	EvGone                     // the client gave up
+	EvList                     // news of the server list
+	EvTimer                    // a timer set by ActTimer is due
+	EvOther                    // anything the policy does not act on
+)
+
+// Outcome is how an attempt ended.
+type Outcome uint8
+
+const (
+	OK            Outcome = iota
+	Failed                // an error answer; may have run
+	Full                  // turned away unseen; never ran
+	TimedOut              // no answer in time; may have run
+	ConnectFailed         // no connection in time; never ran
+	Reset                 // the connection dropped; may have run
+	Canceled              // cancelled; may have run
+	Moot                  // never sent; never ran
+)
+
+// Load is a backend's report. Queue and Held are negative when the report does not carry them.
+type Load struct {
+	Known bool
+	Queue float64 // requests waiting; negative when not told
+	Held  float64 // requests held, waiting or in work; negative when not told
+	Work  float64 // seconds of service lately, without waiting; not positive when not told
+}
+
+// ListKind says how Event.Entries is to be read.
+type ListKind uint8
+
+const (
+	ListDelta  ListKind = iota // changed entries only
+	ListFull                   // all entries; a backend not in it has left
+	ListCached                 // all entries as last seen, perhaps stale
+	ListFailed                 // no entries: a call for the list failed, or the subscription dropped
+)
+
+// State is a backend's standing in the list.
+type State uint8
+
+const (
+	Active State = iota
+	Leaving
+	Left
+)
+
+// Entry is one backend in a list.
+type Entry struct {
+	ID       uint32
+	Zone     string
+	Cell     int64
+	Kind     string        // machine kind; only ever compared for equality
+	Launched time.Duration // clock time of its last start; 0 means long ago
+	State    State
+}
+
+// Event is one thing that happened at this node. Only the fields of its kind are read.
+type Event struct {
+	Kind    EventKind
+	ID      string        // EvRequest, EvOutcome, EvGone: the request
+	Class   string        // EvRequest
+	Tenant  string        // EvRequest
+	Left    time.Duration // EvRequest: the client gives up after this
+	Repeat  bool          // EvRequest: a client's repeat of its earlier try, where clients say so
+	Server  uint32        // EvOutcome
+	Attempt int           // EvOutcome: number of the attempt, from 0 in the order of the sends
+	Took    time.Duration // EvOutcome: since the send
+	Last    bool          // EvOutcome: the request is finished
+	Outcome Outcome       // EvOutcome
+	Load    Load          // EvOutcome
+	List    ListKind      // EvList
+	Entries []Entry       // EvList; not kept by the policy
+	Token   string        // EvTimer
+}
+
+// ActionKind names what the node is to do.
+type ActionKind uint8
+
+const (
+	ActSend   ActionKind = iota // start an attempt of ID at Server, with Wait as its time-out
+	ActCancel                   // stop waiting for attempt Attempt of ID
+	ActRefuse                   // final answer: refused, the client may try again after Wait
+	ActFail                     // final answer: failed, no promise
+	ActTimer                    // send EvTimer with Token once the clock reaches At
+	ActWatch                    // subscribe to changes of the list
+	ActFetch                    // ask for the whole list once
+	ActLog                      // Text is worth an operator's look
+)
+
+// Action is one thing for the node to do, in the order given.
+type Action struct {
+	Kind    ActionKind
+	ID      string
+	Server  uint32
+	Attempt int
+	Wait    time.Duration
+	At      time.Duration
+	Token   string
+	Text    string
+}
--- /dev/null
+++ b/policy/drive_test.go
@@ -0,0 +1,389 @@
+package policy_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"springflow/policy"
+)
+
+const ms = time.Millisecond
+
+func testSettings(nodes int, ask bool) policy.Settings {
+	return policy.Settings{
+		Zone: "east", Nodes: nodes, MustAsk: ask, MustAskIn: 10 * time.Second,
+		Classes: []policy.Class{
+			{Name: "read", Aim: 400 * ms, Deadline: time.Second, Worth: 10, Effect: policy.Safe},
+			{Name: "put", Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: policy.Keyed,
+				Group: policy.GroupZone, Window: 120 * ms},
+			{Name: "note", Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: policy.Keyed,
+				Group: policy.GroupCell, Window: 90 * ms},
+			{Name: "mark", Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: policy.Keyed,
+				Group: policy.GroupAll, Window: 600 * ms},
+			{Name: "pay", Aim: 400 * ms, Deadline: 2 * time.Second, Worth: 2, Effect: policy.Unsafe},
+		},
+		MaxAttempts: 4, Cancel: true, RetryAfter: time.Second, DrainGrace: 500 * ms,
+		ColdShare: 0.3, ColdFor: 8 * time.Second, FallFactor: 3, FallFor: time.Second,
+	}
+}
+
+// The drive plays a small world against real balancers and checks the four rules by its own books, which
+// share no code with the policy.
+
+type happening struct {
+	at   time.Duration
+	seq  int
+	node int
+	ev   policy.Event
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+type tried struct {
+	server policy.Entry
+	at     time.Duration
+	open   bool
+	ran    bool // may have run
+}
+
+type ask struct {
+	class    policy.Class
+	until    time.Duration
+	attempts []tried
+	answers  int
+	gone     bool
+}
+
+type box struct {
+	policy.Entry
+	held    int
+	broken  int // 0 sound, 1 errors, 2 silent, 3 no connection
+	sends   []time.Duration
+	drained []time.Duration // per node: when it was told that this one drains or left, 0 when not
+}
+
+type world struct {
+	t      *testing.T
+	rng    *rand.Rand
+	set    policy.Settings
+	nodes  []*policy.Balancer
+	boxes  map[uint32]*box
+	ids    []uint32
+	asks   []map[string]*ask
+	todo   agenda
+	seq    int
+	record []policy.Action
+	sent   int
+	faults int
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults++
+	if w.faults < 10 {
+		w.t.Errorf(format, args...)
+	}
+}
+
+func (w *world) add(at time.Duration, node int, ev policy.Event) {
+	w.seq++
+	heap.Push(&w.todo, happening{at, w.seq, node, ev})
+}
+
+func (w *world) tell(at time.Duration, node int, kind policy.ListKind, entries ...policy.Entry) {
+	w.add(at, node, policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+}
+
+// drive runs nodes against servers at the given requests a second for each node.
+func drive(t *testing.T, seed uint64, nodes, servers int, rate float64, length time.Duration) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), boxes: map[uint32]*box{},
+		set: testSettings(nodes, seed%2 == 0)}
+	start := time.Hour
+	var list []policy.Entry
+	for i := 0; i < servers; i++ {
+		e := policy.Entry{ID: uint32(100 + i*7), Zone: []string{"east", "west"}[i%2], Cell: int64(i % 4), Kind: "k"}
+		w.boxes[e.ID] = &box{Entry: e, drained: make([]time.Duration, nodes)}
+		w.ids = append(w.ids, e.ID)
+		list = append(list, e)
+	}
+	for n := 0; n < nodes; n++ {
+		b, err := policy.New(w.set, seed+uint64(n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.nodes = append(w.nodes, b)
+		w.asks = append(w.asks, map[string]*ask{})
+		w.tell(start, n, policy.ListCached, list...)
+		at, i := start, 0
+		for at < start+length {
+			at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+			i++
+			c := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
+			left := time.Duration(float64(c.Deadline) * (0.3 + 0.7*w.rng.Float64()))
+			if w.rng.IntN(100) == 0 {
+				left = 0
+			}
+			id := fmt.Sprintf("r%d-%d", n, i)
+			w.add(at, n, policy.Event{Kind: policy.EvRequest, ID: id, Class: c.Name, Left: left, Repeat: w.rng.IntN(4) == 0})
+			if w.rng.IntN(50) == 0 {
+				w.add(at+time.Duration(w.rng.Int64N(int64(300*ms))), n, policy.Event{Kind: policy.EvGone, ID: id})
+			}
+		}
+	}
+	// What goes wrong: breakages, drains with successors, cold restarts, lost lists.
+	for at := start + time.Second; at < start+length; at += 2 * time.Second {
+		id := w.ids[w.rng.IntN(len(w.ids))]
+		switch w.rng.IntN(4) {
+		case 0:
+			w.boxes[id].broken = w.rng.IntN(4)
+		case 1:
+			old := w.boxes[id].Entry
+			old.State = policy.Leaving
+			fresh := old
+			fresh.ID, fresh.State, fresh.Launched = uint32(10000+len(w.ids)), policy.Active, at
+			w.boxes[fresh.ID] = &box{Entry: fresh, drained: make([]time.Duration, nodes)}
+			w.ids = append(w.ids, fresh.ID)
+			for n := range w.nodes {
+				late := at + time.Duration(w.rng.Int64N(int64(time.Second)))
+				w.tell(late, n, policy.ListDelta, old, fresh)
+				old.State = policy.Left
+				w.tell(late+time.Second, n, policy.ListDelta, old)
+				old.State = policy.Leaving
+			}
+		case 2:
+			for n := range w.nodes {
+				w.tell(at, n, policy.ListFailed)
+			}
+		}
+	}
+	var out []policy.Action
+	for len(w.todo) > 0 {
+		h := heap.Pop(&w.todo).(happening)
+		if h.at > start+length+5*time.Second {
+			break
+		}
+		w.before(&h)
+		out = w.nodes[h.node].Handle(h.at, &h.ev, out[:0])
+		for _, a := range out {
+			w.act(h.at, h.node, a)
+		}
+		w.record = append(w.record, out...)
+	}
+	for n, asks := range w.asks {
+		for id, a := range asks {
+			if a.answers == 0 && !a.gone {
+				w.fault("rule 1: node %d never answered %s", n, id)
+			}
+		}
+	}
+	return w
+}
+
+// before books what the node is about to hear.
+func (w *world) before(h *happening) {
+	asks := w.asks[h.node]
+	switch ev := &h.ev; ev.Kind {
+	case policy.EvRequest:
+		for _, c := range w.set.Classes {
+			if c.Name == ev.Class {
+				asks[ev.ID] = &ask{class: c, until: h.at + ev.Left}
+			}
+		}
+	case policy.EvGone:
+		asks[ev.ID].gone = true
+	case policy.EvOutcome:
+		a := asks[ev.ID]
+		if ev.Attempt >= len(a.attempts) || !a.attempts[ev.Attempt].open {
+			return // a doubled outcome, thrown in on purpose
+		}
+		tr := &a.attempts[ev.Attempt]
+		tr.open = false
+		w.boxes[ev.Server].held--
+		tr.ran = ev.Outcome != policy.Full && ev.Outcome != policy.ConnectFailed && ev.Outcome != policy.Moot
+		if ev.Outcome == policy.OK && a.answers == 0 {
+			a.answers++
+		}
+		ev.Last = a.answers > 0 || a.gone
+	case policy.EvList:
+		for _, e := range ev.Entries {
+			b := w.boxes[e.ID]
+			if e.State == policy.Active {
+				b.drained[h.node] = 0
+			} else if b.drained[h.node] == 0 {
+				b.drained[h.node] = h.at
+			}
+		}
+	}
+}
+
+// act carries out an action and checks it.
+func (w *world) act(now time.Duration, node int, act policy.Action) {
+	if act.Kind == policy.ActTimer {
+		w.add(max(act.At, now+1), node, policy.Event{Kind: policy.EvTimer, Token: act.Token})
+		return
+	}
+	a := w.asks[node][act.ID]
+	switch act.Kind {
+	case policy.ActSend:
+		w.send(now, node, a, act)
+	case policy.ActRefuse, policy.ActFail:
+		if a.answers++; a.answers > 1 || a.gone {
+			w.fault("rule 1: %s answered %d times (gone %v)", act.ID, a.answers, a.gone)
+		}
+		if now > a.until+20*ms {
+			w.fault("rule 1: %s answered %v after its client left", act.ID, now-a.until)
+		}
+		if act.Kind == policy.ActRefuse && a.class.Effect != policy.Safe &&
+			!(a.class.Effect == policy.Keyed && a.class.Group == policy.GroupAll) {
+			for _, tr := range a.attempts {
+				if tr.ran || tr.open {
+					w.fault("rule 2: %s (%s) refused though it may have run", act.ID, a.class.Name)
+				}
+			}
+		}
+	}
+}
+
+func (w *world) send(now time.Duration, node int, a *ask, act policy.Action) {
+	w.sent++
+	b := w.boxes[act.Server]
+	if a.answers > 0 || a.gone {
+		w.fault("rule 1: %s sent after its final answer", act.ID)
+	}
+	if d := b.drained[node]; d > 0 && now > d+w.set.DrainGrace {
+		w.fault("rule 3: %s sent to %d, told to drain %v ago", act.ID, act.Server, now-d)
+	}
+	if len(a.attempts) >= w.set.MaxAttempts {
+		w.fault("%s: attempt %d of %d", act.ID, len(a.attempts)+1, w.set.MaxAttempts)
+	}
+	for _, tr := range a.attempts {
+		if tr.open {
+			w.fault("rule 2: %s has two attempts out", act.ID)
+		}
+		if !tr.ran && !tr.open {
+			continue
+		}
+		c := a.class
+		switch {
+		case c.Effect == policy.Unsafe:
+			w.fault("rule 2: unsafe %s sent again", act.ID)
+		case c.Effect == policy.Keyed && now > tr.at+c.Window:
+			w.fault("rule 2: %s sent again %v after an attempt, window %v", act.ID, now-tr.at, c.Window)
+		case c.Effect == policy.Keyed && c.Group == policy.GroupZone && tr.server.Zone != b.Zone:
+			w.fault("rule 2: %s sent again to another zone", act.ID)
+		case c.Effect == policy.Keyed && c.Group == policy.GroupCell && tr.server.Cell != b.Cell:
+			w.fault("rule 2: %s sent again to another cell", act.ID)
+		}
+	}
+	a.attempts = append(a.attempts, tried{server: b.Entry, at: now, open: true})
+	b.held++
+	b.sends = append(b.sends, now)
+
+	outcome, took := policy.OK, time.Duration(float64(8*ms)*w.rng.ExpFloat64()*float64(4+b.held))
+	switch {
+	case b.broken == 1 || w.rng.IntN(200) == 0:
+		outcome, took = policy.Failed, 2*ms
+	case b.broken == 2:
+		took = time.Hour
+	case b.broken == 3:
+		outcome, took = policy.ConnectFailed, 100*ms
+	case b.held > 20:
+		outcome, took = policy.Full, ms
+	case w.rng.IntN(300) == 0:
+		outcome, took = policy.Reset, 5*ms
+	case w.rng.IntN(500) == 0:
+		outcome, took = policy.Moot, 0
+	}
+	limit := a.until - now
+	if act.Wait > 0 {
+		limit = min(limit, act.Wait)
+	}
+	if took > limit {
+		outcome, took = policy.TimedOut, max(limit, 0)
+	}
+	ev := policy.Event{Kind: policy.EvOutcome, ID: act.ID, Server: act.Server, Attempt: len(a.attempts) - 1,
+		Took: took, Outcome: outcome}
+	if outcome == policy.OK {
+		ev.Load = policy.Load{Known: true, Queue: float64(max(0, b.held-4)), Held: float64(b.held)}
+		switch w.rng.IntN(40) {
+		case 0: // an absurd report
+			odd := []float64{math.NaN(), math.Inf(1), -1e300, 1e300}
+			ev.Load.Queue, ev.Load.Held, ev.Load.Work = odd[w.rng.IntN(4)], odd[w.rng.IntN(4)], odd[w.rng.IntN(4)]
+		case 1: // only the queue and the time in work
+			ev.Load.Held, ev.Load.Work = -1, took.Seconds()
+		}
+	}
+	w.add(now+took, node, ev)
+	if w.rng.IntN(50) == 0 {
+		w.add(now+took+ms, node, ev) // the same outcome once more
+	}
+}
+
+func TestRulesHoldInRandomDrives(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		nodes, rate := []int{1, 2, 3, 40}[seed%4], []float64{20, 120, 500}[seed%3]
+		if nodes > 3 {
+			rate /= 20
+		}
+		w := drive(t, seed, nodes, 6, rate, 20*time.Second)
+		if w.sent < 300 {
+			t.Errorf("seed %d: only %d attempts: the drive tests nothing", seed, w.sent)
+		}
+		w.checkCold()
+	}
+}
+
+// checkCold checks rule 4 from the sends alone. A box of this world works off about 125 attempts a second
+// once warm; all nodes together must stay under the stated multiple of what a cold one can do.
+func (w *world) checkCold() {
+	const warm = 125.0
+	for _, id := range w.ids {
+		b := w.boxes[id]
+		if b.Launched == 0 {
+			continue
+		}
+		for i, first := range b.sends {
+			n := 0
+			for _, at := range b.sends[i:] {
+				if at > first+w.set.FallFor {
+					break
+				}
+				n++
+			}
+			age := (first + w.set.FallFor - b.Launched).Seconds()
+			share := math.Min(1, w.set.ColdShare+(1-w.set.ColdShare)*age/w.set.ColdFor.Seconds())
+			if limit := w.set.FallFactor * share * warm * w.set.FallFor.Seconds(); float64(n) > limit {
+				w.fault("rule 4: %d attempts in a window at %d, %.1f s old; at most %.0f", n, id, age, limit)
+				break
+			}
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	a := drive(t, 5, 2, 6, 120, 5*time.Second)
+	b := drive(t, 5, 2, 6, 120, 5*time.Second)
+	if len(a.record) < 1000 {
+		t.Fatalf("only %d actions", len(a.record))
+	}
+	if !reflect.DeepEqual(a.record, b.record) {
+		t.Error("two runs of the same events differ")
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,572 @@
+// Package policy makes the decisions of one HTTP load balancer: which backend a request goes to, which
+// requests are refused, what is tried again. Settings, events and actions are in policy/api.go, what a node
+// remembers in policy/state.go; all decisions are here.
+//
+// Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks":
+// normal, overload (each request is diverted with probability q) and discard (nothing is sent). Diverted
+// requests take a backend in normal mode or are refused at once. docs/design.md has the whole story.
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Times are in seconds. The constants are the design's, or middles of plateaus over unlike fleets.
+const (
+	onset     = 0.90 // H as a part of R
+	abatement = 0.78 // L as a part of R
+	divert    = 0.80 // q: the part of all requests that a backend in overload diverts
+	aimPart   = 0.40 // H is at most what a backend clears in this part of the shortest aim
+	roomPart  = 0.80 // and at most this part of an occupancy that drew 'full', as reports tell of it too late
+	minH      = 1.6  // below this the noise of single requests would decide the modes
+	sharpness = 8    // the split's weights fall with this power of the expected delay
+	ownZone   = 1.5  // weight of a backend in this node's own zone
+	othersTau = 3.0  // reports are older than most requests: what others add is known as a mean only
+	lagTau    = 0.5  // about how old a report is when it is read
+	rateTau   = 3.0  // memory of service times and send rates
+	knowTau   = 2.0  // a report fades towards the mean of the fresh ones over this
+	oldTau    = 10.0 // an occupancy that drew 'full' and class shares fade over this
+	prior     = 5.0  // a backend's own service time counts from this many held requests on
+	guess     = 0.1  // service time before any answer was seen
+	silence   = 1.0  // time-outs and "full" are failures of a backend that answered nothing for this long
+	badShare  = 0.5  // a backend that failed more than this lately is ejected
+	ejectFor  = 1.0  // for this long at first, doubled each time,
+	ejectMost = 8.0  // up to this
+	crowdAt   = 5.0  // time in work beyond this multiple of the kind's best tells of a crowd, not of chance
+	coldPart  = 0.67 // of the multiple that brings a cold backend down: so much it is sent at most
+	retryPart = 0.2  // further attempts that each first one allows
+	retryBank = 10.0 // and how many may be saved up
+	askAgain  = 1.0  // after a lost list a node asks again within about this
+	tick      = 0.25 // plans are renewed this often
+)
+
+// New returns the balancer of one node, or an error that names the setting that makes no sense.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
+		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1)}
+	for _, c := range set.Classes {
+		b.classes = append(b.classes, &class{Class: c, least: c.Deadline.Seconds()})
+		if d := c.Deadline.Seconds(); d > 0 {
+			b.half = min(b.half, d/2)
+		}
+		if a := c.Aim.Seconds(); a > 0 {
+			b.aim = min(b.aim, a)
+		}
+	}
+	for _, t := range set.Tenants {
+		b.tenants = append(b.tenants, &tenant{Tenant: t})
+	}
+	return b, nil
+}
+
+// Handle takes one event at the given time and appends what is to be done to out.
+func (b *Balancer) Handle(now time.Duration, ev *Event, out []Action) []Action {
+	b.out = out
+	t := max(now.Seconds(), b.now) // a clock that steps back must not undo what was learnt
+	b.now = t
+	switch ev.Kind {
+	case EvRequest:
+		b.arrive(t, ev)
+	case EvOutcome:
+		b.ended(t, ev)
+	case EvGone:
+		b.gone(ev)
+	case EvList:
+		b.list(t, ev)
+	case EvTimer:
+		b.plan(t)
+		if b.askAt > 0 && t >= b.askAt {
+			b.askAt = 0
+			b.do(Action{Kind: ActWatch})
+		}
+	}
+	// One timer is out at a time, whatever timers come in; one that was lost is set anew.
+	if t >= b.tickAt-1e-6 && (ev.Kind == EvTimer || t > b.tickAt+tick) {
+		b.tickAt = t + tick
+		b.do(Action{Kind: ActTimer, Token: "tick", At: span(b.tickAt)})
+	}
+	out, b.out = b.out, nil
+	return out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+func (b *Balancer) log(format string, args ...any) {
+	b.do(Action{Kind: ActLog, Text: fmt.Sprintf(format, args...)})
+}
+
+func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// arrive admits a request or refuses it at once; nothing is ever held.
+func (b *Balancer) arrive(now float64, ev *Event) {
+	if _, known := b.requests[ev.ID]; known {
+		return
+	}
+	// A class never told of must be taken as one that must not run twice.
+	c := &class{Class: Class{Name: ev.Class, Effect: Unsafe}}
+	if i := slices.IndexFunc(b.classes, func(k *class) bool { return k.Name == ev.Class }); i >= 0 {
+		c = b.classes[i]
+	}
+	c.requests++
+	left := ev.Left.Seconds()
+	r := &request{id: ev.ID, class: c, until: now + left, aim: now + left}
+	if aim := c.Aim.Seconds(); aim > 0 && c.LateWorth == 0 {
+		// A repeat with less time left than any first try lately has what is left of the deadline: that tells
+		// the age of its request. Work for one past its aim would only make others late.
+		if ev.Repeat && left < c.least-1e-3 {
+			aim -= max(0, c.Deadline.Seconds()-left)
+		} else if !ev.Repeat {
+			c.least = min(c.least*1.001, left)
+		}
+		r.aim = min(r.aim, now+aim)
+	}
+	b.requests[ev.ID] = r
+	b.total++
+	if r.lesser = b.overShare(ev.Tenant) || c.lesser; r.lesser {
+		b.lessers++
+	}
+	if left <= 0 || r.aim <= now || !b.try(now, r) {
+		b.finish(now, r)
+		return
+	}
+	b.retries = min(retryBank, b.retries+retryPart)
+}
+
+// overShare draws whether a request lies past its tenant's share: the node takes its own part of the share,
+// and of what goes beyond it as many at random as there are too many.
+func (b *Balancer) overShare(name string) bool {
+	i := slices.IndexFunc(b.tenants, func(t *tenant) bool { return t.Name == name })
+	if i < 0 || b.set.OverShare >= 1 {
+		return false
+	}
+	t := b.tenants[i]
+	t.count++
+	return b.rng.Float64()*t.rate > t.QuotaPerS*b.part
+}
+
+// try sends a request on the ordinary path of the design, or tells that no backend takes it: draw a backend,
+// let one in overload divert the request with probability q, and diverted requests draw a normal one.
+func (b *Balancer) try(now float64, r *request) bool {
+	s := b.pick(now, r, overload)
+	if s != nil && s.mode == overload && b.diverts(now, s, r.lesser) {
+		s = b.pick(now, r, normal)
+	}
+	if s != nil {
+		b.send(now, r, s)
+	}
+	return s != nil
+}
+
+func (b *Balancer) send(now float64, r *request, s *server) {
+	r.attempts = append(r.attempts, attempt{s, true, b.waiting(s, now) + 1})
+	r.open++
+	s.own++
+	until := r.until // ended at the aim, it would draw a client's retry that is worth nothing
+	if s.mode != normal {
+		until = r.aim // here it mostly waits, and keeps others from being in time
+	}
+	b.do(Action{Kind: ActSend, ID: r.id, Server: s.ID, Wait: span(max(until-now, 1e-6))})
+}
+
+// finish gives the final answer: a refusal where the client may safely try again, a failure elsewhere.
+func (b *Balancer) finish(now float64, r *request) {
+	delete(b.requests, r.id) // no attempt is out: nothing more can come of it
+	c := r.class
+	if r.mayRun != nil && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
+		b.do(Action{Kind: ActFail, ID: r.id}) // it may have run: a refusal would promise too much
+		return
+	}
+	// Back after the time in which a backend clears a good part of its queue, while the answer still counts.
+	wait := b.set.RetryAfter.Seconds() // past the aim no repeat can be in time
+	if now < r.aim {
+		wait = min(wait, b.aim/4)
+	}
+	b.do(Action{Kind: ActRefuse, ID: r.id, Wait: span(wait)})
+}
+
+// ended takes an attempt's outcome. Outcomes that are late, doubled or of unknown requests change nothing.
+func (b *Balancer) ended(now float64, ev *Event) {
+	r := b.requests[ev.ID]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].open {
+		return
+	}
+	s := r.attempts[ev.Attempt].server
+	r.attempts[ev.Attempt].open = false
+	r.open--
+	b.learn(now, s, r, ev)
+	r.final = r.final || ev.Last
+	if r.final {
+		if r.open == 0 {
+			delete(b.requests, r.id)
+		}
+		return
+	}
+	if r.mayRun == nil && ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot {
+		r.mayRun, r.mayRunAt = s, now-ev.Took.Seconds()
+	}
+	r.avoid = s
+	if b.mayRetry(now, r) && b.try(now, r) {
+		b.retries--
+	} else {
+		b.finish(now, r)
+	}
+}
+
+// diverts draws whether a backend in overload diverts a request of a class. The share q of all requests is
+// diverted, lesser classes first; what passes falls as the occupancy exceeds H.
+func (b *Balancer) diverts(now float64, s *server, lesser bool) bool {
+	q := 1 - (1-divert)*min(1, b.high(s, b.limit(s))/max(b.waiting(s, now), 1))
+	part := b.lessers / max(b.total, 1)
+	if lesser {
+		return b.rng.Float64()*part < q
+	}
+	return b.rng.Float64()*(1-part) < q-part
+}
+
+// mayRetry tells whether the rules and the budget allow a further attempt. Retries must never add to an
+// overload: they take the ordinary path again, and share a budget that only first attempts fill.
+func (b *Balancer) mayRetry(now float64, r *request) bool {
+	c := r.class
+	if len(r.attempts) >= b.set.MaxAttempts || now >= r.aim || b.retries < 1 {
+		return false
+	}
+	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && now < r.mayRunAt+c.Window.Seconds()
+}
+
+// learn books what an outcome shows of its backend.
+func (b *Balancer) learn(now float64, s *server, r *request, ev *Event) {
+	s.settle(now)
+	s.own = max(0, s.own-1)
+	took := max(0, ev.Took.Seconds())
+	n := max(ev.Load.Queue, ev.Load.Held, 0)
+	if w := ev.Load.Work; ev.Load.Held < 0 && w > 0 && w < math.MaxInt32 && b.ramp(s, now) == 1 {
+		// Where the queue alone is told, many slots hide a crowd from it: a backend chokes on what is in work
+		// with nothing waiting. Requests then take many times as long as at their best.
+		if s.work == 0 {
+			s.work = w
+		}
+		s.work += (w - s.work) * (1 - math.Exp((s.reportAt-now)/othersTau))
+		n += max(0, s.work/s.base/crowdAt-1)
+	}
+	if ev.Load.Known && n < math.MaxInt32 { // and not NaN
+		s.others += (n - s.ownLag - s.others) * (1 - math.Exp((s.reportAt-now)/othersTau))
+		s.reportAt = now
+		b.seen++
+		b.mean += (max(0, n-s.ownLag) - b.mean) / b.seen
+	}
+	switch ev.Outcome {
+	case OK:
+		s.lastOK = now
+		s.served++
+		s.bad *= 0.75
+		if s.trial {
+			s.trial, s.ejections = false, 0
+			b.log("backend %d answers again", s.ID)
+		}
+		b.latency(s, r, ev.Attempt, took)
+	case Full:
+		// A draining or broken backend turns requests away with nothing waiting: that is no limit.
+		if n := b.waiting(s, now) + 1; n >= minH {
+			s.room = min(s.room, n)
+		}
+		// Turned away is the freshest report there is: R is reached, whatever older reports still arrive.
+		// Without this a full backend looks best, as what it turns away at once never counts as in flight.
+		s.full, s.fullAt = b.limit(s), now
+		// A draining backend turns all away until the list tells; a crowded one still answers others.
+		if s.lastOK < now-silence {
+			b.blame(now, s)
+		}
+	case TimedOut:
+		// The true latency is longer than was waited for; taking it as seen would make a slow backend look
+		// as good as the time-out.
+		b.latency(s, r, ev.Attempt, 2*took)
+		s.others++ // the backend may well run on with it; the next reports will tell
+		// A slow backend still answers some; one that answered nothing meanwhile is not slow but out.
+		if s.lastOK < now-max(took, silence) {
+			b.blame(now, s)
+		}
+	case Failed, ConnectFailed, Reset:
+		b.blame(now, s)
+	}
+	s.update(now, b)
+}
+
+// latency books an answer's time against the occupancy it met when it was sent. Taking the occupancy of the
+// moment it came back would make a backend that is filling up look fast, as its quick answers come first.
+func (b *Balancer) latency(s *server, r *request, i int, took float64) {
+	s.latency += took
+	s.occupancy += r.attempts[i].met
+	r.class.latency += took
+	r.class.answers++
+}
+
+// blame counts a failed attempt. A broken backend can look best (fast errors, an empty queue), so one that
+// fails too often is ejected for a growing time and comes back by trickle. However many are ejected, the
+// rest are not pushed over: their modes refuse what they cannot take.
+func (b *Balancer) blame(now float64, s *server) {
+	s.bad = 0.75*s.bad + 0.25
+	if now < s.ejected || !s.trial && s.bad < badShare {
+		return
+	}
+	s.ejections++
+	s.ejected = now + min(ejectMost, ejectFor*math.Pow(2, float64(s.ejections-1)))*(0.75+0.5*b.rng.Float64())
+	s.trial = true
+	b.log("backend %d ejected for %.1f s: too many attempts failed", s.ID, s.ejected-now)
+}
+
+func (b *Balancer) gone(ev *Event) {
+	r := b.requests[ev.ID]
+	if r == nil || r.final {
+		return
+	}
+	r.final = true
+	for i, a := range r.attempts {
+		if a.open && b.set.Cancel {
+			b.do(Action{Kind: ActCancel, ID: r.id, Attempt: i}) // nobody waits for this work any more
+		}
+	}
+	if r.open == 0 {
+		delete(b.requests, r.id)
+	}
+}
+
+// settle moves ownLag towards own, so that it tells what was in flight when the report was made.
+func (s *server) settle(now float64) {
+	s.ownLag += (s.own - s.ownLag) * (1 - math.Exp((s.ownAt-now)/lagTau))
+	s.ownAt = now
+}
+
+// waiting estimates the present occupancy: the report, and own sends it does not show yet. A node of hundreds
+// hears from a backend every tens of seconds: an old report fades towards what fresh ones show of the fleet.
+// Fading towards nothing would make the least known backend look best.
+func (b *Balancer) waiting(s *server, now float64) float64 {
+	s.settle(now)
+	n := max(0, b.mean+(s.others-b.mean)*math.Exp((s.reportAt-now)/knowTau)+s.own)
+	if s.full > 0 {
+		n = max(n, s.full-(now-s.fullAt)/b.service(s)) // it cannot have cleared more than this
+	}
+	return n
+}
+
+// service is the time a backend needs for each request it holds. A node alone sees few answers of each
+// backend and their work varies widely, so they are weighed against those of its kind.
+func (b *Balancer) service(s *server) float64 {
+	return (s.latency + prior*s.typical) / (s.occupancy + prior)
+}
+
+// limit is R: the queue a backend clears in half the shortest told deadline, capped where 'full' was met.
+func (b *Balancer) limit(s *server) float64 {
+	return max(min(s.room, b.half/b.service(s)), minH/onset)
+}
+
+// high is H. It never lets a backend hold more than it clears in a part of the shortest aim: an answer past
+// its aim is wasted work, however long the deadline.
+func (b *Balancer) high(s *server, r float64) float64 {
+	return max(min(onset*r, roomPart*s.room, aimPart*b.aim/b.service(s)), minH)
+}
+
+// update moves a backend between its modes.
+func (s *server) update(now float64, b *Balancer) {
+	n, r := b.waiting(s, now), b.limit(s)
+	h := b.high(s, r)
+	if s.mode == normal && n >= h {
+		s.mode = overload
+	}
+	if s.mode == overload && n >= r {
+		s.mode = discard
+	}
+	if s.mode == discard && n < h {
+		s.mode = overload
+	}
+	if s.mode == discard && now-max(s.reportAt, s.fullAt) > r*b.service(s) {
+		s.mode = overload // passing sends bring a new report
+	}
+	if s.mode == overload && n < h*abatement/onset {
+		s.mode = normal
+	}
+}
+
+// ramp is the least part of its capacity that a backend has, by the time since its start.
+func (b *Balancer) ramp(s *server, now float64) float64 {
+	age, span := now-s.launched, b.set.ColdFor.Seconds()
+	if s.launched <= 0 || age >= span {
+		return 1
+	}
+	return b.set.ColdShare + (1-b.set.ColdShare)*max(0, age)/span
+}
+
+// usable tells whether a request may go to a backend at all, whatever its mode.
+func (b *Balancer) usable(now float64, r *request, s *server) bool {
+	if s.State != Active && now >= s.grace || now < s.ejected || s.trial && s.own > 0 || s == r.avoid {
+		return false
+	}
+	m, group := r.mayRun, r.class.Group
+	return m == nil || r.class.Effect != Keyed ||
+		(group != GroupZone || s.Zone == m.Zone) && (group != GroupCell || s.Cell == m.Cell)
+}
+
+// pick draws a backend in the given mode or a better one, by weights that fall with the expected delay.
+func (b *Balancer) pick(now float64, r *request, worst mode) *server {
+	var chosen *server
+	sum := 0.0
+	b.picks++
+	for _, s := range b.order {
+		if s.update(now, b); s.mode > worst || !b.usable(now, r, s) {
+			continue
+		}
+		if ramp := b.ramp(s, now); ramp < 1 {
+			// A cold backend is kept from being pushed over by a fixed share of each node's requests: its
+			// ramp's part of what a warm one serves, times a part of the multiple that brings it down. The
+			// rest is for bursts and for backends slower than their kind. Nothing is saved up: budgets that
+			// hundreds of nodes begin at the same start would come due together.
+			if b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart {
+				return s
+			}
+			continue
+		}
+		// Other nodes see the same and do alike: an own attempt stands for one of each. Without this many
+		// nodes, each with few attempts out, meet on the same backends by chance, and one gone silent fills.
+		delay := b.service(s) * (b.waiting(s, now) + 1 + s.own*float64(b.set.Nodes-1))
+		weight := math.Pow(1/max(delay, 1e-3), sharpness)
+		if s.Zone == b.set.Zone {
+			weight *= ownZone
+		}
+		sum += weight
+		if b.rng.Float64()*sum < weight { // so that each is drawn with its part of the whole sum
+			chosen = s
+		}
+	}
+	return chosen
+}
+
+// plan runs a few times a second: it ages what was learnt and renews what the requests then use.
+func (b *Balancer) plan(now float64) {
+	type pool struct{ latency, occupancy, served, warm, work, told float64 }
+	kinds, all := map[string]*pool{}, &pool{}
+	dt := max(now-b.planAt, 1e-3)
+	b.planAt = now
+	f := math.Exp(-dt / rateTau)
+	b.seen *= f
+	b.picks, b.span = b.picks*f, b.span*f+rateTau*(1-f)
+	for _, s := range b.order {
+		s.latency, s.occupancy, s.served = s.latency*f, s.occupancy*f, s.served*f
+		s.room *= math.Exp(dt / oldTau)
+		k := kinds[s.Kind]
+		if k == nil {
+			k = &pool{}
+			kinds[s.Kind] = k
+		}
+		for _, p := range []*pool{k, all} {
+			p.latency += s.latency
+			if s.work > 0 {
+				p.work += s.work
+				p.told++
+			}
+			p.occupancy += s.occupancy
+			if s.State == Active && now >= s.ejected && b.ramp(s, now) == 1 {
+				p.served += s.served
+				p.warm++
+			}
+		}
+	}
+	fleet := (all.latency + prior*guess) / (all.occupancy + prior)
+	own, others := 1.0, float64(b.set.Nodes-1) // what this node and the others have in flight
+	for _, s := range b.order {
+		k := kinds[s.Kind]
+		s.typical = (k.latency + prior*fleet) / (k.occupancy + prior)
+		if k.told > 0 {
+			s.base = min(s.base, k.work/k.told)
+		}
+		own += s.ownLag
+		others += max(0, s.others)
+		s.chance = b.span / s.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
+		if k.warm > 0 {
+			s.chance = k.served / k.warm
+		} else if all.warm > 0 {
+			s.chance = all.served / all.warm / 2 // its kind may be the slower one
+		}
+		s.chance /= b.picks + 1
+	}
+	b.part = own / (own + others)
+	for _, t := range b.tenants {
+		t.rate, t.count = t.rate*f+t.count/dt*(1-f), 0
+	}
+	b.shares(math.Exp(-dt / oldTau))
+}
+
+// shares finds the lesser classes, those worth less than the average for their work. They are not ranked
+// further: the worst of them counts too.
+func (b *Balancer) shares(f float64) {
+	b.total, b.lessers = b.total*f, b.lessers*f
+	var worth, work float64
+	for _, c := range b.classes {
+		c.requests, c.latency, c.answers = c.requests*f, c.latency*f, c.answers*f
+		worth += c.requests * c.Worth
+		work += c.requests * c.work()
+	}
+	for _, c := range b.classes {
+		c.lesser = c.Worth*work < worth*c.work()
+	}
+}
+
+// work is the mean latency of a class, as a measure of what its requests cost.
+func (c *class) work() float64 { return (c.latency + guess) / (c.answers + 1) }
+
+// list follows the server list.
+func (b *Balancer) list(now float64, ev *Event) {
+	if ev.List == ListFailed {
+		// Every node loses the list at once: ask again after a random wait, so that they do not ask together.
+		wait := min(askAgain, cmp.Or(b.set.MustAskIn, time.Hour).Seconds()/3)
+		b.askAt = now + wait*(0.5+b.rng.Float64())
+		return
+	}
+	if ev.List == ListCached && b.set.MustAsk {
+		b.do(Action{Kind: ActWatch})
+	}
+	if ev.List != ListDelta {
+		grace := 0.0
+		if len(ev.Entries) == 0 && len(b.order) > 0 {
+			// An empty list is more likely a broken list than an empty fleet: ask once more, and go on
+			// with the old one for as long as the drain rule lets us.
+			grace = now + b.set.DrainGrace.Seconds()*0.8
+			b.do(Action{Kind: ActFetch})
+			b.log("the server list came empty; using the old one for its grace")
+		}
+		for _, s := range b.order {
+			if s.State == Active {
+				s.grace = grace
+			}
+			s.State = Left // those still listed are put back below
+		}
+		if grace > 0 {
+			return
+		}
+	}
+	for _, e := range ev.Entries {
+		s := b.servers[e.ID]
+		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
+			s = &server{launched: e.Launched.Seconds(), room: math.Inf(1), base: math.Inf(1), reportAt: now,
+				ownAt: now, lastOK: now}
+			b.servers[e.ID] = s
+		}
+		s.Entry, s.grace = e, 0
+	}
+	b.order = b.order[:0]
+	for id, s := range b.servers {
+		if s.State == Left {
+			delete(b.servers, id) // attempts that are out keep their own hold on it
+		} else {
+			b.order = append(b.order, s)
+		}
+	}
+	slices.SortFunc(b.order, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	b.plan(now)
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,99 @@
+package policy
+
+import "math/rand/v2"
+
+// What a node remembers. Declarations only; all decisions are in policy.go.
+
+type mode uint8
+
+const (
+	normal mode = iota
+	overload
+	discard
+)
+
+type class struct {
+	Class
+	requests         float64 // decayed count
+	latency, answers float64 // decayed sum of latencies, and the answers behind it
+	least            float64 // least time left of a first try lately
+	lesser           bool    // worth less than the average for its work
+}
+
+type tenant struct {
+	Tenant
+	count, rate float64 // requests since the last plan; requests a second lately
+}
+
+type attempt struct {
+	server *server
+	open   bool
+	met    float64 // occupancy plus one that it met
+}
+
+type request struct {
+	id       string
+	class    *class
+	lesser   bool    // diverted first
+	until    float64 // when the client gives up
+	aim      float64 // when its answer stops being worth anything
+	attempts []attempt
+	open     int     // attempts without an outcome
+	final    bool    // the client has its answer; nothing more may be sent
+	mayRun   *server // backend of the first attempt that may have run
+	mayRunAt float64 // when that was sent
+	avoid    *server // the backend just tried: not twice in a row
+}
+
+type server struct {
+	Entry
+	launched  float64
+	grace     float64 // not listed any more, but used until then: the list came empty
+	mode      mode
+	own       float64 // this node's attempts in flight
+	ownLag    float64 // the same, at about the time of the latest report
+	ownAt     float64
+	others    float64 // occupancy by reports beyond this node's own, smoothed
+	reportAt  float64
+	full      float64 // occupancy when it last turned a request away
+	fullAt    float64
+	room      float64 // smallest occupancy that drew 'full', infinite before one did
+	latency   float64 // decayed sum of latencies,
+	occupancy float64 // and of the occupancies plus one that they were met at
+	typical   float64 // service time of its kind
+	lastOK    float64
+	work      float64 // reported time in work, smoothed,
+	base      float64 // and the least that its kind's mean has been
+	bad       float64 // share of failures lately
+	ejections int     // ejections in a row
+	ejected   float64 // nothing is sent until then,
+	trial     bool    // then one attempt at a time until one succeeds
+	served    float64 // decayed count of answers; sends would also count what a crowded backend turns away
+	chance    float64 // while cold: part of this node's picks that a warm one of its kind serves
+}
+
+// Balancer is the state of one node. It is not safe for concurrent use.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	aim      float64 // shortest told aim, infinite when none was told
+	half     float64 // half the shortest told deadline, infinite when none was told
+	classes  []*class
+	servers  map[uint32]*server
+	order    []*server // sorted by id
+	requests map[string]*request
+	tenants  []*tenant
+	part     float64 // this node's part of all traffic
+	total    float64 // decayed count of requests,
+	lessers  float64 // and of those that are diverted first
+	picks    float64 // decayed count of draws,
+	span     float64 // and of the seconds that they were counted in
+	seen     float64 // decayed count of reports,
+	mean     float64 // and what others hold at a backend by their mean
+	retries  float64 // further attempts that the budget allows
+	now      float64 // latest time seen
+	planAt   float64
+	askAt    float64 // when to ask for the list again; 0: not wanted
+	tickAt   float64 // when the next plan is due
+	out      []Action
+}
