--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,256 @@
+// Package node is one load balancer on real sockets. It turns what happens on them into policy events and
+// carries out the policy's actions; it decides nothing itself.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"springflow/policy"
+)
+
+const (
+	maxBody    = 64 << 10 // bytes of a request's or an answer's body
+	minSockets = 64       // with fewer descriptors a node cannot serve
+	transit    = 10 * time.Millisecond
+	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
+	acceptFor = 600 * time.Millisecond
+)
+
+// node owns the balancer, and with it the order of events: whoever holds mu hands in the next one. Nothing
+// under mu waits for a socket.
+type node struct {
+	cfg     Config
+	log     *slog.Logger
+	clock   clock
+	disc    *discovery
+	backend *dialer
+	leaving atomic.Bool // SIGTERM has come
+
+	ctx context.Context // ends when the node does; attempts and watches hang on it
+	wg  sync.WaitGroup  // attempts and calls to discovery
+
+	mu       sync.Mutex
+	bal      *policy.Balancer
+	actions  []policy.Action
+	requests map[string]*request
+	nextReq  uint64
+	names    map[string]*backend // listed backends by discovery's id
+	backends map[uint32]*backend // the same by the policy's number, and those that left until their grace is over
+	nextNum  uint32
+	version  int64 // of the list
+	ready    bool  // some backend is listed as ready
+}
+
+// clock tells Unix time that runs on evenly when the system's clock is set.
+type clock struct{ start time.Time }
+
+func (c clock) now() time.Duration {
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+}
+
+// request is one client request that this node has taken.
+type request struct {
+	id       string // made here: a client may send its own id again while the first is still out
+	until    time.Duration
+	in       *http.Request
+	body     []byte
+	attempts []*attempt
+	open     int
+	answered bool
+	done     chan answer // holds the one final answer; never blocks
+}
+
+// answer is what a client is told.
+type answer struct {
+	status     int
+	header     http.Header // of a served request: what the backend sent
+	body       []byte
+	retryAfter time.Duration
+}
+
+// Run serves until ctx ends, finishes what it has taken and returns.
+func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	}
+	debug.SetGCPercent(400) // the live heap is small; collecting it often would be felt as latency
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	n, stop, err := start(cfg, log)
+	if err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	defer stop()
+	return n.serve(ctx, ln)
+}
+
+// start brings up all of a node but its listener. The returned function ends what was started.
+func start(cfg Config, log *slog.Logger) (*node, func(), error) {
+	bal, err := policy.New(cfg.Settings.Policy, cfg.Seed)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx, bal: bal, requests: map[string]*request{},
+		names: map[string]*backend{}, backends: map[uint32]*backend{}}
+	n.backend = newDialer(cfg)
+	n.disc = newDiscovery(n)
+	n.takeList(&cfg.Known, policy.ListCached)
+	if !cfg.Settings.Policy.MustAsk {
+		n.disc.watch() // the policy asks only where lists are not pushed
+	}
+	return n, func() {
+		cancel()
+		n.wg.Wait()
+		n.disc.http.CloseIdleConnections()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, b := range n.backends {
+			b.http.CloseIdleConnections()
+		}
+	}, nil
+}
+
+// begin takes a request and hands it to the policy. The final answer comes on the request's channel.
+func (n *node) begin(in *http.Request, body []byte, arrived time.Time, patience time.Duration) *request {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.now()
+	// The answer must be with the client when its time is up: the way there and back and the time that the
+	// request has spent here are off.
+	left := max(0, patience-time.Since(arrived)-transit)
+	n.nextReq++
+	r := &request{id: strconv.FormatUint(n.nextReq, 36), until: now + left, in: in, body: body, done: make(chan answer, 1)}
+	n.requests[r.id] = r
+	n.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.id, Class: in.Header.Get("X-Class"),
+		Tenant: in.Header.Get("X-Tenant"), Left: left, Repeat: in.Header.Get("X-Retry") == "1"})
+	return r
+}
+
+// gone tells the policy that a client has closed its connection, unless the request has its answer by now.
+func (n *node) gone(r *request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.answered {
+		return
+	}
+	r.answered = true
+	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvGone, ID: r.id})
+	n.forget(r)
+}
+
+// ended hands in an attempt's outcome, and passes on the answer of one that was served.
+func (n *node) ended(a *attempt, res result) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := a.request
+	r.open--
+	if res.outcome == policy.OK && !r.answered {
+		r.answered = true
+		r.done <- res.answer
+	}
+	now := n.clock.now()
+	n.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.id, Server: a.backend.number, Attempt: a.index,
+		Took: now - a.sent, Last: r.answered, Outcome: res.outcome, Load: res.load})
+	n.forget(r)
+}
+
+// finish gives a request its final answer, unless it has one.
+func (n *node) finish(id string, a answer) {
+	if r := n.requests[id]; r != nil && !r.answered {
+		r.answered = true
+		r.done <- a
+		n.forget(r)
+	}
+}
+
+// forget drops a request that nothing more can come of.
+func (n *node) forget(r *request) {
+	if r.answered && r.open == 0 {
+		delete(n.requests, r.id)
+	}
+}
+
+// handle hands one event to the policy and carries out what it wants, in its order. n.mu is held.
+func (n *node) handle(now time.Duration, ev *policy.Event) {
+	n.actions = n.bal.Handle(now, ev, n.actions[:0])
+	for i := range n.actions {
+		a := &n.actions[i]
+		switch a.Kind {
+		case policy.ActSend:
+			n.send(now, a)
+		case policy.ActCancel:
+			if r := n.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+				r.attempts[a.Attempt].cancel(errCanceled)
+			}
+		case policy.ActRefuse:
+			n.finish(a.ID, answer{status: http.StatusServiceUnavailable, retryAfter: a.Wait})
+		case policy.ActFail:
+			n.finish(a.ID, answer{status: http.StatusInternalServerError})
+		case policy.ActTimer:
+			token := a.Token
+			time.AfterFunc(a.At-now, func() { n.due(token) })
+		case policy.ActWatch:
+			n.disc.watch()
+		case policy.ActFetch:
+			n.disc.fetch()
+		case policy.ActLog:
+			n.log.Info(a.Text)
+		}
+	}
+}
+
+// due hands in a timer.
+func (n *node) due(token string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() == nil {
+		n.handle(n.clock.now(), &policy.Event{Kind: policy.EvTimer, Token: token})
+	}
+}
+
+// send starts an attempt. Its outcome is handed in later, whatever comes of it.
+func (n *node) send(now time.Duration, act *policy.Action) {
+	r := n.requests[act.ID]
+	if r == nil {
+		return
+	}
+	a := &attempt{request: r, index: len(r.attempts), backend: n.backends[act.Server], sent: now}
+	a.wait = min(act.Wait, r.until-now)
+	if act.Wait <= 0 {
+		a.wait = r.until - now
+	}
+	ctx, cancel := context.WithCancelCause(n.ctx)
+	a.cancel = cancel
+	r.attempts = append(r.attempts, a)
+	r.open++
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		defer cancel(nil)
+		res := result{outcome: policy.Moot}
+		if a.backend == nil {
+			a.backend = &backend{number: act.Server} // in none of the lists: never sent
+		} else {
+			res = a.run(ctx, n.log)
+		}
+		n.ended(a, res)
+		a.backend.settle()
+	}()
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -337,6 +337,14 @@
 	ev.Entries = d.entries
 }
 
+// Settings is what the settings object holds for the decisions and for the node that carries them out.
+type Settings struct {
+	Policy         policy.Settings
+	ConnIdle       time.Duration // backends close connections idle for this long; 0 when not told
+	ConnectTimeout time.Duration // a connection not up by then has failed; 0 when not told
+	Reports        bool          // answers may hold load reports
+}
+
 // info is the settings object of a create message; keys that are not named here are skipped.
 type info struct {
 	Balancers *int    `json:"balancers"`
@@ -362,7 +370,13 @@
 		RetryAfter  *bool   `json:"retry_after"`
 		MaxRetry    float64 `json:"max_retry_after_s"`
 		MaxAttempts *int    `json:"max_attempts"`
+
+		ConnIdle       float64 `json:"conn_idle_s"`
+		ConnectTimeout float64 `json:"connect_timeout_s"`
 	} `json:"policy_limits"`
+	Report struct {
+		How string `json:"how"`
+	} `json:"report"`
 	Rules struct {
 		ColdFor    float64 `json:"cold_s"`
 		ColdShare  float64 `json:"cold_share"`
@@ -378,11 +392,20 @@
 		d.fail("info", "missing")
 		return
 	}
-	var in info
-	if err := json.Unmarshal(d.row[i].MarshalTo(nil), &in); err != nil {
+	s, err := DecodeSettings(d.row[i].MarshalTo(nil))
+	if err != nil {
 		d.fail("info", err.Error())
 		return
 	}
+	d.msg.Settings = s.Policy
+}
+
+// DecodeSettings reads the settings object, which a create message and a node's configuration share.
+func DecodeSettings(text []byte) (Settings, error) {
+	var in info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return Settings{}, err
+	}
 	s := policy.Settings{Zone: in.Zone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
 		Cancel: in.Limits.Cancel, MustAskIn: seconds(in.Rules.MustAskIn),
 		DrainGrace: seconds(in.Rules.DrainGrace),
@@ -402,7 +425,7 @@
 		s.MustAsk = true
 	case "push", "":
 	default:
-		d.fail("discovery", "unknown value "+strconv.Quote(in.Discovery))
+		return Settings{}, fmt.Errorf("discovery: unknown value %q", in.Discovery)
 	}
 	effects := map[string]policy.Effect{"free": policy.Safe, "guarded": policy.Keyed, "single_shot": policy.Unsafe}
 	groups := map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
@@ -410,7 +433,7 @@
 		effect, ok := effects[g.Effect]
 		group, ok2 := groups[g.Group]
 		if !ok || !ok2 {
-			d.fail("grades", fmt.Sprintf("%s: unknown effect %q or group %q", g.Name, g.Effect, g.Group))
+			return Settings{}, fmt.Errorf("grades: %s: unknown effect %q or group %q", g.Name, g.Effect, g.Group)
 		}
 		s.Classes = append(s.Classes, policy.Class{Name: g.Name, Aim: seconds(g.Aim), Deadline: seconds(g.Deadline),
 			Worth: g.Gain, LateWorth: g.LateWorth, Effect: effect, Group: group, Window: seconds(g.Window)})
@@ -418,7 +441,8 @@
 	for _, t := range in.Projects {
 		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, QuotaPerS: t.Quota})
 	}
-	d.msg.Settings = s
+	return Settings{Policy: s, ConnIdle: seconds(in.Limits.ConnIdle), ConnectTimeout: seconds(in.Limits.ConnectTimeout),
+		Reports: in.Report.How == "piggyback"}, nil
 }
 
 // AppendAction appends the line of one action of an instance.
@@ -476,3 +500,30 @@
 func appendSeconds(buf []byte, t time.Duration) []byte {
 	return strconv.AppendFloat(append(buf, ','), math.Ceil(float64(t)/1e3)/1e6, 'f', -1, 64)
 }
+
+// DecodeLoad reads a load report that stands by itself, under this wire's names or the simulator's own.
+func DecodeLoad(text string) (policy.Load, error) {
+	var in struct {
+		Depth      *float64 `json:"depth"`
+		Queue      *float64 `json:"queue"`
+		Concurrent *float64 `json:"concurrent"`
+		Inflight   *float64 `json:"inflight"`
+		Mean       *float64 `json:"mean_ms"`
+		Latency    *float64 `json:"latency_ms"`
+	}
+	if err := json.Unmarshal([]byte(text), &in); err != nil {
+		return policy.Load{}, err
+	}
+	first := func(none float64, values ...*float64) float64 {
+		for _, v := range values {
+			if v != nil {
+				return *v
+			}
+		}
+		return none
+	}
+	l := policy.Load{Queue: first(-1, in.Depth, in.Queue), Held: first(-1, in.Concurrent, in.Inflight),
+		Work: max(first(0, in.Mean, in.Latency), 0) / 1e3}
+	l.Known = l.Queue >= 0 || l.Held >= 0
+	return l, nil
+}
