Answer within bounds at the descriptor limit and after SIGTERM; tests over loopback

Now the one idle for longest makes room (listener.Accept); - ReadTimeout doubled as idle time-out, and the time after SIGTERM could reach 3.6 s where SIGKILL may come at 3.2 s. Both have bounds of their own now; a watch waits 2 s, so that an agent that was silent is asked again soon.

Ruled out: resends by the transport (TestTransportResendsNothing: each request arrives once on a kept connection that then breaks) and writes after a drain grace (TestSendAfterGraceIsNotWritten).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -5,37 +5,39 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
+	longest := 3 * time.Second // the longest that a client waits
+	for _, c := range n.cfg.Settings.Policy.Classes {
+		longest = max(longest, c.Deadline)
+	}
 	limit := n.cfg.Sockets / 2
 	if n.cfg.Sockets == 0 {
 		limit = 1 << 20
 	}
-	l := &listener{Listener: ln, limit: limit, slots: make(chan struct{}, limit+limit/8)}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ready", n.serveReady)
+	l := &listener{Listener: ln, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]time.Time{}}
 	srv := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/ready" {
-				mux.ServeHTTP(w, r)
-				return
-			}
-			n.serveAPI(w, r)
-		}),
-		ReadHeaderTimeout: 10 * time.Second,
-		ReadTimeout:       30 * time.Second, // far longer than any deadline: it also ends the watch for clients that leave
+		Handler:           http.HandlerFunc(n.serveHTTP),
+		ReadHeaderTimeout: 5 * time.Second,
+		// The read deadline also runs while a request waits for its answer, and would then look like a client
+		// that has left: it must be longer than any of them waits.
+		ReadTimeout:    longest + 10*time.Second,
+		IdleTimeout:    10 * time.Minute,
+		MaxHeaderBytes: 32 << 10,
+		ConnState:      l.note,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(l) }()
@@ -46,15 +48,11 @@
 	}
 	n.leaving.Store(true)
 	n.log.Info("leaving: finishing what was taken")
+	end, cancel := context.WithTimeout(context.Background(), longest+acceptFor+transit)
+	defer cancel()
 	// Connections go on coming for a while, and clients use those that they have: each answer now tells them
 	// to close, and only then is the listener closed.
 	time.Sleep(acceptFor)
-	longest := 3 * time.Second
-	for _, c := range n.cfg.Settings.Policy.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	end, cancel := context.WithTimeout(context.Background(), longest)
-	defer cancel()
 	err := srv.Shutdown(end)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = srv.Close() // connections on which no request has come; the last deadline has passed
@@ -65,40 +63,88 @@
 
 type connKey struct{}
 
-// listener counts the connections of clients, so that the process never runs out of descriptors in accept:
-// past its limit each is answered with a refusal and closed, and far past it new ones wait in the backlog.
+// listener keeps the process from running out of descriptors in accept. Past its limit the connection that
+// has been idle for longest makes room; where none is idle the new one's request is refused, and far past it
+// new ones wait in the backlog.
 type listener struct {
 	net.Listener
 	limit int
-	open  atomic.Int64
 	slots chan struct{}
+
+	mu    sync.Mutex
+	conns map[*clientConn]time.Time // since when each has been idle; zero while it is busy
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	l.slots <- struct{}{}
-	c, err := l.Listener.Accept()
+	raw, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
 		return nil, err
 	}
-	n := l.open.Add(1)
-	return &clientConn{Conn: c, l: l, over: n > int64(l.limit), crowded: n > int64(l.limit*3/4)}, nil
+	c := &clientConn{Conn: raw, l: l}
+	l.mu.Lock()
+	l.conns[c] = time.Now()
+	var longest *clientConn
+	if len(l.conns) > l.limit {
+		for o, since := range l.conns {
+			if o != c && !since.IsZero() && (longest == nil || since.Before(l.conns[longest])) {
+				longest = o
+			}
+		}
+		c.over = longest == nil
+	}
+	l.mu.Unlock()
+	if longest != nil {
+		longest.Close()
+	}
+	return c, nil
 }
 
+// note follows which connections are idle.
+func (l *listener) note(c net.Conn, state http.ConnState) {
+	cc := c.(*clientConn)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.conns[cc]; !open {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		l.conns[cc] = time.Time{}
+	case http.StateIdle:
+		l.conns[cc] = time.Now()
+	}
+}
+
+// clientConn is a client's connection; over tells that there were too many already when it came.
 type clientConn struct {
 	net.Conn
-	l       *listener
-	once    sync.Once
-	over    bool // past the limit: refuse what comes on it
-	crowded bool // near the limit: close it after its answer
+	l    *listener
+	once sync.Once
+	over bool
 }
 
 func (c *clientConn) Close() error {
+	err := c.Conn.Close()
 	c.once.Do(func() {
-		c.l.open.Add(-1)
+		c.l.mu.Lock()
+		delete(c.l.conns, c)
+		c.l.mu.Unlock()
 		<-c.l.slots
 	})
-	return c.Conn.Close()
+	return err
+}
+
+func (n *node) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/ready" && r.Method == http.MethodGet:
+		n.serveReady(w, r)
+	case r.Method != http.MethodGet && r.Method != http.MethodPost:
+		n.reject(w, http.StatusMethodNotAllowed, "a request is a GET or a POST")
+	default:
+		n.serveAPI(w, r)
+	}
 }
 
 func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -117,29 +163,26 @@
 	patience, err := parseDeadline(r.Header.Get("X-Deadline"))
 	switch {
 	case err != nil:
-		n.refuse(w, http.StatusBadRequest, "X-Deadline: "+err.Error())
+		n.reject(w, http.StatusBadRequest, "X-Deadline: "+err.Error())
 		return
 	case r.Header.Get("X-Request-Id") == "":
-		n.refuse(w, http.StatusBadRequest, "X-Request-Id: missing")
+		n.reject(w, http.StatusBadRequest, "X-Request-Id: missing")
 		return
 	case r.Header.Get("X-Class") == "":
-		n.refuse(w, http.StatusBadRequest, "X-Class: missing")
+		n.reject(w, http.StatusBadRequest, "X-Class: missing")
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		n.refuse(w, http.StatusRequestEntityTooLarge, err.Error())
+		n.reject(w, http.StatusRequestEntityTooLarge, err.Error())
 		return
 	} else if err != nil { // cut short: what came is not what the client meant
-		n.refuse(w, http.StatusBadRequest, "body: "+err.Error())
+		n.reject(w, http.StatusBadRequest, "body: "+err.Error())
 		return
 	}
-	if n.leaving.Load() || conn != nil && conn.crowded {
-		w.Header().Set("Connection", "close")
-	}
-	if conn != nil && conn.over {
+	if conn != nil && conn.over { // nothing was sent: refusing is harmless, whatever the class
 		w.Header().Set("Connection", "close")
-		n.refuse(w, http.StatusServiceUnavailable, "too many connections")
+		n.reject(w, http.StatusServiceUnavailable, "too many connections")
 		return
 	}
 	req := n.begin(r, body, arrived, patience)
@@ -151,7 +194,8 @@
 	}
 }
 
-func (n *node) refuse(w http.ResponseWriter, status int, text string) {
+// reject answers a request that is not handed to the policy.
+func (n *node) reject(w http.ResponseWriter, status int, text string) {
 	n.write(w, answer{status: status, body: []byte(text + "\n")})
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	pushWait  = 5 * time.Second  // how long a watch waits where it costs nothing: a silent agent is noticed soon
-	askWait   = 20 * time.Second // and where each call is work for all nodes' discovery
-	overWait  = 1500 * time.Millisecond
+	pushWait  = 2 * time.Second         // how long a watch waits where it costs nothing: a silent agent is noticed soon
+	askWait   = 20 * time.Second        // and where each call is work for all nodes' discovery
+	overWait  = 1500 * time.Millisecond // more than that, and the call has failed
 	fetchWait = 5 * time.Second
 	watchRest = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
 	backoff   = 100 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,7 @@
 	minSockets = 64       // with fewer descriptors a node cannot serve
 	transit    = 10 * time.Millisecond
 	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
-	acceptFor = 600 * time.Millisecond
+	acceptFor = 500 * time.Millisecond
 )
 
 // node owns the balancer, and with it the order of events: whoever holds mu hands in the next one. Nothing
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,496 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"springflow/policy"
+)
+
+func TestServesWhatTheBackendSent(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
+		return reply(c, 200, "Content-Type: text/x-quote\r\nX-Load: {\"inflight\":7,\"queue\":2}\r\n", "a\x00b")
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	for i := range 5 {
+		resp, body := c.ask(save(fmt.Sprint("id-", i)))
+		if resp.StatusCode != 200 || body != "a\x00b" || resp.Header.Get("Content-Type") != "text/x-quote" {
+			t.Fatalf("answer %d: %v %q", i, resp, body)
+		}
+	}
+	got := b.requests()[0]
+	body, _ := io.ReadAll(got.Body)
+	if got.Method != "POST" || got.RequestURI != "/api?key=7f" || string(body) != "a window" ||
+		got.Header.Get("X-Request-Id") != "id-0" || got.Header.Get("Idempotency-Key") != "k-id-0" {
+		t.Errorf("the backend got %+v with body %q", got, body)
+	}
+	left, err := strconv.Atoi(strings.TrimSuffix(got.Header.Get("X-Deadline"), "u"))
+	if err != nil || left <= 0 || left >= 50_000_000 {
+		t.Errorf("the backend was told %q, want less than the client's 50 s", got.Header.Get("X-Deadline"))
+	}
+	// A handshake costs a backend as much as part of a request: the connection must have been kept.
+	if n := b.connections(); n != 1 {
+		t.Errorf("%d connections for 5 requests in a row, want 1", n)
+	}
+}
+
+// A client that tries again under the id of a request that is still out has made a request of its own.
+func TestSameIDTwice(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		if nth == 1 {
+			<-release
+		}
+		return served(c, r, nth)
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	first, second := r.dial(t), r.dial(t)
+	first.send(save("twin").text())
+	wait(t, "the first at the backend", func() bool { return len(b.requests()) == 1 })
+	if resp, body := second.ask(save("twin")); resp.StatusCode != 200 || body != "done twin" {
+		t.Errorf("second: %d %q", resp.StatusCode, body)
+	}
+	close(release)
+	if resp, body := first.answer(); resp.StatusCode != 200 || body != "done twin" {
+		t.Errorf("first: %d %q", resp.StatusCode, body)
+	}
+}
+
+func TestMalformedRequestsReachNoBackend(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	without := func(change func(*call)) call {
+		q := save("x")
+		change(&q)
+		return q
+	}
+	for _, c := range []struct {
+		name string
+		text string
+		want int
+	}{
+		{"no id", without(func(q *call) { q.id = "" }).text(), 400},
+		{"no class", without(func(q *call) { q.class = "" }).text(), 400},
+		{"no deadline", without(func(q *call) { q.deadline = "" }).text(), 400},
+		{"a deadline with no unit", without(func(q *call) { q.deadline = "480" }).text(), 400},
+		{"a deadline in an unknown unit", without(func(q *call) { q.deadline = "480s" }).text(), 400},
+		{"a deadline that is no number", without(func(q *call) { q.deadline = "NaNm" }).text(), 400},
+		{"a deadline of nothing", without(func(q *call) { q.deadline = "0m" }).text(), 400},
+		{"another method", without(func(q *call) { q.method = "PUT" }).text(), 405},
+		{"a body too large", without(func(q *call) { q.body = strings.Repeat("x", maxBody+1) }).text(), 413},
+		{"cut short", strings.TrimSuffix(save("x").text(), "ow"), 400},
+	} {
+		cl := r.dial(t)
+		cl.send(c.text)
+		cl.Conn.(*net.TCPConn).CloseWrite()
+		if resp, _ := cl.answer(); resp.StatusCode != c.want {
+			t.Errorf("%s: answered %d, want %d", c.name, resp.StatusCode, c.want)
+		}
+	}
+	large := save("whole")
+	large.body = strings.Repeat("x", maxBody)
+	if resp, _ := r.dial(t).ask(large); resp.StatusCode != 200 {
+		t.Errorf("the largest body: answered %d", resp.StatusCode)
+	}
+	if got := b.requests(); len(got) != 1 || got[0].Header.Get("X-Request-Id") != "whole" {
+		t.Errorf("the backend got %d requests, want the one well-formed", len(got))
+	}
+}
+
+// What an attempt's end proves decides whether the client may be told that trying again is harmless.
+func TestOutcomes(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		answer func(c net.Conn, r *http.Request, nth int) bool
+		unsafe int // the answer to a request that must not run twice
+		safe   int
+	}{
+		{"served", served, 200, 200},
+		{"an error", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 500, "", "") }, 500, 503},
+		{"an unknown status", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 302, "Location: /x\r\n", "") },
+			500, 503},
+		{"turned away", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 503, "X-Not-Run: 1\r\n", "") }, 503, 503},
+		{"over already", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 504, "X-Not-Run: 1\r\n", "") }, 503, 503},
+		{"503 with no proof", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 503, "", "") }, 500, 503},
+		{"504 with no proof", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 504, "", "") }, 500, 503},
+		{"a reset after the request", func(net.Conn, *http.Request, int) bool { return false }, 500, 503},
+		{"an answer cut short", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+			return false
+		}, 500, 503},
+		{"an answer too large", func(c net.Conn, _ *http.Request, _ int) bool {
+			return reply(c, 200, "", strings.Repeat("x", maxBody+1))
+		}, 500, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for _, q := range []struct {
+				call
+				want int
+			}{{quote("q"), c.unsafe}, {view("v"), c.safe}} {
+				b := newBox(t, c.answer)
+				r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+				resp, _ := r.dial(t).ask(q.call)
+				if resp.StatusCode != q.want {
+					t.Errorf("%s: answered %d, want %d", q.class, resp.StatusCode, q.want)
+				}
+				if after := resp.Header.Get("Retry-After"); (after != "") != (resp.StatusCode == 503) {
+					t.Errorf("%s: %d with Retry-After %q", q.class, resp.StatusCode, after)
+				} else if s, err := strconv.ParseFloat(after, 64); after != "" && (err != nil || s <= 0 || s > 2) {
+					t.Errorf("%s: Retry-After %q, want seconds up to the settings' 2", q.class, after)
+				}
+				if n := len(b.requests()); n != 1 {
+					t.Errorf("%s: the backend got %d requests, want 1", q.class, n)
+				}
+			}
+		})
+	}
+}
+
+// Nothing listens on the port: nothing can have run.
+func TestConnectFailureIsHarmless(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	r := newRig(t, newRegistry(t), settingsJSON, nil, listed{ID: "s-1", Addr: ln.Addr().String(), State: "Ready"})
+	if resp, _ := r.dial(t).ask(quote("q")); resp.StatusCode != 503 {
+		t.Errorf("answered %d, want a refusal", resp.StatusCode)
+	}
+}
+
+// The transport resends by itself what it holds for safe to repeat, when a kept connection breaks. The policy
+// would not know of that attempt: the backend must see the request once.
+func TestTransportResendsNothing(t *testing.T) {
+	t.Parallel()
+	for _, q := range []call{view("again"), save("again"), quote("again"),
+		{"GET", "view", "again", "k", "", "50000m"}, {"POST", "save", "again", "k", "", "50000m"}} {
+		b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+			return nth == 1 && served(c, r, nth) // the second on the same connection is met by its end
+		})
+		r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+		c := r.dial(t)
+		first := q
+		first.id = "first"
+		if resp, _ := c.ask(first); resp.StatusCode != 200 {
+			t.Fatalf("first: %d", resp.StatusCode)
+		}
+		resp, _ := c.ask(q)
+		if resp.StatusCode == 200 {
+			t.Errorf("%s %s: served, though the backend answered nothing", q.method, q.class)
+		}
+		if n := len(b.requests()); n != 2 || b.connections() != 1 {
+			t.Errorf("%s %s: the backend got %d requests on %d connections, want 2 on 1", q.method, q.class, n, b.connections())
+		}
+	}
+}
+
+// A refused first attempt is tried at another backend, and the client sees only that answer.
+func TestSecondBackendAnswers(t *testing.T) {
+	t.Parallel()
+	full := newBox(t, func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 503, "X-Not-Run: 1\r\n", "") })
+	fine := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, full.entry("s-1"), fine.entry("s-2"))
+	c := r.dial(t)
+	for i := 0; i < 50 && len(full.requests()) == 0; i++ {
+		if resp, body := c.ask(quote(fmt.Sprint(i))); resp.StatusCode != 200 || body != fmt.Sprint("done ", i) {
+			t.Fatalf("request %d: %d %q", i, resp.StatusCode, body)
+		}
+	}
+	if len(full.requests()) == 0 {
+		t.Error("no request met the full backend")
+	}
+}
+
+func TestSilentBackend(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.Copy(io.Discard, c)
+		return false
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	q := quote("q")
+	q.deadline = "300m"
+	if resp, _ := r.dial(t).ask(q); resp.StatusCode != 500 {
+		t.Errorf("answered %d, want a failure: it may run yet", resp.StatusCode)
+	}
+}
+
+// Nobody waits for the work of a client that has left.
+func TestClientGoneCancelsTheAttempt(t *testing.T) {
+	t.Parallel()
+	gone := make(chan struct{})
+	b := newBox(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.Copy(io.Discard, c) // until the node closes the connection
+		close(gone)
+		return false
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	c.send(save("x").text())
+	wait(t, "the request at the backend", func() bool { return len(b.requests()) == 1 })
+	c.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Fatal("the attempt goes on")
+	}
+	wait(t, "an empty table of requests", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.requests) == 0
+	})
+}
+
+// A send that waited for a connection while its backend's drain grace ended must not be written.
+func TestSendAfterGraceIsNotWritten(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	r.mu.Lock()
+	be := r.names["s-1"]
+	r.mu.Unlock()
+	for _, q := range []call{view("v"), save("s")} {
+		in, _ := http.NewRequest(q.method, "http://x/api", nil)
+		a := &attempt{request: &request{in: in, body: []byte(q.body)}, backend: be, wait: patience}
+		be.stop.Store(time.Now().Add(-time.Millisecond).UnixNano())
+		if res := a.run(context.Background(), slog.New(slog.DiscardHandler)); res.outcome != policy.Moot {
+			t.Errorf("%s: outcome %d, want it never sent", q.method, res.outcome)
+		}
+		be.stop.Store(0)
+		if res := a.run(context.Background(), slog.New(slog.DiscardHandler)); res.outcome != policy.OK {
+			t.Errorf("%s: outcome %d while no grace runs, want OK", q.method, res.outcome)
+		}
+	}
+	if n := len(b.requests()); n != 2 {
+		t.Errorf("the backend got %d requests, want 2", n)
+	}
+}
+
+func TestFollowsDiscovery(t *testing.T) {
+	t.Parallel()
+	old, fresh := newBox(t, served), newBox(t, served)
+	g := newRegistry(t)
+	r := newRig(t, g, settingsJSON, nil, old.entry("s-1"))
+	c := r.dial(t)
+	at := func(b *box) func() bool {
+		return func() bool {
+			before := len(b.requests())
+			resp, _ := c.ask(view("x"))
+			return resp.StatusCode == 200 && len(b.requests()) == before+1
+		}
+	}
+	wait(t, "the known backend", at(old))
+	g.next <- registryAnswer{status: 503} // a failed call is tried again
+	draining := old.entry("s-1")
+	draining.State = "Terminating"
+	g.next <- registryAnswer{200, list{Version: 2, Servers: []listed{draining, fresh.entry("s-2")}}}
+	wait(t, "the new backend", at(fresh))
+	sent := len(old.requests())
+	for range 20 {
+		if resp, _ := c.ask(view("x")); resp.StatusCode != 200 {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+	}
+	if n := len(old.requests()); n != sent {
+		t.Errorf("a draining backend got %d new requests", n-sent)
+	}
+	g.next <- registryAnswer{200, list{Version: 3, Full: true, Servers: []listed{fresh.entry("s-2")}}}
+	select {
+	case <-old.ended:
+	case <-time.After(patience):
+		t.Fatal("connections of a backend that a whole list leaves out stay open")
+	}
+	moved := old.entry("s-2") // the same id and start under another address is another process
+	g.next <- registryAnswer{200, list{Version: 4, Servers: []listed{moved}}}
+	wait(t, "the new address", at(old))
+	gone := moved
+	gone.State = "Gone"
+	g.next <- registryAnswer{200, list{Version: 5, Servers: []listed{gone}}}
+	wait(t, "a refusal with nothing left", func() bool {
+		resp, _ := c.ask(view("x"))
+		return resp.StatusCode == 503
+	})
+	if resp, _ := c.ask(call{method: "GET"}); resp.StatusCode != 400 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	for i, url := range g.calls() {
+		want := fmt.Sprintf("/v1/endpoints?since=%d&timeout_ms=", max(1, i))
+		if !strings.HasPrefix(url, want) {
+			t.Errorf("call %d: %s, want %s…", i, url, want)
+		}
+	}
+}
+
+// Where discovery is asked, the policy says when: at the start, and again after a loss.
+func TestAskMode(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	g := newRegistry(t)
+	g.next <- registryAnswer{status: 503}
+	g.next <- registryAnswer{200, list{Version: 2, Full: true, Servers: []listed{b.entry("s-1")}}}
+	r := newRig(t, g, strings.Replace(settingsJSON, `"push"`, `"ask"`, 1), nil)
+	c := r.dial(t)
+	wait(t, "the list after a loss", func() bool {
+		resp, _ := c.ask(view("x"))
+		return resp.StatusCode == 200
+	})
+}
+
+func ready(t *testing.T, r *rig) int {
+	t.Helper()
+	c := r.dial(t)
+	c.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	resp, _ := c.answer()
+	return resp.StatusCode
+}
+
+func TestReady(t *testing.T) {
+	t.Parallel()
+	g := newRegistry(t)
+	b := newBox(t, served)
+	r := newRig(t, g, settingsJSON, nil)
+	if s := ready(t, r); s != 503 {
+		t.Errorf("ready with no backend: %d", s)
+	}
+	g.next <- registryAnswer{200, list{Version: 2, Full: true, Servers: []listed{b.entry("s-1")}}}
+	wait(t, "readiness", func() bool { return ready(t, r) == 200 })
+}
+
+// After SIGTERM connections go on coming for a while; all that was taken is answered, then the node ends.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		if nth == 1 {
+			<-release
+		}
+		return served(c, r, nth)
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	c.send(quote("slow").text())
+	wait(t, "the request at the backend", func() bool { return len(b.requests()) == 1 })
+	late := r.dial(t)
+	r.leave()
+	wait(t, "the node's leaving", r.leaving.Load)
+	if resp, body := late.ask(quote("late")); resp.StatusCode != 200 || body != "done late" || !resp.Close {
+		t.Errorf("a request after SIGTERM: %d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+	close(release)
+	if resp, body := c.answer(); resp.StatusCode != 200 || body != "done slow" || !resp.Close {
+		t.Errorf("the request taken before: %d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+	select {
+	case err := <-r.exited:
+		if err != nil {
+			t.Error(err)
+		}
+		r.exited <- err
+	case <-time.After(patience):
+		t.Fatal("the node does not end")
+	}
+}
+
+// At the limit on descriptors idle connections make room; where none is idle, new ones are refused, and
+// nothing is left hanging in accept.
+func TestConnectionLimit(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		if r.Header.Get("X-Request-Id") == "slow" {
+			<-release
+		}
+		return served(c, r, nth)
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 64 }, b.entry("s-1"))
+	idle := r.dial(t)
+	if resp, _ := idle.ask(view("x")); resp.StatusCode != 200 {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	for range 100 {
+		r.dial(t) // says nothing
+	}
+	if resp, _ := r.dial(t).ask(view("y")); resp.StatusCode != 200 {
+		t.Errorf("behind a hundred idle connections: %d", resp.StatusCode)
+	}
+	var busy []*client
+	for range 24 { // as many as there are descriptors for backends
+		c := r.dial(t)
+		c.send(quote("slow").text())
+		busy = append(busy, c)
+	}
+	wait(t, "the requests at the backend", func() bool { return len(b.requests()) >= 2+len(busy)-1 })
+	for range 8 {
+		c := r.dial(t)
+		c.send(quote("slow").text()) // no descriptor for these: refused, as they never ran
+		busy = append(busy, c)
+	}
+	close(release)
+	for _, c := range busy {
+		if resp, _ := c.answer(); resp.StatusCode != 200 && resp.StatusCode != 503 {
+			t.Errorf("answered %d", resp.StatusCode)
+		}
+	}
+}
+
+func TestConfigErrorsNameTheField(t *testing.T) {
+	t.Parallel()
+	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":1,"full":true,"servers":[]},"settings":` +
+		settingsJSON + `}`
+	env := map[string]string{}
+	load := func(text string) (Config, error) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		env["GW_CONFIG"] = path
+		return Load(func(name string) string { return env[name] })
+	}
+	env["GW_NAME"] = "n7"
+	cfg, err := load(good)
+	if err != nil || cfg.Name != "n7" || cfg.Sockets != 1024 || cfg.Settings.ConnIdle != time.Minute {
+		t.Fatalf("a good file: %+v, %v", cfg, err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"127.0.0.1:0"`, `"nowhere"`, "listen"},
+		{`"127.0.0.1:1"`, `""`, "discovery"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":"x"`, "limits.memory_mb"},
+		{`"cores":1.0`, `"cores":-1`, "limits.cores"},
+		{`"known":{"version":1,"full":true,"servers":[]}`, `"known":{"servers":[{"id":"s"}]}`, "known.servers[0]"},
+		{`"balancers":1`, `"balancers":0`, "Nodes"},
+		{`"effect":"free"`, `"effect":"odd"`, "grades"},
+		{`"settings":`, `"other":`, "settings"},
+		{`"conn_idle_s":60`, `"conn_idle_s":-1`, "conn_idle_s"},
+	} {
+		if !strings.Contains(good, c.old) {
+			t.Fatalf("%s is not in the file", c.old)
+		}
+		_, err := load(strings.Replace(good, c.old, c.new, 1))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line that names %s", c.new, err, c.want)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("no file: %v", err)
+	}
+}
