Drop the kept connections of a silent backend; outlive an empty list; own descriptors

Ruled out: dial failures can't clear a sound pool, as a dial is only made when no connection is idle.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -35,7 +35,7 @@
 }
 
 func newDialer(cfg Config) *dialer {
-	d := &dialer{limit: int64(cfg.Sockets) * 3 / 8, reports: cfg.Settings.Reports}
+	d := &dialer{limit: int64(cfg.Sockets-ownSockets) * 3 / 8, reports: cfg.Settings.Reports}
 	if cfg.Sockets == 0 {
 		d.limit = 1 << 20
 	}
@@ -54,7 +54,9 @@
 	started int64
 	limits  *dialer
 	http    *http.Transport
+	left    bool // off the list; guarded by node.mu
 	gone    atomic.Bool
+	heard   atomic.Int64 // attempts that something came back for
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
 
@@ -183,19 +185,26 @@
 		req.Header.Set("User-Agent", "") // or the transport would put its own
 	}
 	req.Header.Set("X-Deadline", strconv.FormatInt(a.wait.Microseconds(), 10)+"u")
+	heard := a.backend.heard.Load()
 	resp, err := a.backend.http.RoundTrip(req)
 	if err != nil {
 		outcome := a.failure(ctx, err)
+		if outcome != policy.Moot && outcome != policy.Canceled && a.backend.heard.Load() == heard {
+			// Nothing came back from this backend for the whole of the attempt. When a machine was cut off, each
+			// connection kept from before would swallow one more request, and reset one when it is back.
+			a.backend.http.CloseIdleConnections()
+		}
 		if outcome != policy.Moot && (conn == nil || conn.written.Load() == before || conn.broken.Load()) {
 			outcome = policy.ConnectFailed // its last byte was never written
 		}
 		return result{outcome: outcome}
 	}
 	defer resp.Body.Close()
+	a.backend.heard.Add(1)
 	res := result{}
 	if text := resp.Header.Get("X-Load"); text != "" && a.backend.limits.reports {
 		if res.load, err = wire.DecodeLoad(text); err != nil {
-			log.Warn("a load report makes no sense", "backend", a.backend.id, "report", text)
+			log.Debug("a load report makes no sense", "backend", a.backend.id, "report", text)
 		}
 	}
 	// The answer is read whole before any of it goes on: one that breaks can still be tried again.
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -20,7 +20,7 @@
 	for _, c := range n.cfg.Settings.Policy.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	limit := n.cfg.Sockets / 2
+	limit := (n.cfg.Sockets - ownSockets) / 2
 	if n.cfg.Sockets == 0 {
 		limit = 1 << 20
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,7 +17,8 @@
 const (
 	pushWait  = 2 * time.Second         // how long a watch waits where it costs nothing: a silent agent is noticed soon
 	askWait   = 20 * time.Second        // and where each call is work for all nodes' discovery
-	overWait  = 1500 * time.Millisecond // more than that, and the call has failed
+	pushOver  = 1500 * time.Millisecond // an answer that is later than the wait by this has failed
+	askOver   = 5 * time.Second         // where it may stand in line behind other nodes' calls
 	fetchWait = 5 * time.Second
 	watchRest = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
 	backoff   = 100 * time.Millisecond
@@ -69,10 +70,10 @@
 // loop watches until ctx ends. Where lists are pushed it goes on after a failure; elsewhere a failure is told
 // to the policy, which says when to ask again.
 func (d *discovery) loop(ctx context.Context) {
-	wait := askWait
+	wait, over := askWait, askOver
 	push := !d.node.cfg.Settings.Policy.MustAsk
 	if push {
-		wait = pushWait
+		wait, over = pushWait, pushOver
 	}
 	pause := backoff
 	for ctx.Err() == nil {
@@ -80,7 +81,7 @@
 		d.node.mu.Lock()
 		since := d.node.version
 		d.node.mu.Unlock()
-		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+overWait)
+		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+over)
 		if err == nil {
 			pause = backoff
 			kind := policy.ListDelta
@@ -226,6 +227,7 @@
 		entries = append(entries, e)
 		switch e.State {
 		case policy.Active:
+			b.left = false
 			b.stop.Store(0)
 		case policy.Leaving:
 			n.drain(b)
@@ -253,17 +255,27 @@
 	b.stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano())
 }
 
-// drop takes a backend off the list. The policy may go on with the last of a list that came empty for the
-// grace, so its number is known until then.
+// drop takes a backend off the list. It stays known until its grace is over: the policy may go on with the
+// last of a list that came empty, and a backend that is listed again keeps its number and its connections.
 func (n *node) drop(b *backend) {
+	if b.left {
+		return
+	}
+	b.left = true
 	n.drain(b)
-	delete(n.names, b.id)
+	stop := b.stop.Load()
 	time.AfterFunc(n.cfg.Settings.Policy.DrainGrace, func() {
 		n.mu.Lock()
+		defer n.mu.Unlock()
+		if !b.left || b.stop.Load() != stop {
+			return // listed again meanwhile
+		}
+		if n.names[b.id] == b {
+			delete(n.names, b.id)
+		}
 		if n.backends[b.number] == b {
 			delete(n.backends, b.number)
 		}
-		n.mu.Unlock()
 		b.retire()
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 const (
 	maxBody    = 64 << 10 // bytes of a request's or an answer's body
 	minSockets = 64       // with fewer descriptors a node cannot serve
+	ownSockets = 16       // descriptors for anything but clients and backends
 	transit    = 10 * time.Millisecond
 	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
 	acceptFor = 500 * time.Millisecond
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -420,7 +422,7 @@
 		}
 		return served(c, r, nth)
 	})
-	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 64 }, b.entry("s-1"))
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 80 }, b.entry("s-1"))
 	idle := r.dial(t)
 	if resp, _ := idle.ask(view("x")); resp.StatusCode != 200 {
 		t.Fatalf("answered %d", resp.StatusCode)
@@ -451,6 +453,110 @@
 	}
 }
 
+// With every connection in use a new one's request is refused and told to close: it never ran.
+func TestNoRoomForAConnection(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 64 }, b.entry("s-1"))
+	half := strings.Replace(quote("half").text(), "Content-Length", "Expect: 100-continue\r\nContent-Length", 1)
+	var open []*client
+	for range (64 - ownSockets) / 2 {
+		c := r.dial(t)
+		c.send(strings.TrimSuffix(half, "a door"))
+		if resp, _ := c.answer(); resp.StatusCode != 100 { // the node is reading the body
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+		open = append(open, c)
+	}
+	if resp, _ := r.dial(t).ask(quote("more")); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("one more: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	for _, c := range open {
+		c.send("a door")
+		if resp, _ := c.answer(); resp.StatusCode != 200 {
+			t.Errorf("the rest of a request: %d", resp.StatusCode)
+		}
+	}
+}
+
+// A machine that was cut off leaves connections behind that look sound. Kept, each swallows a request.
+func TestConnectionsOfASilentBackendAreNotTrusted(t *testing.T) {
+	t.Parallel()
+	const kept = 8
+	var silent atomic.Bool
+	all := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		if silent.Load() {
+			io.Copy(io.Discard, c)
+			return false
+		}
+		if nth == kept {
+			close(all)
+		}
+		<-all // so that each of the first has a connection of its own
+		return served(c, r, nth)
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	r.mu.Lock()
+	be := r.names["s-1"]
+	r.mu.Unlock()
+	run := func(wait time.Duration) result {
+		in, _ := http.NewRequest("POST", "http://x/api", nil)
+		a := &attempt{request: &request{in: in, body: []byte("a door")}, backend: be, wait: wait}
+		return a.run(context.Background(), slog.New(slog.DiscardHandler))
+	}
+	var wg sync.WaitGroup
+	for range kept {
+		wg.Go(func() {
+			if res := run(patience); res.outcome != policy.OK {
+				t.Errorf("outcome %d", res.outcome)
+			}
+		})
+	}
+	wg.Wait()
+	silent.Store(true)
+	if res := run(200 * time.Millisecond); res.outcome != policy.TimedOut {
+		t.Fatalf("outcome %d of a silent backend", res.outcome)
+	}
+	for range kept - 1 { // the attempt's own connection is closed in any case
+		select {
+		case <-b.ended:
+		case <-time.After(patience):
+			t.Fatal("connections from before the silence are kept")
+		}
+	}
+	silent.Store(false)
+	if res := run(patience); res.outcome != policy.OK {
+		t.Errorf("outcome %d on a new connection", res.outcome)
+	}
+}
+
+// A list that comes empty by mistake costs neither the backends' connections nor what is known of them.
+func TestEmptyListIsOutlived(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	g := newRegistry(t)
+	r := newRig(t, g, settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	c.ask(view("x"))
+	g.next <- registryAnswer{200, list{Version: 2, Full: true}}
+	g.next <- registryAnswer{200, list{Version: 3, Full: true, Servers: []listed{b.entry("s-1")}}}
+	g.next <- registryAnswer{200, list{Version: 3, Full: true, Servers: []listed{b.entry("s-1")}}}
+	wait(t, "both lists", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.version == 3
+	})
+	if resp, _ := c.ask(view("y")); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.names["s-1"].number; n != 1 || b.connections() != 1 {
+		t.Errorf("backend number %d with %d connections, want those from before", n, b.connections())
+	}
+}
+
 func TestConfigErrorsNameTheField(t *testing.T) {
 	t.Parallel()
 	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
