After SIGTERM close connections without a request; stop sends that were given up while dialling

The one pair without an order that reading found is WaitGroup.Add from a timer (discovery.watch in ask mode) against Wait in the end of start's stop function; the lock now orders them.

New tests: bounded dialling of a silent machine, retirement of idle connections, silent connections after SIGTERM.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -135,10 +135,11 @@
 
 // gate is a request's body for one attempt. It cannot be rewound, so that the transport never sends the
 // request again by itself, not even one that carries an Idempotency-Key or has no body: that would be a
-// further attempt. Its first read comes before the first byte is written: there a send whose backend's drain
-// grace ended while it waited for a connection is stopped.
+// further attempt. Its first read comes before the first byte is written: there a send is stopped whose
+// backend's drain grace ended, or that was given up, while it waited for a connection.
 type gate struct {
 	bytes.Reader
+	ctx     context.Context
 	backend *backend
 	open    bool
 }
@@ -148,6 +149,9 @@
 		if stop := g.backend.stop.Load(); stop != 0 && time.Now().UnixNano() >= stop {
 			return 0, errDrained
 		}
+		if err := context.Cause(g.ctx); err != nil {
+			return 0, err
+		}
 		g.open = true
 	}
 	return g.Reader.Read(p)
@@ -174,7 +178,7 @@
 	in := a.request.in
 	url := *in.URL
 	url.Scheme, url.Host = "http", a.backend.addr
-	body := &gate{backend: a.backend}
+	body := &gate{ctx: ctx, backend: a.backend}
 	body.Reset(a.request.body)
 	req := (&http.Request{Method: in.Method, URL: &url, Host: in.Host, Header: in.Header.Clone(), Body: body,
 		ContentLength: int64(len(a.request.body))}).WithContext(ctx)
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,10 +17,11 @@
 
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
-	longest := 3 * time.Second // the longest that a client waits
+	var longest time.Duration // that a client waits
 	for _, c := range n.cfg.Settings.Policy.Classes {
 		longest = max(longest, c.Deadline)
 	}
+	longest = cmp.Or(longest, 3*time.Second)
 	limit := (n.cfg.Sockets - ownSockets) / 2
 	if n.cfg.Sockets == 0 {
 		limit = 1 << 20
@@ -53,9 +55,14 @@
 	// Connections go on coming for a while, and clients use those that they have: each answer now tells them
 	// to close, and only then is the listener closed.
 	time.Sleep(acceptFor)
-	err := srv.Shutdown(end)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = srv.Close() // connections on which no request has come; the last deadline has passed
+	// Shutdown leaves young connections open on which no request has come yet. One that came late on such a
+	// connection would be cut off at the end: those go first, and their clients turn to other nodes.
+	err := ln.Close()
+	l.closeIdle()
+	if e := srv.Shutdown(end); errors.Is(e, context.DeadlineExceeded) {
+		err = errors.Join(err, srv.Close()) // the last deadline has passed
+	} else if !errors.Is(e, net.ErrClosed) {
+		err = errors.Join(err, e)
 	}
 	<-failed
 	return err
@@ -101,6 +108,21 @@
 	return c, nil
 }
 
+// closeIdle closes the connections that carry no request.
+func (l *listener) closeIdle() {
+	l.mu.Lock()
+	var idle []*clientConn
+	for c, since := range l.conns {
+		if !since.IsZero() {
+			idle = append(idle, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
 // note follows which connections are idle.
 func (l *listener) note(c net.Conn, state http.ConnState) {
 	cc := c.(*clientConn)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,10 @@
 		n.disc.watch() // the policy asks only where lists are not pushed
 	}
 	return n, func() {
+		// Under the lock, which each wg.Add holds too: a timer may be about to start a watch. None does after this.
+		n.mu.Lock()
 		cancel()
+		n.mu.Unlock()
 		n.wg.Wait()
 		n.disc.http.CloseIdleConnections()
 		n.mu.Lock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -390,12 +392,15 @@
 	c := r.dial(t)
 	c.send(quote("slow").text())
 	wait(t, "the request at the backend", func() bool { return len(b.requests()) == 1 })
-	late := r.dial(t)
+	late, silent := r.dial(t), r.dial(t)
 	r.leave()
 	wait(t, "the node's leaving", r.leaving.Load)
 	if resp, body := late.ask(quote("late")); resp.StatusCode != 200 || body != "done late" || !resp.Close {
 		t.Errorf("a request after SIGTERM: %d %q, close %v", resp.StatusCode, body, resp.Close)
 	}
+	if n, err := silent.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a connection with no request after SIGTERM: %d bytes, %v; want it closed", n, err)
+	}
 	close(release)
 	if resp, body := c.answer(); resp.StatusCode != 200 || body != "done slow" || !resp.Close {
 		t.Errorf("the request taken before: %d %q, close %v", resp.StatusCode, body, resp.Close)
@@ -557,6 +562,52 @@
 	}
 }
 
+// A machine that is cut off says nothing when it is dialled. The settings bound that wait, far below the
+// client's, and nothing can have run.
+func TestConnectTimeout(t *testing.T) {
+	t.Parallel()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 10 { // until the backlog is full and the kernel answers no more
+		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	r := newRig(t, newRegistry(t), strings.Replace(settingsJSON, `"connect_timeout_s":5`, `"connect_timeout_s":0.2`, 1), nil,
+		listed{ID: "s-1", Addr: addr, State: "Ready"})
+	if resp, _ := r.dial(t).ask(quote("q")); resp.StatusCode != 503 {
+		t.Errorf("answered %d, want a refusal", resp.StatusCode)
+	}
+}
+
+// A request written to a connection that its backend has just closed as idle ends as a reset.
+func TestIdleConnectionsAreRetired(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), strings.Replace(settingsJSON, `"conn_idle_s":60`, `"conn_idle_s":0.3`, 1), nil, b.entry("s-1"))
+	if resp, _ := r.dial(t).ask(view("x")); resp.StatusCode != 200 {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	select {
+	case <-b.ended:
+	case <-time.After(patience):
+		t.Error("the node keeps a connection that the backend is about to close")
+	}
+}
+
 func TestConfigErrorsNameTheField(t *testing.T) {
 	t.Parallel()
 	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
