Hold neither own want of descriptors nor a cancelled dial against a backend

In reading backends.go, attempt.run, two wrong outcomes: an attempt cancelled while its connection was still being opened, and one for which this node had no descriptor left, were both handed in as a failure to connect, which the policy books against the backend (blame) and may eject it for. Checked by a probe over loopback, now TestOwnTroubleIsNotTheBackends. They are now handed in as cancelled and as never sent.

Ruled out: a time-out before any byte was written stays a failure to connect, as it proves that nothing ran.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -160,8 +160,7 @@
 func (*gate) Close() error { return nil }
 
 // hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"X-Deadline"}
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
 // run sends the request once and waits for what comes back. It returns only after a connection that it gave
 // up is closed, so that an attempt that follows is never a second copy.
@@ -193,12 +192,17 @@
 	resp, err := a.backend.http.RoundTrip(req)
 	if err != nil {
 		outcome := a.failure(ctx, err)
-		if outcome != policy.Moot && outcome != policy.Canceled && a.backend.heard.Load() == heard {
+		if outcome == policy.Moot || outcome == policy.Canceled {
+			// Not the backend's doing, also when it comes while a connection is opened: a failure to connect would
+			// be held against it.
+			return result{outcome: outcome}
+		}
+		if a.backend.heard.Load() == heard {
 			// Nothing came back from this backend for the whole of the attempt. When a machine was cut off, each
 			// connection kept from before would swallow one more request, and reset one when it is back.
 			a.backend.http.CloseIdleConnections()
 		}
-		if outcome != policy.Moot && (conn == nil || conn.written.Load() == before || conn.broken.Load()) {
+		if conn == nil || conn.written.Load() == before || conn.broken.Load() {
 			outcome = policy.ConnectFailed // its last byte was never written
 		}
 		return result{outcome: outcome}
@@ -229,7 +233,7 @@
 
 // failure tells why an attempt that broke off did. Unless shown otherwise it may have run.
 func (a *attempt) failure(ctx context.Context, err error) policy.Outcome {
-	if errors.Is(err, errDrained) {
+	if errors.Is(err, errDrained) || errors.Is(err, errSockets) {
 		return policy.Moot
 	}
 	switch context.Cause(ctx) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -50,16 +50,21 @@
 	}
 }
 
-// A client that tries again under the id of a request that is still out has made a request of its own.
-func TestSameIDTwice(t *testing.T) {
-	t.Parallel()
-	release := make(chan struct{})
-	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+// firstHeld serves all requests, the first one only after release.
+func firstHeld(release chan struct{}) func(net.Conn, *http.Request, int) bool {
+	return func(c net.Conn, r *http.Request, nth int) bool {
 		if nth == 1 {
 			<-release
 		}
 		return served(c, r, nth)
-	})
+	}
+}
+
+// A client that tries again under the id of a request that is still out has made a request of its own.
+func TestSameIDTwice(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, firstHeld(release))
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
 	first, second := r.dial(t), r.dial(t)
 	first.send(save("twin").text())
@@ -382,12 +387,7 @@
 func TestLeaving(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
-		if nth == 1 {
-			<-release
-		}
-		return served(c, r, nth)
-	})
+	b := newBox(t, firstHeld(release))
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
 	c := r.dial(t)
 	c.send(quote("slow").text())
@@ -593,6 +593,33 @@
 	}
 }
 
+// What is not a backend's doing must not be held against it: with no descriptor left, or once nobody waits,
+// an attempt that found no connection is no failure to connect.
+func TestOwnTroubleIsNotTheBackends(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	r.mu.Lock()
+	be := r.names["s-1"]
+	r.mu.Unlock()
+	in, _ := http.NewRequest("POST", "http://x/api", nil)
+	a := &attempt{request: &request{in: in}, backend: be, wait: patience}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	r.backend.open.Store(r.backend.limit)
+	if res := a.run(ctx, slog.New(slog.DiscardHandler)); res.outcome != policy.Moot {
+		t.Errorf("with no descriptor: outcome %d, want it never sent", res.outcome)
+	}
+	r.backend.open.Store(0)
+	cancel(errCanceled)
+	if res := a.run(ctx, slog.New(slog.DiscardHandler)); res.outcome != policy.Canceled {
+		t.Errorf("given up before it was sent: outcome %d, want cancelled", res.outcome)
+	}
+	if n := len(b.requests()); n != 0 {
+		t.Errorf("the backend got %d requests", n)
+	}
+}
+
 // A request written to a connection that its backend has just closed as idle ends as a reset.
 func TestIdleConnectionsAreRetired(t *testing.T) {
 	t.Parallel()
