Take in the first list under the lock

Seen: the data race that one test run had reported, now shown: with a pause of 50 ms put behind the hand-over in takeList, the race detector names node.handle from discovery.lost against node.handle from start (node.go, start: takeList ran without the lock, and in ask mode the list itself starts the watch). 150 runs of TestAskMode without the pause, cut at 60 s, did not show it.

After: start holds the lock; the same pause gives no report in 3 runs. In push mode, which this deployment has, the window was never open for more than the start itself. Conclusion: a node in ask mode could have read a half-built list at its start; it cannot now.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -54,7 +54,7 @@
 	return &discovery{node: n, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
-// watch starts the watch loop unless it runs. node.mu is held, or nothing else runs yet.
+// watch starts the watch loop unless it runs. node.mu is held.
 func (d *discovery) watch() {
 	if d.watching {
 		return
@@ -186,8 +186,7 @@
 	n.takeList(l, kind)
 }
 
-// takeList brings the node's backends up to date and hands the list to the policy. n.mu is held, or nothing
-// else runs yet.
+// takeList brings the node's backends up to date and hands the list to the policy. n.mu is held.
 func (n *node) takeList(l *list, kind policy.ListKind) {
 	now := n.clock.now()
 	n.version = l.Version
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,10 +112,13 @@
 		names: map[string]*backend{}, backends: map[uint32]*backend{}}
 	n.backend = newDialer(cfg)
 	n.disc = newDiscovery(n)
+	// The list can start a watch at once, whose answer must not be taken in before the list is.
+	n.mu.Lock()
 	n.takeList(&cfg.Known, policy.ListCached)
 	if !cfg.Settings.Policy.MustAsk {
 		n.disc.watch() // the policy asks only where lists are not pushed
 	}
+	n.mu.Unlock()
 	return n, func() {
 		// Under the lock, which each wg.Add holds too: a timer may be about to start a watch. None does after this.
 		n.mu.Lock()
