Take SIGHUP: read the file again and follow the discovery that it names

Checked: nothing in main.go registers SIGHUP, and discovery.go keeps its address and the version of its list for the node's life, so that taking the signal alone would not help: a watch from version 700 at a discovery that counts from 3 waits for ever (TestReloadFollowsAnotherDiscovery shows it with the line that asks for the whole list taken out). At fault: main.go (no handler), discovery.go's loop and call (cfg.Discovery, node.version), config.go (GW_DISCOVERY always first). Now: a discovery is an object with one address and a context. A reload cancels the open call, asks the new address for the whole list and watches from there; what the old one still answers is dropped under the lock. Backends and what the policy knows of them stay meanwhile. A bad file is logged and changes nothing. Tests: both modes of discovery over loopback; the built program with a bad file, two signals in a row and one after SIGTERM. They fail without the change.

--- a/cmd/craneglade/main_test.go
+++ b/cmd/craneglade/main_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -57,33 +58,124 @@
 		io.WriteString(w, "made for "+r.Header.Get("X-Request-Id"))
 	}))
 	defer backend.Close()
+	discovery := newDiscovery(t, backend.Listener.Addr().String())
+	p := start(t, discovery.Listener.Addr().String(), "")
+	p.ask(t, "r1")
+	p.leave(t)
+}
+
+// SIGHUP used to end the program. It takes the file again: a bad one changes nothing, a good one's discovery goes
+// before GW_DISCOVERY, and one that comes during another or after SIGTERM does no harm.
+func TestReloads(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, "made for "+r.Header.Get("X-Request-Id"))
+	}))
+	defer backend.Close()
+	first, second := newDiscovery(t, backend.Listener.Addr().String()), newDiscovery(t, backend.Listener.Addr().String())
+	p := start(t, first.Listener.Addr().String(), "")
+	first.wait(t)
+	replace := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replace("{")
+	for end := time.Now().Add(patience); !strings.Contains(p.log.String(), "keeping the old one"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("nothing logged of a bad file\n%s", p.log.String())
+		}
+	}
+	p.ask(t, "r1")
+	replace(config(second.Listener.Addr().String()))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	second.wait(t)
+	p.ask(t, "r2")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.leave(t)
+}
+
+// discovery is one that tells a single backend to whoever asks for all, and lets watches wait.
+type discovery struct {
+	*httptest.Server
+	asked chan struct{}
+}
+
+func newDiscovery(t *testing.T, backend string) *discovery {
+	d := &discovery{asked: make(chan struct{}, 100)}
 	told := make(chan struct{}, 1)
 	told <- struct{}{}
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.asked <- struct{}{}
 		select {
 		case <-told:
 			fmt.Fprintf(w, `{"version":2,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"n","kind":"k","cell":0,`+
-				`"state":"Ready","weight":1,"started_ms":0}]}`, backend.Listener.Addr())
+				`"state":"Ready","weight":1,"started_ms":0}]}`, backend)
 		case <-r.Context().Done():
 		}
 	}))
-	defer discovery.Close()
-	addr := freeAddr(t)
-	cmd := exec.Command(built(t))
-	var stderr bytes.Buffer
-	cmd.Stderr = &stderr
-	cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_LISTEN="+addr, "GW_DISCOVERY="+discovery.Listener.Addr().String(),
-		"GW_CONFIG="+write(t, `{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`+
-			`"known":{"version":1,"full":true,"servers":[]},"settings":`+settings+`}`))
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// wait returns once the discovery has been asked.
+func (d *discovery) wait(t *testing.T) {
+	t.Helper()
+	select {
+	case <-d.asked:
+	case <-time.After(patience):
+		t.Fatal("discovery is not asked")
 	}
-	exited := make(chan error, 1)
-	go func() { exited <- cmd.Wait() }()
-	defer cmd.Process.Kill()
+}
+
+func config(discovery string) string {
+	return fmt.Sprintf(`{"seed":"8c1f30d27a5be964","discovery":%q,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`+
+		`"known":{"version":1,"full":true,"servers":[]},"settings":%s}`, discovery, settings)
+}
+
+// logText is what a program has written so far.
+type logText struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// program is a craneglade that runs and is ready.
+type program struct {
+	addr, config string
+	cmd          *exec.Cmd
+	log          logText
+	exited       chan error
+}
 
+// start starts one with discovery in GW_DISCOVERY and inFile in its file.
+func start(t *testing.T, discovery, inFile string) *program {
+	t.Helper()
+	p := &program{addr: freeAddr(t), config: write(t, config(inFile)), cmd: exec.Command(built(t)), exited: make(chan error, 1)}
+	p.cmd.Stderr = &p.log
+	p.cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_LISTEN="+p.addr, "GW_DISCOVERY="+discovery, "GW_CONFIG="+p.config)
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	go func() { p.exited <- p.cmd.Wait() }()
 	ready := func() bool {
-		resp, err := http.Get("http://" + addr + "/ready")
+		resp, err := http.Get("http://" + p.addr + "/ready")
 		if err != nil {
 			return false
 		}
@@ -92,32 +184,43 @@
 	}
 	for end := time.Now().Add(patience); !ready(); time.Sleep(10 * time.Millisecond) {
 		select {
-		case err := <-exited:
-			t.Fatalf("ended: %v\n%s", err, stderr.String())
+		case err := <-p.exited:
+			t.Fatalf("ended: %v\n%s", err, p.log.String())
 		default:
 		}
 		if time.Now().After(end) {
 			t.Fatal("not ready")
 		}
 	}
-	req, _ := http.NewRequest("GET", "http://"+addr+"/api", nil)
-	for name, value := range map[string]string{"X-Request-Id": "r1", "X-Class": "a", "X-Deadline": "50000m"} {
+	return p
+}
+
+// ask wants a request under id served.
+func (p *program) ask(t *testing.T, id string) {
+	t.Helper()
+	req, _ := http.NewRequest("GET", "http://"+p.addr+"/api", nil)
+	for name, value := range map[string]string{"X-Request-Id": id, "X-Class": "a", "X-Deadline": "50000m"} {
 		req.Header.Set(name, value)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		t.Fatal(err)
+		t.Fatalf("%v\n%s", err, p.log.String())
 	}
 	body, _ := io.ReadAll(resp.Body)
 	resp.Body.Close()
-	if resp.StatusCode != 200 || string(body) != "made for r1" {
+	if resp.StatusCode != 200 || string(body) != "made for "+id {
 		t.Errorf("answered %d %q", resp.StatusCode, body)
 	}
-	cmd.Process.Signal(syscall.SIGTERM)
+}
+
+// leave wants the program to end well after SIGTERM.
+func (p *program) leave(t *testing.T) {
+	t.Helper()
+	p.cmd.Process.Signal(syscall.SIGTERM)
 	select {
-	case err := <-exited:
+	case err := <-p.exited:
 		if err != nil {
-			t.Errorf("after SIGTERM: %v\n%s", err, stderr.String())
+			t.Errorf("after SIGTERM: %v\n%s", err, p.log.String())
 		}
 	case <-time.After(patience):
 		t.Error("does not end after SIGTERM")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,7 +26,13 @@
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
 // set goes before the file. An error names the field that is at fault, on one line.
-func Load(getenv func(string) string) (Config, error) {
+func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
+
+// Reload reads the configuration again. The file's discovery now goes before GW_DISCOVERY, which tells the one at
+// the start.
+func Reload(getenv func(string) string) (Config, error) { return load(getenv, true) }
+
+func load(getenv func(string) string, again bool) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("GW_CONFIG: not set")
@@ -57,6 +63,9 @@
 		name  string
 		field *string
 	}{{"GW_NAME", &cfg.Name}, {"GW_LISTEN", &cfg.Listen}, {"GW_DISCOVERY", &cfg.Discovery}} {
+		if again && v.field == &cfg.Discovery && cfg.Discovery != "" {
+			continue
+		}
 		if s := getenv(v.name); s != "" {
 			*v.field = s
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -43,15 +43,38 @@
 	StartedMS int64  `json:"started_ms"`
 }
 
-// discovery keeps a node's list up to date.
+// discovery keeps a node's list up to date from one address. Another address means another discovery.
 type discovery struct {
-	node     *node
-	http     *http.Client
+	node  *node
+	http  *http.Client
+	addr  string
+	ctx   context.Context // ends when this discovery is left; only under node.mu
+	leave context.CancelFunc
+
 	watching bool // guarded by node.mu
+	whole    bool // its whole list is still to be asked for: its versions tell nothing before; guarded by node.mu
+}
+
+func newDiscovery(n *node, addr string) *discovery {
+	d := &discovery{node: n, addr: addr, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	d.ctx, d.leave = context.WithCancel(n.ctx)
+	return d
 }
 
-func newDiscovery(n *node) *discovery {
-	return &discovery{node: n, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+// reload takes in a configuration that was read again. The backends stay until the new discovery tells its list.
+func (n *node) reload(cfg Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil || cfg.Discovery == n.disc.addr {
+		return
+	}
+	n.log.Info("following another discovery", "from", n.disc.addr, "to", cfg.Discovery)
+	old := n.disc
+	old.leave()
+	n.disc = newDiscovery(n, cfg.Discovery)
+	n.disc.whole = true
+	n.disc.watch()
+	old.http.CloseIdleConnections()
 }
 
 // watch starts the watch loop unless it runs. node.mu is held.
@@ -63,38 +86,42 @@
 	d.node.wg.Add(1)
 	go func() {
 		defer d.node.wg.Done()
-		d.loop(d.node.ctx)
+		d.loop()
 	}()
 }
 
-// loop watches until ctx ends. Where lists are pushed it goes on after a failure; elsewhere a failure is told
-// to the policy, which says when to ask again.
-func (d *discovery) loop(ctx context.Context) {
+// loop watches until the discovery is left. Where lists are pushed it goes on after a failure; elsewhere a failure
+// is told to the policy, which says when to ask again.
+func (d *discovery) loop() {
 	wait, over := askWait, askOver
 	push := !d.node.cfg.Settings.Policy.MustAsk
 	if push {
 		wait, over = pushWait, pushOver
 	}
 	pause := backoff
-	for ctx.Err() == nil {
+	for d.ctx.Err() == nil {
 		begun := time.Now()
 		d.node.mu.Lock()
-		since := d.node.version
+		since, whole := d.node.version, d.whole
 		d.node.mu.Unlock()
-		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+over)
+		query, limit := fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+over
+		if whole {
+			query, limit = "", fetchWait
+		}
+		l, err := d.call(query, limit)
 		if err == nil {
 			pause = backoff
 			kind := policy.ListDelta
-			if l.Full {
+			if whole || l.Full {
 				kind = policy.ListFull
 			}
-			d.node.news(l, kind, true)
+			d.news(l, kind, true)
 			if rest := watchRest - time.Since(begun); rest > 0 {
-				sleep(ctx, rest)
+				sleep(d.ctx, rest)
 			}
 			continue
 		}
-		if ctx.Err() != nil {
+		if d.ctx.Err() != nil {
 			return
 		}
 		d.node.log.Warn("watching discovery failed", "err", err)
@@ -102,7 +129,7 @@
 			d.lost()
 			return
 		}
-		sleep(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
+		sleep(d.ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
 		pause = min(2*pause, backoffTo)
 	}
 }
@@ -113,7 +140,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	d.watching = false
-	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+	if d.ctx.Err() == nil {
+		n.handle(n.clock.now(), &policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+	}
 }
 
 // fetch asks for the whole list once. node.mu is held.
@@ -122,24 +151,24 @@
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
-		l, err := d.call(n.ctx, "", fetchWait)
+		l, err := d.call("", fetchWait)
 		if err == nil {
-			n.news(l, policy.ListFull, false)
+			d.news(l, policy.ListFull, false)
 			return
 		}
 		n.log.Warn("asking discovery failed", "err", err)
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if n.ctx.Err() == nil {
+		if d.ctx.Err() == nil {
 			n.handle(n.clock.now(), &policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		}
 	}()
 }
 
-func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (*list, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (d *discovery) call(query string, limit time.Duration) (*list, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.node.cfg.Discovery+"/v1/endpoints"+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -171,18 +200,20 @@
 	}
 }
 
-// news takes in an answer of discovery, unless what it tells is older than what is known: a whole list asked
-// for and a watch may cross.
-func (n *node) news(l *list, kind policy.ListKind, watched bool) {
+// news takes in an answer of discovery, unless it has been left or what it tells is older than what is known: a
+// whole list asked for and a watch may cross.
+func (d *discovery) news(l *list, kind policy.ListKind, watched bool) {
+	n := d.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old := l.Version <= n.version
 	if kind == policy.ListFull { // a watch's comes also from a discovery that counts anew
-		old = l.Version < n.version && !watched
+		old = l.Version < n.version && !watched && !d.whole
 	}
-	if old {
+	if old || d.ctx.Err() != nil {
 		return
 	}
+	d.whole = false
 	n.takeList(l, kind)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,6 @@
 	cfg     Config
 	log     *slog.Logger
 	clock   clock
-	disc    *discovery
 	backend *dialer
 	leaving atomic.Bool // SIGTERM has come
 
@@ -42,6 +41,7 @@
 	wg  sync.WaitGroup  // attempts and calls to discovery
 
 	mu       sync.Mutex
+	disc     *discovery
 	bal      *policy.Balancer
 	actions  []policy.Action
 	requests map[string]*request
@@ -80,8 +80,9 @@
 	retryAfter time.Duration
 }
 
-// Run serves until ctx ends, finishes what it has taken and returns.
-func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+// Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
+// be replaced while it serves: the address of discovery.
+func Run(ctx context.Context, cfg Config, reload <-chan Config, log *slog.Logger) error {
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
 	}
@@ -98,6 +99,16 @@
 		return errors.Join(err, ln.Close())
 	}
 	defer stop()
+	go func() {
+		for {
+			select {
+			case cfg := <-reload:
+				n.reload(cfg)
+			case <-n.ctx.Done():
+				return
+			}
+		}
+	}()
 	return n.serve(ctx, ln)
 }
 
@@ -111,7 +122,7 @@
 	n := &node{cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx, bal: bal, requests: map[string]*request{},
 		names: map[string]*backend{}, backends: map[uint32]*backend{}}
 	n.backend = newDialer(cfg)
-	n.disc = newDiscovery(n)
+	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
 	n.mu.Lock()
 	n.takeList(&cfg.Known, policy.ListCached)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -348,6 +348,53 @@
 	}
 }
 
+// A reload leaves the old discovery at once, and the new one is asked for all it has: its versions count anew, so
+// that a watch from the old one's version would wait for ever.
+func TestReloadFollowsAnotherDiscovery(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"push", "ask"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			before, after := newBox(t, served), newBox(t, served)
+			g, h := newRegistry(t), newRegistry(t)
+			g.next <- registryAnswer{200, list{Version: 700, Full: true, Servers: []listed{before.entry("s-1")}}}
+			r := newRig(t, g, strings.Replace(settingsJSON, `"push"`, `"`+mode+`"`, 1), nil)
+			c := r.dial(t)
+			wait(t, "the old discovery's backend", func() bool {
+				resp, _ := c.ask(view("x"))
+				return resp.StatusCode == 200
+			})
+			wait(t, "an open watch", func() bool { return len(g.calls()) == 2 })
+			cfg := r.cfg
+			cfg.Discovery = h.addr
+			h.next <- registryAnswer{status: 503} // the new one may fail at first
+			h.next <- registryAnswer{200, list{Version: 3, Full: true, Servers: []listed{after.entry("s-2")}}}
+			r.reload(cfg)
+			select {
+			case <-g.left:
+			case <-time.After(patience):
+				t.Fatal("the old discovery's watch stays open")
+			}
+			wait(t, "the new discovery's backend", func() bool {
+				resp, _ := c.ask(view("y"))
+				return resp.StatusCode == 200 && len(after.requests()) > 0
+			})
+			wait(t, "a watch at the new one", func() bool { return len(h.calls()) == 3 })
+			calls := h.calls()
+			if calls[0] != "/v1/endpoints" || calls[1] != "/v1/endpoints" || !strings.Contains(calls[2], "since=3&") {
+				t.Errorf("the new discovery was asked %q, want its whole list first and then a watch from there", calls)
+			}
+			if n := len(g.calls()); n != 2 {
+				t.Errorf("the old discovery was asked %d times, want no call after the reload", n)
+			}
+			r.reload(cfg) // the same again changes nothing
+			if n := len(h.calls()); n != 3 || len(h.left) != 0 {
+				t.Errorf("an unchanged address: %d calls, %d given up", n, len(h.left))
+			}
+		})
+	}
+}
+
 // Where discovery is asked, the policy says when: at the start, and again after a loss.
 func TestAskMode(t *testing.T) {
 	t.Parallel()
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -135,6 +135,7 @@
 	mu   sync.Mutex
 	urls []string
 	next chan registryAnswer
+	left chan struct{} // one for each call that the node gave up
 }
 
 type registryAnswer struct {
@@ -148,7 +149,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &registry{addr: ln.Addr().String(), next: make(chan registryAnswer, 100)}
+	g := &registry{addr: ln.Addr().String(), next: make(chan registryAnswer, 100), left: make(chan struct{}, 100)}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.mu.Lock()
 		g.urls = append(g.urls, r.URL.String())
@@ -158,6 +159,7 @@
 			w.WriteHeader(a.status)
 			json.NewEncoder(w).Encode(a.list)
 		case <-r.Context().Done():
+			g.left <- struct{}{}
 		}
 	})}
 	done := make(chan struct{})
