Read clients' connections in the node itself; nothing malformed is passed on

Ruled out as the cause: the backends' side, which framed each body by its own length. At fault in clients.go: serveAPI took any encoding, class, method and key; Server's time-outs of 5 s, 10 s and 10 min; Accept, which closed the longest idle connection, a usual client's perhaps; no deadline on writes. Now: one goroutine a connection around http.ReadRequest, with bounds of their own for head (1.5 s from connecting), body (1 s), idling (5 s) and writing (2 s), and none on a request that waits for its answer. Any Transfer-Encoding is 411, an id that is open here 409, what does not fit its class 400, a long Content-Length 413 unread; each of these closes the connection. Past the limit those go first that never carried a request, but not one with bytes waiting to be read. To backends go the headers that PROTOCOL names and no others.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -159,9 +159,6 @@
 
 func (*gate) Close() error { return nil }
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // run sends the request once and waits for what comes back. It returns only after a connection that it gave
 // up is closed, so that an attempt that follows is never a second copy.
 func (a *attempt) run(ctx context.Context, log *slog.Logger) result {
@@ -179,14 +176,14 @@
 	url.Scheme, url.Host = "http", a.backend.addr
 	body := &gate{ctx: ctx, backend: a.backend}
 	body.Reset(a.request.body)
-	req := (&http.Request{Method: in.Method, URL: &url, Host: in.Host, Header: in.Header.Clone(), Body: body,
+	req := (&http.Request{Method: in.Method, URL: &url, Host: in.Host, Header: http.Header{}, Body: body,
 		ContentLength: int64(len(a.request.body))}).WithContext(ctx)
-	for _, h := range hopHeaders {
-		req.Header.Del(h)
-	}
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header.Set("User-Agent", "") // or the transport would put its own
+	for _, name := range once {
+		if v, ok := in.Header[name]; ok {
+			req.Header[name] = v
+		}
 	}
+	req.Header.Set("User-Agent", "") // or the transport would put its own
 	req.Header.Set("X-Deadline", strconv.FormatInt(a.wait.Microseconds(), 10)+"u")
 	heard := a.backend.heard.Load()
 	resp, err := a.backend.http.RoundTrip(req)
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -1,20 +1,65 @@
 package node
 
 import (
+	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"springflow/policy"
+)
+
+const (
+	maxHead = 16 << 10
+	maxID   = 256
+	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
+	headTime = 1500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
+	bodyTime = time.Second             // from there to the last byte
+	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
+	idleTime   = 5 * time.Second
+	writeTime  = 2 * time.Second        // for an answer: a client may stop reading
+	lingerTime = 100 * time.Millisecond // for a rejected client to read why before its connection is reset
+	lingerSize = 256 << 10              // and how much of what it goes on sending is read meanwhile
 )
 
+// clients are the connections of this node's clients. Past the limit one that carries no request makes room;
+// where there is none the new one's request is refused, and far past it new ones wait in the backlog.
+type clients struct {
+	node  *node
+	limit int
+	slots chan struct{}
+	wg    sync.WaitGroup // connections
+
+	mu    sync.Mutex
+	conns map[*clientConn]struct{}
+}
+
+// clientConn is one of them.
+type clientConn struct {
+	net.Conn
+	start time.Time
+	cap   io.LimitedReader // between the socket and in: nobody sends without end
+	in    *bufio.Reader
+	over  bool // there were too many already when it came
+
+	// Guarded by clients.mu.
+	busy   bool      // a request is being answered
+	used   bool      // one has been
+	since  time.Time // when it came or its last request was answered
+	closed bool
+}
+
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
 	var longest time.Duration // that a client waits
@@ -26,23 +71,9 @@
 	if n.cfg.Sockets == 0 {
 		limit = 1 << 20
 	}
-	l := &listener{Listener: ln, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]time.Time{}}
-	srv := &http.Server{
-		Handler:           http.HandlerFunc(n.serveHTTP),
-		ReadHeaderTimeout: 5 * time.Second,
-		// The read deadline also runs while a request waits for its answer, and would then look like a client
-		// that has left: it must be longer than any of them waits.
-		ReadTimeout:    longest + 10*time.Second,
-		IdleTimeout:    10 * time.Minute,
-		MaxHeaderBytes: 32 << 10,
-		ConnState:      l.note,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}
+	s := &clients{node: n, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{}}
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l) }()
+	go func() { failed <- s.accept(ln) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -50,190 +81,322 @@
 	}
 	n.leaving.Store(true)
 	n.log.Info("leaving: finishing what was taken")
-	end, cancel := context.WithTimeout(context.Background(), longest+acceptFor+transit)
-	defer cancel()
 	// Connections go on coming for a while, and clients use those that they have: each answer now tells them
 	// to close, and only then is the listener closed.
 	time.Sleep(acceptFor)
-	// Shutdown leaves young connections open on which no request has come yet. One that came late on such a
-	// connection would be cut off at the end: those go first, and their clients turn to other nodes.
 	err := ln.Close()
-	l.closeIdle()
-	if e := srv.Shutdown(end); errors.Is(e, context.DeadlineExceeded) {
-		err = errors.Join(err, srv.Close()) // the last deadline has passed
-	} else if !errors.Is(e, net.ErrClosed) {
+	if e := <-failed; !errors.Is(e, net.ErrClosed) {
 		err = errors.Join(err, e)
 	}
-	<-failed
+	s.closeAll(false) // the clients of those on which no request has come turn to other nodes
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.wg.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(longest + transit):
+		s.closeAll(true) // the last deadline has passed
+		<-done
+	}
 	return err
 }
 
-type connKey struct{}
-
-// listener keeps the process from running out of descriptors in accept. Past its limit the connection that
-// has been idle for longest makes room; where none is idle the new one's request is refused, and far past it
-// new ones wait in the backlog.
-type listener struct {
-	net.Listener
-	limit int
-	slots chan struct{}
-
-	mu    sync.Mutex
-	conns map[*clientConn]time.Time // since when each has been idle; zero while it is busy
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	c := &clientConn{Conn: raw, l: l}
-	l.mu.Lock()
-	l.conns[c] = time.Now()
-	var longest *clientConn
-	if len(l.conns) > l.limit {
-		for o, since := range l.conns {
-			if o != c && !since.IsZero() && (longest == nil || since.Before(l.conns[longest])) {
-				longest = o
+// accept takes in connections until ln is closed.
+func (s *clients) accept(ln net.Listener) error {
+	for {
+		s.slots <- struct{}{}
+		conn, err := ln.Accept()
+		if err != nil {
+			<-s.slots
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+				time.Sleep(5 * time.Millisecond)
+				continue
 			}
+			return err
 		}
-		c.over = longest == nil
-	}
-	l.mu.Unlock()
-	if longest != nil {
-		longest.Close()
+		c := &clientConn{Conn: conn, start: time.Now()}
+		c.since, c.cap.R = c.start, conn
+		c.in = bufio.NewReader(&c.cap)
+		s.mu.Lock()
+		if len(s.conns) >= s.limit {
+			c.over = !s.makeRoom()
+		}
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.talk(c)
+			s.mu.Lock()
+			s.drop(c)
+			s.mu.Unlock()
+			<-s.slots
+		}()
 	}
-	return c, nil
 }
 
-// closeIdle closes the connections that carry no request.
-func (l *listener) closeIdle() {
-	l.mu.Lock()
-	var idle []*clientConn
-	for c, since := range l.conns {
-		if !since.IsZero() {
-			idle = append(idle, c)
+// makeRoom closes a connection that carries no request: one that never did before any that a client keeps, and of
+// those the one that has stood for longest. A request that waits to be read spares a new one. s.mu is held.
+func (s *clients) makeRoom() bool {
+	var spare *clientConn
+	for c := range s.conns {
+		if c.busy || spare != nil && (c.used && !spare.used || c.used == spare.used && !c.since.Before(spare.since)) {
+			continue
+		}
+		if c.used || pending(c.Conn) == nothing {
+			spare = c
 		}
 	}
-	l.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
+	if spare != nil {
+		s.drop(spare)
 	}
+	return spare != nil
 }
 
-// note follows which connections are idle.
-func (l *listener) note(c net.Conn, state http.ConnState) {
-	cc := c.(*clientConn)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, open := l.conns[cc]; !open {
-		return
+// drop closes a connection and forgets it. s.mu is held.
+func (s *clients) drop(c *clientConn) {
+	if !c.closed {
+		c.closed = true
+		delete(s.conns, c)
+		c.Close()
 	}
-	switch state {
-	case http.StateActive:
-		l.conns[cc] = time.Time{}
-	case http.StateIdle:
-		l.conns[cc] = time.Now()
+}
+
+// closeAll closes the connections that carry no request, or all.
+func (s *clients) closeAll(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if busy || !c.busy {
+			s.drop(c)
+		}
 	}
 }
 
-// clientConn is a client's connection; over tells that there were too many already when it came.
-type clientConn struct {
-	net.Conn
-	l    *listener
-	once sync.Once
-	over bool
-}
-
-func (c *clientConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(func() {
-		c.l.mu.Lock()
-		delete(c.l.conns, c)
-		c.l.mu.Unlock()
-		<-c.l.slots
-	})
-	return err
+// mark notes that a request has come or was answered, and tells whether the connection is still open.
+func (s *clients) mark(c *clientConn, busy bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.busy, c.used, c.since = busy, true, time.Now()
+	return !c.closed
 }
 
-func (n *node) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case r.URL.Path == "/ready" && r.Method == http.MethodGet:
-		n.serveReady(w, r)
-	case r.Method != http.MethodGet && r.Method != http.MethodPost:
-		n.reject(w, http.StatusMethodNotAllowed, "a request is a GET or a POST")
-	default:
-		n.serveAPI(w, r)
-	}
+// rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
+// it can't be told from the rest of that request.
+type rejection struct {
+	status int
+	text   string
 }
 
-func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	n.mu.Lock()
-	ready := n.ready
-	n.mu.Unlock()
-	if !ready || n.leaving.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+// talk answers one request after the other.
+func (s *clients) talk(c *clientConn) {
+	for {
+		r, no := s.read(c)
+		if no != nil {
+			c.reject(no)
+			return
+		}
+		if r == nil || !s.mark(c, true) {
+			return
+		}
+		a, ok := s.answer(c, r)
+		last := r.in.Close || c.over || s.node.leaving.Load()
+		if !ok || c.write(r.in, a, last) != nil || last || !s.mark(c, false) {
+			return
+		}
 	}
 }
 
-// serveAPI takes one request and gives it exactly one answer.
-func (n *node) serveAPI(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
-	conn, _ := r.Context().Value(connKey{}).(*clientConn)
-	patience, err := parseDeadline(r.Header.Get("X-Deadline"))
+// read reads the next request. Both results are nil where there is none, or nobody to tell what is wrong with it.
+func (s *clients) read(c *clientConn) (*request, *rejection) {
+	c.cap.N = maxHead
+	end := c.start.Add(headTime)
+	if c.used {
+		c.SetReadDeadline(time.Now().Add(idleTime))
+	} else {
+		c.SetReadDeadline(end)
+	}
+	if _, err := c.in.Peek(1); err != nil {
+		return nil, nil
+	}
+	r := &request{arrived: time.Now()}
+	if c.used {
+		end = r.arrived.Add(headTime)
+		c.SetReadDeadline(end)
+	}
+	in, err := http.ReadRequest(c.in)
 	switch {
+	case err != nil && !time.Now().Before(end): // the parser may hide the time-out
+		return nil, &rejection{http.StatusRequestTimeout, "the head did not come in time"}
+	case err != nil && c.cap.N <= 0:
+		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
 	case err != nil:
-		n.reject(w, http.StatusBadRequest, "X-Deadline: "+err.Error())
-		return
-	case r.Header.Get("X-Request-Id") == "":
-		n.reject(w, http.StatusBadRequest, "X-Request-Id: missing")
-		return
-	case r.Header.Get("X-Class") == "":
-		n.reject(w, http.StatusBadRequest, "X-Class: missing")
-		return
+		return nil, &rejection{http.StatusBadRequest, err.Error()}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		n.reject(w, http.StatusRequestEntityTooLarge, err.Error())
-		return
-	} else if err != nil { // cut short: what came is not what the client meant
-		n.reject(w, http.StatusBadRequest, "body: "+err.Error())
-		return
+	r.in = in
+	if no := s.node.check(r); no != nil {
+		return nil, no
 	}
-	if conn != nil && conn.over { // nothing was sent: refusing is harmless, whatever the class
-		w.Header().Set("Connection", "close")
-		n.reject(w, http.StatusServiceUnavailable, "too many connections")
-		return
+	if in.ContentLength > 0 {
+		if in.Header.Get("Expect") != "" {
+			c.SetWriteDeadline(end.Add(bodyTime))
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
+		}
+		c.SetReadDeadline(end.Add(bodyTime))
+		c.cap.N = in.ContentLength
+		r.body = make([]byte, in.ContentLength)
+		if _, err := io.ReadFull(in.Body, r.body); errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, &rejection{http.StatusRequestTimeout, "the body did not come in time"}
+		} else if err != nil { // cut short: what came is not what the client meant
+			return nil, &rejection{http.StatusBadRequest, "body: " + err.Error()}
+		}
+	}
+	return r, nil
+}
+
+// once are the headers that a request may carry; PROTOCOL knows no others.
+var once = []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Retry", "X-Cost-Hint", "X-Extras", "Idempotency-Key"}
+
+// check tells what is wrong with a request, by its head alone.
+func (n *node) check(r *request) *rejection {
+	in := r.in
+	no := func(status int, format string, args ...any) *rejection {
+		return &rejection{status, fmt.Sprintf(format, args...)}
+	}
+	bad := http.StatusBadRequest
+	switch expect := in.Header.Get("Expect"); {
+	case !in.ProtoAtLeast(1, 1):
+		return no(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
+	case len(in.TransferEncoding) > 0:
+		// net/http drops a Content-Length beside it: a request hidden by the one or the other would go unseen.
+		return no(http.StatusLengthRequired, "Transfer-Encoding: tell the length")
+	case in.Host == "":
+		return no(bad, "Host: missing")
+	case expect != "" && !strings.EqualFold(expect, "100-continue"):
+		return no(http.StatusExpectationFailed, "Expect: %q is not known", expect)
+	case in.Method != http.MethodGet && in.Method != http.MethodPost:
+		return no(http.StatusMethodNotAllowed, "a request is a GET or a POST")
+	case in.ContentLength > maxBody:
+		return no(http.StatusRequestEntityTooLarge, "Content-Length: over %d", maxBody)
+	case in.Method == http.MethodGet && in.ContentLength != 0:
+		return no(bad, "Content-Length: a GET has no body")
+	case in.Method == http.MethodPost && in.Header.Get("Content-Length") == "":
+		return no(http.StatusLengthRequired, "Content-Length: missing")
+	}
+	for name := range in.Header {
+		if strings.Contains(name, " ") { // net/http lets it pass, so that "Transfer-Encoding :" is not one
+			return no(bad, "%q is no name of a header", name)
+		}
+	}
+	if in.URL.Path == "/ready" {
+		return nil
+	}
+	for _, name := range once {
+		if len(in.Header[name]) > 1 {
+			return no(bad, "%s: more than one", name)
+		}
+	}
+	r.id = in.Header.Get("X-Request-Id")
+	if r.id == "" || len(r.id) > maxID {
+		return no(bad, "X-Request-Id: missing or too long")
 	}
-	req := n.begin(r, body, arrived, patience)
+	var err error
+	if r.patience, err = parseDeadline(in.Header.Get("X-Deadline")); err != nil {
+		return no(bad, "X-Deadline: %v", err)
+	}
+	effect, known := n.effects[in.Header.Get("X-Class")]
+	if !known {
+		return no(bad, "X-Class: no such class")
+	}
+	key := in.Header.Get("Idempotency-Key") != ""
+	if (in.Method == http.MethodGet) != (effect == policy.Safe) || effect == policy.Keyed && !key || effect == policy.Unsafe && key {
+		return no(bad, "method or Idempotency-Key: not those of the class")
+	}
+	return nil
+}
+
+// answer gives a request exactly one answer, unless its client leaves before.
+func (s *clients) answer(c *clientConn, r *request) (answer, bool) {
+	n := s.node
+	if r.id == "" {
+		return answer{status: n.readiness()}, true
+	}
+	if c.over { // nothing was sent: refusing is harmless, whatever the class
+		return answer{status: http.StatusServiceUnavailable, body: []byte("too many connections\n"), retryAfter: 250 * time.Millisecond}, true
+	}
+	if !n.begin(r) {
+		c.reject(&rejection{http.StatusConflict, "X-Request-Id: a request with this id is open"})
+		return answer{}, false
+	}
+	select {
+	case a := <-r.done:
+		return a, true
+	default:
+	}
+	c.SetReadDeadline(time.Time{})
+	c.cap.N = maxHead
+	left := make(chan bool, 1)
+	go func() {
+		_, err := c.in.Peek(1)
+		left <- err != nil
+	}()
 	select {
-	case a := <-req.done:
-		n.write(w, a)
-	case <-r.Context().Done():
-		n.gone(req)
+	case a := <-r.done:
+		c.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
+		<-left
+		return a, true
+	case gone := <-left:
+		if gone {
+			n.gone(r)
+			return answer{}, false
+		}
+		return <-r.done, true // the next request is here already, and waits
 	}
 }
 
-// reject answers a request that is not handed to the policy.
-func (n *node) reject(w http.ResponseWriter, status int, text string) {
-	n.write(w, answer{status: status, body: []byte(text + "\n")})
+func (n *node) readiness() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ready || n.leaving.Load() {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
 }
 
-func (n *node) write(w http.ResponseWriter, a answer) {
-	if n.leaving.Load() {
-		w.Header().Set("Connection", "close")
+// reject answers what is no request.
+func (c *clientConn) reject(no *rejection) {
+	if c.write(nil, answer{status: no.status, body: []byte(no.text + "\n")}, true) != nil {
+		return
 	}
+	// Closing resets a connection on which something is unread, and with it what the client has not read.
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTime))
+	io.CopyN(io.Discard, c.Conn, lingerSize)
+}
+
+// write sends an answer; an error means that the client has left or does not read.
+func (c *clientConn) write(in *http.Request, a answer, last bool) error {
+	h := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
 	if t := a.header.Get("Content-Type"); t != "" {
-		w.Header().Set("Content-Type", t)
+		h.Set("Content-Type", t)
 	}
 	if a.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.WriteHeader(a.status)
-	w.Write(a.body) // an error means that the client has left; its answer was this one
+	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: in, Close: last,
+		ContentLength: int64(len(a.body)), Body: io.NopCloser(bytes.NewReader(a.body))}
+	var b bytes.Buffer
+	b.Grow(512 + len(a.body))
+	if err := resp.Write(&b); err != nil {
+		return err
+	}
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := c.Write(b.Bytes())
+	return err
 }
 
 // parseDeadline reads a number and its unit: m for milliseconds or u for microseconds.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +34,8 @@
 	log     *slog.Logger
 	clock   clock
 	backend *dialer
-	leaving atomic.Bool // SIGTERM has come
+	effects map[string]policy.Effect // of the classes that there are
+	leaving atomic.Bool              // SIGTERM has come
 
 	ctx context.Context // ends when the node does; attempts and watches hang on it
 	wg  sync.WaitGroup  // attempts and calls to discovery
@@ -44,8 +44,7 @@
 	disc     *discovery
 	bal      *policy.Balancer
 	actions  []policy.Action
-	requests map[string]*request
-	nextReq  uint64
+	requests map[string]*request // by the clients' ids
 	names    map[string]*backend // listed backends by discovery's id
 	backends map[uint32]*backend // the same by the policy's number, and those that left until their grace is over
 	nextNum  uint32
@@ -62,7 +61,9 @@
 
 // request is one client request that this node has taken.
 type request struct {
-	id       string // made here: a client may send its own id again while the first is still out
+	id       string
+	arrived  time.Time     // when its first byte was seen
+	patience time.Duration // how long its client waits
 	until    time.Duration
 	in       *http.Request
 	body     []byte
@@ -90,7 +91,7 @@
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	}
 	debug.SetGCPercent(400) // the live heap is small; collecting it often would be felt as latency
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -120,7 +121,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx, bal: bal, requests: map[string]*request{},
-		names: map[string]*backend{}, backends: map[uint32]*backend{}}
+		names: map[string]*backend{}, backends: map[uint32]*backend{}, effects: map[string]policy.Effect{}}
+	for _, c := range cfg.Settings.Policy.Classes {
+		n.effects[c.Name] = c.Effect
+	}
 	n.backend = newDialer(cfg)
 	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
@@ -145,20 +149,23 @@
 	}, nil
 }
 
-// begin takes a request and hands it to the policy. The final answer comes on the request's channel.
-func (n *node) begin(in *http.Request, body []byte, arrived time.Time, patience time.Duration) *request {
+// begin takes a request and hands it to the policy, unless one with its id is open. The final answer comes on the
+// request's channel.
+func (n *node) begin(r *request) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.requests[r.id] != nil {
+		return false
+	}
 	now := n.clock.now()
 	// The answer must be with the client when its time is up: the way there and back and the time that the
 	// request has spent here are off.
-	left := max(0, patience-time.Since(arrived)-transit)
-	n.nextReq++
-	r := &request{id: strconv.FormatUint(n.nextReq, 36), until: now + left, in: in, body: body, done: make(chan answer, 1)}
+	left := max(0, r.patience-time.Since(r.arrived)-transit)
+	r.until, r.done = now+left, make(chan answer, 1)
 	n.requests[r.id] = r
-	n.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.id, Class: in.Header.Get("X-Class"),
-		Tenant: in.Header.Get("X-Tenant"), Left: left, Repeat: in.Header.Get("X-Retry") == "1"})
-	return r
+	n.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.id, Class: r.in.Header.Get("X-Class"),
+		Tenant: r.in.Header.Get("X-Tenant"), Left: left, Repeat: r.in.Header.Get("X-Retry") == "1"})
+	return true
 }
 
 // gone tells the policy that a client has closed its connection, unless the request has its answer by now.
