Own the connections to backends; spoilt answers are failed attempts, good ones stand

A probe over loopback (16 clients, one answer in ten followed by a copy of itself): 7, 10 and 2 of 4,800 requests were served the answer to another. Surplus always came in the same read as the answer and was noise or a copy; lengths too short do not occur alone, two lengths, -1 beside a sound one, bad chunks, "ICY", bad status codes and heads without end do. So an answer with more behind it stands and its connection goes; all else that can't be read is an attempt that may have run. At fault: http.Transport puts a connection back before it looks behind the answer; and backendConn counted a write after it had been made, so that a check in between took a request that was out for one that never ran. Heads of answers are bounded, 1xx are skipped, load reports with one senseless figure are ignored whole. At the limit the longest idle connection to another backend makes room. A new id at an old address ends the old id at once. Tests: spoilt answers of each kind, surplus in order and under load, closed connections, room at the limit, ids at old addresses.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -26,6 +26,7 @@
 	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
 	headTime = 1500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
 	bodyTime = time.Second             // from there to the last byte
+	readTime = 50 * time.Millisecond   // within this of a request's first byte most are there
 	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
 	idleTime   = 5 * time.Second
 	writeTime  = 2 * time.Second        // for an answer: a client may stop reading
@@ -54,10 +55,11 @@
 	over  bool // there were too many already when it came
 
 	// Guarded by clients.mu.
-	busy   bool      // a request is being answered
-	used   bool      // one has been
-	since  time.Time // when it came or its last request was answered
-	closed bool
+	begun   time.Time // when the first byte of its first request was seen
+	busy    bool      // a request is being answered
+	used    bool      // one has been
+	since   time.Time // when it came or its last request was answered
+	closing bool      // it made room for another, or the node leaves
 }
 
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
@@ -129,8 +131,9 @@
 		go func() {
 			defer s.wg.Done()
 			s.talk(c)
+			c.Close()
 			s.mu.Lock()
-			s.drop(c)
+			delete(s.conns, c)
 			s.mu.Unlock()
 			<-s.slots
 		}()
@@ -138,14 +141,15 @@
 }
 
 // makeRoom closes a connection that carries no request: one that never did before any that a client keeps, and of
-// those the one that has stood for longest. A request that waits to be read spares a new one. s.mu is held.
+// those the one that has stood for longest. A request that waits to be read, or is being read, spares a new one.
+// s.mu is held.
 func (s *clients) makeRoom() bool {
 	var spare *clientConn
 	for c := range s.conns {
 		if c.busy || spare != nil && (c.used && !spare.used || c.used == spare.used && !c.since.Before(spare.since)) {
 			continue
 		}
-		if c.used || pending(c.Conn) == nothing {
+		if c.used || time.Since(c.begun) > readTime && pending(c.Conn) == nothing {
 			spare = c
 		}
 	}
@@ -155,32 +159,44 @@
 	return spare != nil
 }
 
-// drop closes a connection and forgets it. s.mu is held.
+// drop takes a connection off those that count and ends its reading, so that it closes. A request that has just been
+// read is still answered. s.mu is held.
 func (s *clients) drop(c *clientConn) {
-	if !c.closed {
-		c.closed = true
+	if !c.closing {
+		c.closing = true
 		delete(s.conns, c)
-		c.Close()
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// deadline bounds the next reads from a connection, unless it is closing.
+func (s *clients) deadline(c *clientConn, t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.closing {
+		c.SetReadDeadline(t)
 	}
 }
 
-// closeAll closes the connections that carry no request, or all.
-func (s *clients) closeAll(busy bool) {
+// closeAll closes the connections that carry no request; with cut it breaks off the others too.
+func (s *clients) closeAll(cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if busy || !c.busy {
+		if cut {
+			c.Close()
+		} else if !c.busy {
 			s.drop(c)
 		}
 	}
 }
 
-// mark notes that a request has come or was answered, and tells whether the connection is still open.
+// mark notes that a request has come or was answered, and tells whether the connection is to stay.
 func (s *clients) mark(c *clientConn, busy bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.busy, c.used, c.since = busy, true, time.Now()
-	return !c.closed
+	return !c.closing
 }
 
 // rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
@@ -198,9 +214,12 @@
 			c.reject(no)
 			return
 		}
-		if r == nil || !s.mark(c, true) {
+		if r == nil {
 			return
 		}
+		if !s.mark(c, true) && !s.node.leaving.Load() {
+			c.over = true
+		}
 		a, ok := s.answer(c, r)
 		last := r.in.Close || c.over || s.node.leaving.Load()
 		if !ok || c.write(r.in, a, last) != nil || last || !s.mark(c, false) {
@@ -214,9 +233,9 @@
 	c.cap.N = maxHead
 	end := c.start.Add(headTime)
 	if c.used {
-		c.SetReadDeadline(time.Now().Add(idleTime))
+		s.deadline(c, time.Now().Add(idleTime))
 	} else {
-		c.SetReadDeadline(end)
+		s.deadline(c, end)
 	}
 	if _, err := c.in.Peek(1); err != nil {
 		return nil, nil
@@ -224,7 +243,11 @@
 	r := &request{arrived: time.Now()}
 	if c.used {
 		end = r.arrived.Add(headTime)
-		c.SetReadDeadline(end)
+		s.deadline(c, end)
+	} else {
+		s.mu.Lock()
+		c.begun = r.arrived
+		s.mu.Unlock()
 	}
 	in, err := http.ReadRequest(c.in)
 	switch {
@@ -244,7 +267,7 @@
 			c.SetWriteDeadline(end.Add(bodyTime))
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
 		}
-		c.SetReadDeadline(end.Add(bodyTime))
+		s.deadline(c, end.Add(bodyTime))
 		c.cap.N = in.ContentLength
 		r.body = make([]byte, in.ContentLength)
 		if _, err := io.ReadFull(in.Body, r.body); errors.Is(err, os.ErrDeadlineExceeded) {
@@ -335,7 +358,7 @@
 		return a, true
 	default:
 	}
-	c.SetReadDeadline(time.Time{})
+	c.SetReadDeadline(time.Time{}) // no bound on waiting, also where the connection is to close behind this answer
 	c.cap.N = maxHead
 	left := make(chan bool, 1)
 	go func() {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -223,9 +223,11 @@
 	n.version = l.Version
 	entries := make([]policy.Entry, 0, len(l.Servers))
 	seen := map[string]bool{}
+	for i := range l.Servers {
+		seen[l.Servers[i].ID] = true
+	}
 	for i := range l.Servers {
 		s := &l.Servers[i]
-		seen[s.ID] = true
 		e := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
 		switch s.State {
 		case "Ready":
@@ -245,12 +247,19 @@
 		case b == nil && e.State == policy.Left:
 			continue
 		case b == nil:
+			for _, o := range n.names {
+				if o.addr == s.Addr && !o.left && !seen[o.id] {
+					// Its process can't be there any more: what goes to its address reaches the new one.
+					entries = append(entries, policy.Entry{ID: o.number, State: policy.Left})
+					n.drop(o)
+				}
+			}
 			n.nextNum++
-			b = n.backend.backend(n.nextNum, s)
+			b = &backend{number: n.nextNum, id: s.ID, addr: s.Addr, started: s.StartedMS}
 		case b.started != s.StartedMS:
 			old := b
-			b = n.backend.backend(old.number, s) // the policy tells the two apart by the start
-			old.retire()
+			b = &backend{number: old.number, id: s.ID, addr: s.Addr, started: s.StartedMS} // the policy tells the two apart by the start
+			n.pool.clear(old, true)
 		}
 		n.names[s.ID], n.backends[b.number] = b, b
 		e.ID = b.number
@@ -306,12 +315,6 @@
 		if n.backends[b.number] == b {
 			delete(n.backends, b.number)
 		}
-		b.retire()
+		n.pool.clear(b, true)
 	})
 }
-
-// retire closes a backend's connections as they fall idle.
-func (b *backend) retire() {
-	b.gone.Store(true)
-	go b.http.CloseIdleConnections()
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,7 @@
 	cfg     Config
 	log     *slog.Logger
 	clock   clock
-	backend *dialer
+	pool    *pool
 	effects map[string]policy.Effect // of the classes that there are
 	leaving atomic.Bool              // SIGTERM has come
 
@@ -125,7 +125,7 @@
 	for _, c := range cfg.Settings.Policy.Classes {
 		n.effects[c.Name] = c.Effect
 	}
-	n.backend = newDialer(cfg)
+	n.pool = newPool(cfg)
 	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
 	n.mu.Lock()
@@ -141,11 +141,7 @@
 		n.mu.Unlock()
 		n.wg.Wait()
 		n.disc.http.CloseIdleConnections()
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		for _, b := range n.backends {
-			b.http.CloseIdleConnections()
-		}
+		n.pool.stop()
 	}, nil
 }
 
@@ -273,9 +269,8 @@
 		if a.backend == nil {
 			a.backend = &backend{number: act.Server} // in none of the lists: never sent
 		} else {
-			res = a.run(ctx, n.log)
+			res = n.run(ctx, a)
 		}
 		n.ended(a, res)
-		a.backend.settle()
 	}()
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -234,6 +233,48 @@
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
 			return false
 		}, 500, 503},
+		{"noise", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "\x16\x03\x01\r\n\r\n")
+			return true
+		}, 500, 503},
+		{"two lengths", func(c net.Conn, _ *http.Request, _ int) bool { return reply(c, 200, "Content-Length: 3\r\n", "a door") },
+			500, 503},
+		{"a length that is too long", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+			return true // the connection stays open
+		}, 500, 503},
+		{"no length", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			return true
+		}, 500, 503},
+		{"chunks that are none", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na door")
+			return true
+		}, 500, 503},
+		{"a head that does not end", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-A: b\r\n")
+			return true
+		}, 500, 503},
+		{"a head without end", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", maxHead+maxBody))
+			return err == nil
+		}, 500, 503},
+		{"an answer said to be huge", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\npart")
+			return true
+		}, 500, 503},
+		{"1xx ahead", func(c net.Conn, r *http.Request, n int) bool {
+			io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+			return served(c, r, n)
+		}, 200, 200},
+		{"a report that can't be read", func(c net.Conn, r *http.Request, _ int) bool {
+			return reply(c, 200, "X-Load: {\"inflight\":NaN\r\n", "")
+		}, 200, 200},
+		{"chunks", func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na door\r\n0\r\n\r\n")
+			return true
+		}, 200, 200},
 		{"an answer too large", func(c net.Conn, _ *http.Request, _ int) bool {
 			return reply(c, 200, "", strings.Repeat("x", maxBody+1))
 		}, 500, 503},
@@ -263,6 +304,154 @@
 	}
 }
 
+// What stands behind an answer belongs to no request. Handed to the next on that connection, a second copy would be
+// served to the wrong client.
+func TestSurplusBehindAnAnswer(t *testing.T) {
+	t.Parallel()
+	for _, surplus := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "\x16\x03 noise"} {
+		for _, late := range []bool{false, true} {
+			written := make(chan struct{}, 10)
+			b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
+				var text strings.Builder
+				fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+				if !late {
+					text.WriteString(surplus)
+				}
+				io.WriteString(c, text.String())
+				if late {
+					io.WriteString(c, surplus)
+				}
+				written <- struct{}{}
+				return true
+			})
+			r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+			c := r.dial(t)
+			for i := range 3 {
+				if resp, body := c.ask(quote(fmt.Sprint(i))); resp.StatusCode != 200 || body != "done" {
+					t.Errorf("late %v, request %d: %d %q", late, i, resp.StatusCode, body)
+				}
+				<-written
+			}
+			if n := b.connections(); n != 3 {
+				t.Errorf("late %v: 3 requests on %d connections, want each on its own", late, n)
+			}
+		}
+	}
+}
+
+// The same with many requests at once: net/http's transport offers a connection for use before it has looked behind
+// the answer, and served 2 to 10 of 4,800 requests another's answer here.
+func TestSurplusUnderLoad(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		id := r.Header.Get("X-Request-Id")
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		if nth%10 == 0 {
+			text += text
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	var wrong atomic.Int64
+	var wg sync.WaitGroup
+	for k := range 16 {
+		c := r.dial(t)
+		wg.Go(func() {
+			for i := range 300 {
+				id := fmt.Sprint("id-", k, "-", i)
+				c.SetDeadline(time.Now().Add(patience))
+				io.WriteString(c, quote(id).text())
+				resp, err := http.ReadResponse(c.in, nil)
+				if err != nil {
+					t.Errorf("%s: %v", id, err)
+					return
+				}
+				if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode == 200 && string(body) != id {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if n := wrong.Load(); n > 0 {
+		t.Errorf("%d requests got another's answer", n)
+	}
+}
+
+// A kept connection that its backend has closed shows before a request is written to it: nothing may have run, and
+// it goes out on another.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, func(c net.Conn, r *http.Request, n int) bool {
+		served(c, r, n)
+		return false
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	for i := range 3 {
+		if resp, _ := c.ask(quote(fmt.Sprint(i))); resp.StatusCode != 200 {
+			t.Errorf("request %d: %d", i, resp.StatusCode)
+		}
+		wait(t, "the end of the connection", func() bool {
+			r.pool.mu.Lock()
+			defer r.pool.mu.Unlock()
+			e := r.pool.rest.Front()
+			return e == nil || pending(e.Value.(*backendConn).Conn) == ended
+		})
+	}
+	if n := len(b.requests()); n != 3 {
+		t.Errorf("the backend got %d requests, want 3", n)
+	}
+}
+
+// With every descriptor for backends in use by idle connections, another backend's makes room.
+func TestIdleBackendConnectionMakesRoom(t *testing.T) {
+	t.Parallel()
+	one, two := newBox(t, served), newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, one.entry("s-1"), two.entry("s-2"))
+	r.pool.limit = 1
+	c := r.dial(t)
+	for i := range 40 {
+		if resp, _ := c.ask(view(fmt.Sprint(i))); resp.StatusCode != 200 {
+			t.Fatalf("request %d: %d", i, resp.StatusCode)
+		}
+	}
+	if len(one.requests()) == 0 || len(two.requests()) == 0 {
+		t.Error("one of the backends got nothing")
+	}
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	if r.pool.open != 1 || r.pool.rest.Len() > 1 {
+		t.Errorf("%d connections count as open and %d as idle, want 1", r.pool.open, r.pool.rest.Len())
+	}
+}
+
+// A new id at the address of one that has gone is another process. The old id is sent nothing more, though its news
+// is still on the way: the new process would get what was meant for the old.
+func TestNewIDAtAnOldAddress(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	g := newRegistry(t)
+	r := newRig(t, g, settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	c.ask(view("x"))
+	g.next <- registryAnswer{200, list{Version: 2, Servers: []listed{b.entry("s-2")}}}
+	wait(t, "the news", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.version == 2
+	})
+	if resp, _ := c.ask(view("y")); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old, now := r.names["s-1"], r.names["s-2"]; !old.left || now.left || now.number == old.number || b.connections() != 2 {
+		t.Errorf("old %+v, new %+v, %d connections", old, now, b.connections())
+	}
+}
+
 // Nothing listens on the port: nothing can have run.
 func TestConnectFailureIsHarmless(t *testing.T) {
 	t.Parallel()
@@ -371,11 +560,11 @@
 		in, _ := http.NewRequest(q.method, "http://x/api", nil)
 		a := &attempt{request: &request{in: in, body: []byte(q.body)}, backend: be, wait: patience}
 		be.stop.Store(time.Now().Add(-time.Millisecond).UnixNano())
-		if res := a.run(context.Background(), slog.New(slog.DiscardHandler)); res.outcome != policy.Moot {
+		if res := r.run(context.Background(), a); res.outcome != policy.Moot {
 			t.Errorf("%s: outcome %d, want it never sent", q.method, res.outcome)
 		}
 		be.stop.Store(0)
-		if res := a.run(context.Background(), slog.New(slog.DiscardHandler)); res.outcome != policy.OK {
+		if res := r.run(context.Background(), a); res.outcome != policy.OK {
 			t.Errorf("%s: outcome %d while no grace runs, want OK", q.method, res.outcome)
 		}
 	}
@@ -605,7 +794,7 @@
 		return served(c, r, nth)
 	})
 	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 64 }, b.entry("s-1"))
-	r.backend.limit = 100
+	r.pool.limit = 100
 	var open []*client
 	for i := range (64 - ownSockets) / 2 {
 		c := r.dial(t)
@@ -668,7 +857,7 @@
 	run := func(wait time.Duration) result {
 		in, _ := http.NewRequest("POST", "http://x/api", nil)
 		a := &attempt{request: &request{in: in, body: []byte("a door")}, backend: be, wait: wait}
-		return a.run(context.Background(), slog.New(slog.DiscardHandler))
+		return r.run(context.Background(), a)
 	}
 	var wg sync.WaitGroup
 	for range kept {
@@ -766,13 +955,13 @@
 	a := &attempt{request: &request{in: in}, backend: be, wait: patience}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	r.backend.open.Store(r.backend.limit)
-	if res := a.run(ctx, slog.New(slog.DiscardHandler)); res.outcome != policy.Moot {
+	r.pool.limit = 0
+	if res := r.run(ctx, a); res.outcome != policy.Moot {
 		t.Errorf("with no descriptor: outcome %d, want it never sent", res.outcome)
 	}
-	r.backend.open.Store(0)
+	r.pool.limit = 100
 	cancel(errCanceled)
-	if res := a.run(ctx, slog.New(slog.DiscardHandler)); res.outcome != policy.Canceled {
+	if res := r.run(ctx, a); res.outcome != policy.Canceled {
 		t.Errorf("given up before it was sent: outcome %d, want cancelled", res.outcome)
 	}
 	if n := len(b.requests()); n != 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -501,7 +501,11 @@
 	return strconv.AppendFloat(append(buf, ','), math.Ceil(float64(t)/1e3)/1e6, 'f', -1, 64)
 }
 
-// DecodeLoad reads a load report that stands by itself, under this wire's names or the simulator's own.
+// maxReport is more than any figure of a load report can be.
+const maxReport = 1e6
+
+// DecodeLoad reads a load report that stands by itself, under this wire's names or the simulator's own. One figure
+// that makes no sense spoils the whole of it.
 func DecodeLoad(text string) (policy.Load, error) {
 	var in struct {
 		Depth      *float64 `json:"depth"`
@@ -514,6 +518,11 @@
 	if err := json.Unmarshal([]byte(text), &in); err != nil {
 		return policy.Load{}, err
 	}
+	for _, v := range []*float64{in.Depth, in.Queue, in.Concurrent, in.Inflight, in.Mean, in.Latency} {
+		if v != nil && !(*v >= 0 && *v <= maxReport) {
+			return policy.Load{}, fmt.Errorf("%v in a load report", *v)
+		}
+	}
 	first := func(none float64, values ...*float64) float64 {
 		for _, v := range values {
 			if v != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -179,3 +179,28 @@
 		}
 	})
 }
+
+// A report that makes no sense in one figure is ignored whole: taken in part, it would make a backend look idle or
+// crowded.
+func TestLoadReports(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		queue float64
+		ok    bool
+	}{
+		{`{"inflight":7,"queue":2,"util":0.61}`, 2, true},
+		{`{"concurrent":7,"depth":2.5}`, 2.5, true},
+		{`{}`, -1, true},
+		{`{"concurrent":-7,"depth":2}`, 0, false},
+		{`{"concurrent":7,"depth":1e300}`, 0, false},
+		{`{"concurrent":7,"depth":NaN}`, 0, false},
+		{`{"concurrent":"7","depth":2}`, 0, false},
+		{`{"concurrent":7`, 0, false},
+		{`7`, 0, false},
+	} {
+		l, err := DecodeLoad(c.text)
+		if (err == nil) != c.ok || c.ok && l.Queue != c.queue || l.Known != (c.ok && c.queue >= 0) {
+			t.Errorf("%s: %+v, %v", c.text, l, err)
+		}
+	}
+}
