New connections no longer go before those that clients keep, for want of room

By the code each new connection at the limit was the first to go when the next came, as one that had never carried a request. Now: silent ones go first only after 200 ms; before that kept ones do.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -27,6 +27,8 @@
 	headTime = 1500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
 	bodyTime = time.Second             // from there to the last byte
 	readTime = 50 * time.Millisecond   // within this of a request's first byte most are there
+	// silentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
+	silentTime = 200 * time.Millisecond
 	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
 	idleTime   = 5 * time.Second
 	writeTime  = 2 * time.Second        // for an answer: a client may stop reading
@@ -140,17 +142,24 @@
 	}
 }
 
-// makeRoom closes a connection that carries no request: one that never did before any that a client keeps, and of
-// those the one that has stood for longest. A request that waits to be read, or is being read, spares a new one.
-// s.mu is held.
+// makeRoom closes a connection that carries no request, and of those that are alike the one that has stood for
+// longest: first one that has said nothing for a while, then one that a client keeps, then a new one. A request that
+// waits to be read, or is being read, spares a new one. s.mu is held.
 func (s *clients) makeRoom() bool {
 	var spare *clientConn
+	best := 3
 	for c := range s.conns {
-		if c.busy || spare != nil && (c.used && !spare.used || c.used == spare.used && !c.since.Before(spare.since)) {
+		rank := 1
+		if !c.used {
+			if rank = 0; time.Since(c.start) < silentTime {
+				rank = 2
+			}
+		}
+		if c.busy || rank > best || rank == best && !c.since.Before(spare.since) {
 			continue
 		}
 		if c.used || time.Since(c.begun) > readTime && pending(c.Conn) == nothing {
-			spare = c
+			spare, best = c, rank
 		}
 	}
 	if spare != nil {
