--- a/cmd/craneglade/main.go
+++ b/cmd/craneglade/main.go
@@ -11,7 +11,7 @@
 	"os/signal"
 	"syscall"
 
-	"springflow/internal/node"
+	"craneglade/internal/node"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -12,8 +12,8 @@
 	"runtime/debug"
 	"time"
 
-	"springflow/internal/wire"
-	"springflow/policy"
+	"craneglade/internal/wire"
+	"craneglade/policy"
 )
 
 func main() {
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"springflow/internal/wire"
-	"springflow/policy"
+	"craneglade/internal/wire"
+	"craneglade/policy"
 )
 
 var (
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 const (
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,7 +8,7 @@
 	"net"
 	"os"
 
-	"springflow/internal/wire"
+	"craneglade/internal/wire"
 )
 
 // Config is what a node is told at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 const (
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 func TestServesWhatTheBackendSent(t *testing.T) {
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"springflow/internal/wire"
+	"craneglade/internal/wire"
 )
 
 // patience is how long a test waits for what must come: far longer than it takes on a busy machine.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 // Kind says what a line is.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 const createLine = `["create",3,77,{"balancers":2,"zone":"n","discovery":"ask","over_share_worth":0.1,"new_key":[1],` +
--- a/policy/drive_test.go
+++ b/policy/drive_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 const ms = time.Millisecond
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"springflow/policy"
+	"craneglade/policy"
 )
 
 // A node feeds its balancer what happens and carries out what it answers.
