--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,110 @@
+// Package cli is the command line of craneglade: the daemon and the rehearsal kit that ships with it.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit statuses.
+const (
+	ExitKept   = 0 // the daemon ended as it was told to; a rehearsal kept all rules
+	ExitBroken = 1 // the daemon failed; a rule was broken or a node crashed
+	ExitUsage  = 2 // bad usage, configuration, scenario or trace
+	ExitVoid   = 3 // the rehearsal proves nothing: the kit itself ran late, or the evidence does not decide
+)
+
+type commands struct {
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Serve    serveCmd         `cmd:"" default:"1" help:"Run a load balancer node, as GW_CONFIG and the other GW_* variables say. This is what craneglade does without a command."`
+	Rehearse rehearseCmd      `cmd:"" help:"Play a scenario on this machine: nodes, boxes, a box list and clients; judge the four rules."`
+	Judge    judgeCmd         `cmd:"" help:"Judge the trace of a rehearsal again."`
+	Check    checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
+}
+
+// app is what a command works with.
+type app struct {
+	out, err io.Writer
+	getenv   func(string) string
+}
+
+// exit is an error that ends the program with a status of its own.
+type exit struct {
+	status int
+	err    error // nil: all is said
+}
+
+func (e exit) Error() string {
+	if e.err == nil {
+		return "exit"
+	}
+	return e.err.Error()
+}
+
+func (e exit) Unwrap() error { return e.err }
+
+func usage(format string, args ...any) error { return exit{ExitUsage, fmt.Errorf(format, args...)} }
+
+// Main runs the program and returns its exit status. Errors are one line on errOut.
+func Main(args []string, getenv func(string) string, out, errOut io.Writer) int {
+	// Before anything else: a reload that comes early must not end the daemon.
+	hup := make(chan os.Signal, 1) // holds one: another during a reload makes for one more reading
+	signal.Notify(hup, syscall.SIGHUP)
+	a := &app{out, errOut, getenv}
+	fail := func(status int, err error) int {
+		fmt.Fprintln(errOut, "craneglade:", err)
+		return status
+	}
+	var cmds commands
+	ended := -1
+	parser, err := kong.New(&cmds, kong.Name("craneglade"), kong.Writers(out, errOut),
+		kong.Description("An HTTP load balancer node, and the kit that rehearses it."),
+		kong.Vars{"version": version()}, kong.Exit(func(status int) { ended = status }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	ctx, err := parser.Parse(args)
+	if ended >= 0 { // --help or --version
+		return ended
+	}
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	base, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ctx.BindTo(base, (*context.Context)(nil))
+	err = ctx.Run(a, (<-chan os.Signal)(hup))
+	var e exit
+	switch {
+	case errors.As(err, &e) && e.err == nil:
+		return e.status
+	case errors.As(err, &e):
+		return fail(e.status, e.err)
+	case err != nil:
+		return fail(ExitBroken, err)
+	}
+	return ExitKept
+}
+
+// version is that of the module, with the revision that it was built from where the tool chain tells.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && v == "(devel)" {
+			v = s.Value
+		}
+	}
+	return "craneglade " + v + " " + info.GoVersion
+}
--- /dev/null
+++ b/internal/cli/rehearse.go
@@ -0,0 +1,278 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/term"
+
+	"craneglade/internal/kit/plan"
+	"craneglade/internal/kit/report"
+	"craneglade/internal/kit/run"
+	"craneglade/internal/kit/scenario"
+)
+
+type outputs struct {
+	JSON string `placeholder:"FILE" type:"path" help:"Write the report as JSON."`
+	HTML string `placeholder:"FILE" type:"path" help:"Write the report as one page that needs nothing else."`
+}
+
+type rehearseCmd struct {
+	Scenario string   `arg:"" optional:"" default:"opening" help:"A shipped scenario, or a file that ends in .toml."`
+	List     bool     `help:"List the shipped scenarios."`
+	Show     bool     `help:"Print a shipped scenario, to start a file of one's own from."`
+	Seed     uint64   `help:"Play the day that this number gives. Without it: the scenario's own, else one drawn now."`
+	Trace    string   `placeholder:"FILE" type:"path" help:"Keep the trace."`
+	Logs     string   `placeholder:"DIR" type:"path" help:"Keep the nodes' configurations and logs."`
+	Node     []string `placeholder:"ARG" sep:"none" help:"Rehearse another program in place of this daemon; once for its name and once for each argument."`
+	Quiet    bool     `short:"q" help:"Show no progress."`
+	Plan     bool     `help:"Print all that would happen, and play nothing."`
+
+	outputs `embed:""`
+}
+
+func isJSON(file string) bool { return strings.HasSuffix(file, ".json") }
+
+// load reads a scenario; what is wrong with it is a matter of usage.
+func load(name string) (*scenario.Scenario, error) {
+	s, err := scenario.Load(name)
+	if err != nil {
+		return nil, exit{ExitUsage, err}
+	}
+	return s, nil
+}
+
+// Run plays a rehearsal.
+func (c rehearseCmd) Run(ctx context.Context, a *app) error {
+	if c.List {
+		return c.list(a.out)
+	}
+	if c.Show {
+		text, err := scenario.Text(c.Scenario)
+		if err != nil {
+			return exit{ExitUsage, err}
+		}
+		_, err = a.out.Write(text)
+		return err
+	}
+	s, err := load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	seed := c.Seed
+	if seed == 0 {
+		seed = s.Seed
+	}
+	if seed == 0 {
+		seed = rand.Uint64N(1e9) + 1
+	}
+	p := plan.New(s, seed)
+	if c.Plan {
+		out := bufio.NewWriter(a.out)
+		return errors.Join(p.Write(out), out.Flush())
+	}
+	command := c.Node
+	if len(command) == 0 {
+		self, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("find this program: %w", err)
+		}
+		command = []string{self, "serve"}
+	}
+	dir := c.Logs
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "craneglade-"); err != nil {
+			return err
+		}
+		defer func() { run.Remove(dir) }()
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return exit{ExitUsage, err}
+	}
+	file, kept, err := c.trace()
+	if err != nil {
+		return exit{ExitUsage, err}
+	}
+	defer file.Close()
+	name := strings.TrimSuffix(filepath.Base(c.Scenario), ".toml")
+	show := &view{out: a.out, quiet: c.Quiet, live: isTerminal(a.out)}
+	show.line("%s, seed %d: %d nodes, %d boxes, %v", name, seed, s.Nodes.Count, s.Boxes(), s.Length)
+	cost, err := run.Play(ctx, run.Options{Name: name, Plan: p, Command: command, Dir: dir, Trace: file, Progress: show.status, Note: show.note})
+	show.end()
+	if err != nil {
+		return err
+	}
+	if _, err := file.Seek(0, io.SeekStart); err != nil {
+		return err
+	}
+	rep, err := report.Read(file)
+	if err != nil {
+		return err
+	}
+	rep.Kit = cost
+	err = c.finish(a, rep)
+	if status := (exit{}); !kept {
+		if errors.As(err, &status) && status.status != ExitUsage {
+			fmt.Fprintf(a.out, "\nthe trace is kept: %s\n", file.Name())
+		} else {
+			os.Remove(file.Name())
+		}
+	}
+	return err
+}
+
+func (c rehearseCmd) list(w io.Writer) error {
+	for _, name := range scenario.Names() {
+		s, err := scenario.Load(name)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "%-20s %6s  %s\n", name, s.Length, s.Title); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// trace opens the file for the trace, and tells whether the user asked for it.
+func (c rehearseCmd) trace() (*os.File, bool, error) {
+	if c.Trace == "" {
+		f, err := os.CreateTemp("", "craneglade-*.trace")
+		return f, false, err
+	}
+	f, err := os.Create(c.Trace)
+	return f, true, err
+}
+
+// finish writes the report and turns the verdict into an exit status.
+func (o outputs) finish(a *app, rep *report.Report) error {
+	if err := rep.Text(a.out); err != nil {
+		return err
+	}
+	for _, f := range []struct {
+		path  string
+		write func(io.Writer) error
+	}{{o.JSON, rep.JSON}, {o.HTML, rep.HTML}} {
+		if f.path == "" {
+			continue
+		}
+		if err := save(f.path, f.write); err != nil {
+			return exit{ExitUsage, err}
+		}
+	}
+	v := rep.Verdict
+	switch {
+	case v.Crashes > 0:
+		return exit{status: ExitBroken}
+	case v.Void != "" || !v.Whole:
+		return exit{status: ExitVoid}
+	case len(v.Violations) > 0:
+		return exit{status: ExitBroken}
+	case len(v.Undecided) > 0:
+		return exit{status: ExitVoid}
+	}
+	return nil
+}
+
+func save(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
+
+type judgeCmd struct {
+	Trace string `arg:"" help:"The trace that a rehearsal kept."`
+
+	outputs `embed:""`
+}
+
+// Run judges a trace.
+func (c judgeCmd) Run(a *app) error {
+	f, err := os.Open(c.Trace)
+	if err != nil {
+		return exit{ExitUsage, err}
+	}
+	defer f.Close()
+	rep, err := report.Read(f)
+	if err != nil {
+		return usage("%s: %w", c.Trace, err)
+	}
+	return c.finish(a, rep)
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	return ok && term.IsTerminal(int(f.Fd()))
+}
+
+// view shows how a rehearsal goes: on a terminal one line that stays, elsewhere a line each second.
+type view struct {
+	out         io.Writer
+	quiet, live bool
+	drawn       bool
+	last        run.Status
+}
+
+func (v *view) line(format string, args ...any) {
+	if !v.quiet {
+		v.clear()
+		fmt.Fprintf(v.out, format+"\n", args...)
+	}
+}
+
+func (v *view) note(text string) { v.line("        * %s", text) }
+
+// clear takes away the line that stays.
+func (v *view) clear() {
+	if v.drawn {
+		fmt.Fprint(v.out, "\r\x1b[K")
+		v.drawn = false
+	}
+}
+
+func (v *view) end() { v.clear() }
+
+func (v *view) status(s run.Status) {
+	if v.quiet {
+		return
+	}
+	d := v.last
+	v.last = s
+	ended := s.InTime + s.Late + s.Refused + s.Failed + s.Unreached - d.InTime - d.Late - d.Refused - d.Failed - d.Unreached
+	share := 100.0
+	if ended > 0 {
+		share = 100 * float64(s.InTime-d.InTime) / float64(ended)
+	}
+	var boxes []string
+	for _, x := range []struct {
+		n    int
+		name string
+	}{{s.Cold, "cold"}, {s.Slow, "slow"}, {s.Leaving, "leaving"}, {s.Silent, "silent"}, {s.Fallen, "fallen"}} {
+		if x.n > 0 {
+			boxes = append(boxes, fmt.Sprintf("%d %s", x.n, x.name))
+		}
+	}
+	extra := ""
+	if len(boxes) > 0 {
+		extra = " (" + strings.Join(boxes, ", ") + ")"
+	}
+	text := fmt.Sprintf("%4.0f s  %4d/s asked  %5.1f%% in time  %3d refused  %3d failed  %4d open  %d nodes  %d boxes%s", min(s.At, s.Length+time.Hour).Seconds(),
+		s.Asked-d.Asked, share, s.Refused-d.Refused, s.Failed+s.Unreached-d.Failed-d.Unreached, s.Open, s.Nodes, s.Boxes, extra)
+	if !v.live {
+		fmt.Fprintln(v.out, text)
+		return
+	}
+	bar := 20
+	done := min(bar, int(float64(bar)*s.At.Seconds()/s.Length.Seconds()))
+	fmt.Fprintf(v.out, "\r\x1b[K[%s%s] %s", strings.Repeat("=", done), strings.Repeat(" ", bar-done), text)
+	v.drawn = true
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"craneglade/internal/node"
+)
+
+type serveCmd struct{}
+
+// Run is the daemon. SIGHUP makes it read its configuration again; it ends once ctx does and all is answered.
+func (serveCmd) Run(ctx context.Context, a *app, hup <-chan os.Signal) error {
+	cfg, err := node.Load(a.getenv)
+	if err != nil {
+		return exit{ExitUsage, err}
+	}
+	log := slog.New(slog.NewTextHandler(a.err, nil)).With("node", cfg.Name)
+	reload := make(chan node.Config)
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer close(done)
+		reread(ctx, a, hup, reload, log)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	return node.Run(ctx, cfg, reload, log)
+}
+
+// reread passes on the configuration as it is after each SIGHUP, until ctx ends. One that is bad changes nothing.
+func reread(ctx context.Context, a *app, hup <-chan os.Signal, reload chan<- node.Config, log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := node.Reload(a.getenv)
+		if err != nil {
+			log.Error("the new configuration is bad; keeping the old one", "err", err)
+			continue
+		}
+		select {
+		case reload <- cfg:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"A scenario (.toml, or the name of a shipped one) or a node's configuration (.json)."`
+}
+
+// Run checks a file.
+func (c checkCmd) Run(a *app) error {
+	if isJSON(c.File) {
+		_, err := node.Load(func(name string) string {
+			if name == "GW_CONFIG" {
+				return c.File
+			}
+			return ""
+		})
+		if err != nil {
+			return usage("%s: %w", c.File, err)
+		}
+	} else if _, err := load(c.File); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(a.out, "%s: good\n", c.File)
+	return err
+}
--- /dev/null
+++ b/internal/kit/plan/plan.go
@@ -0,0 +1,427 @@
+// Package plan turns a scenario and a seed into what is to happen: the boxes, every step of the time table down to the
+// single box, and every client's need. It has no clock and does nothing itself. The same scenario and seed give the
+// same plan, to the byte of Write.
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"craneglade/internal/kit/boxmodel"
+	"craneglade/internal/kit/scenario"
+)
+
+// Box is one box process. Its id stays with it when it restarts; its successor has another.
+type Box struct {
+	ID    string
+	Site  string
+	Kind  string
+	Cell  int
+	Seed  uint64
+	Speed float64
+	Spec  boxmodel.Spec
+	After string // the id of the box whose address it takes over, where it does
+}
+
+// The steps of a time table.
+const (
+	Start    = "start"    // Box starts, cold
+	Drain    = "drain"    // Box finishes what it has
+	Exit     = "exit"     // its process ends
+	Crash    = "crash"    // its process dies
+	Restart  = "restart"  // and starts again under its id, cold
+	Slow     = "slow"     // it is slower by By; 1 is normal
+	Silence  = "silence"  // it is cut off
+	Return   = "return"   // it is back
+	Reset    = "reset"    // part By of all requests are reset; 0 ends it
+	Spoil    = "spoil"    // part By of all answers are spoilt; 0 ends it
+	Kill     = "kill"     // Node is killed
+	Term     = "term"     // Node gets SIGTERM
+	Revive   = "revive"   // Node starts again
+	Reload   = "reload"   // Node gets another discovery and SIGHUP
+	Hush     = "hush"     // the list says nothing
+	Speak    = "speak"    // the list speaks again
+	Lag      = "lag"      // the list is By seconds later than usual
+	Bad      = "bad"      // one bad client of kind Text comes to Node
+	Announce = "announce" // an event of the scenario begins: Text
+)
+
+// Step is one thing that happens.
+type Step struct {
+	At   time.Duration
+	Do   string
+	Box  string
+	Node int // from 1
+	By   float64
+	Text string
+}
+
+// Need is what one client wants: a request that it sends, and sends again as the scenario lets it.
+type Need struct {
+	N         int
+	At        time.Duration
+	Class     int // index into the scenario's classes
+	Tenant    int
+	Site      int
+	Work      time.Duration
+	Over      bool // past its tenant's share
+	Honours   bool // waits as Retry-After says
+	Impatient time.Duration
+	Seed      uint64
+}
+
+// Plan is what is to happen.
+type Plan struct {
+	Scenario *scenario.Scenario
+	Seed     uint64
+	Boxes    []Box // all that ever start; the first Initial are there from the beginning, warm
+	Initial  int
+	Steps    []Step // in the order of their times
+	levels   []level
+	peak     float64
+	bursts   []float64
+}
+
+type level struct {
+	from, to time.Duration
+	by       func(t time.Duration) float64
+}
+
+// New makes the plan.
+func New(s *scenario.Scenario, seed uint64) *Plan {
+	p := &Plan{Scenario: s, Seed: seed}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for _, f := range s.Fleet {
+		for range f.Count {
+			p.add(rng, f.Kind, s.Sites[len(p.Boxes)%len(s.Sites)].Name)
+		}
+	}
+	// Kinds and sites must not go hand in hand: deal the sites out anew.
+	order := rng.Perm(len(p.Boxes))
+	for i, k := range order {
+		p.Boxes[k].Site = s.Sites[i%len(s.Sites)].Name
+		p.Boxes[k].Cell = i % len(s.Sites)
+	}
+	p.Initial = len(p.Boxes)
+	p.table(rng)
+	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	if s.Traffic.Shape == "bursty" {
+		cells := int(s.Length.D()/(s.Traffic.Period.D()/4)) + 2
+		for range cells {
+			p.bursts = append(p.bursts, 1+s.Traffic.Swing*(2*rng.Float64()-1)*1.5)
+		}
+	}
+	for t := time.Duration(0); t <= s.Length.D(); t += 50 * time.Millisecond {
+		p.peak = max(p.peak, p.Rate(t))
+	}
+	p.peak *= 1.05
+	return p
+}
+
+// add makes a box of a kind.
+func (p *Plan) add(rng *rand.Rand, kind, site string) *Box {
+	s := p.Scenario
+	k := s.Kind(kind)
+	speed := k.Speed * math.Exp(rng.NormFloat64()*k.Spread)
+	noise := 0.0
+	for _, c := range s.Classes {
+		noise = max(noise, c.Noise)
+	}
+	cell := slices.IndexFunc(s.Sites, func(x scenario.Site) bool { return x.Name == site })
+	p.Boxes = append(p.Boxes, Box{ID: fmt.Sprintf("s-%08x", rng.Uint32()), Site: site, Kind: kind, Cell: cell, Seed: rng.Uint64(),
+		Speed: speed, Spec: boxmodel.Spec{Cores: k.Cores, Speed: speed, Slots: k.Slots, Queue: k.Queue, Thrash: k.Thrash,
+			ThrashAt: k.ThrashAt, ColdFrom: k.ColdFrom, Cold: k.Cold.D(), WarmByWork: k.WarmBy == "requests",
+			PauseEvery: k.PauseEvery.D(), Pause: k.Pause.D(), ErrorRate: k.Errors, Noise: noise,
+			CancelQueued: k.Cancel != "none", CancelRuns: k.Cancel == "all", DropsExpired: k.DropsLate,
+			Choke: boxmodel.Choke{At: s.Choke.At, Over: s.Choke.Over.D(), Slower: s.Choke.Slower, Below: s.Choke.Below,
+				Rest: s.Choke.Rest.D(), Most: s.Choke.Most.D()},
+			Fall: boxmodel.Fall{Factor: s.Rules.FallFactor, For: s.Rules.FallFor.D()}}})
+	return &p.Boxes[len(p.Boxes)-1]
+}
+
+// life is when a box is in service, for the choice of boxes that events touch.
+type life struct{ from, to time.Duration }
+
+const forever = time.Duration(math.MaxInt64)
+
+// table turns the scenario's events into steps. Deploys and growth come first, so that what touches single boxes finds
+// those that are there.
+func (p *Plan) table(rng *rand.Rand) {
+	s := p.Scenario
+	lives := map[string]life{}
+	for _, b := range p.Boxes {
+		lives[b.ID] = life{0, forever}
+	}
+	step := func(st Step) { p.Steps = append(p.Steps, st) }
+	// there lists the boxes in service for the whole of a time, in the order of the plan.
+	there := func(from, to time.Duration) []int {
+		var out []int
+		for i, b := range p.Boxes {
+			if l := lives[b.ID]; l.from <= from && l.to > to {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+	some := func(from, to time.Duration, n int) []int {
+		can := there(from, to)
+		if len(can) == 0 { // none lives through all of it: those at its start
+			can = there(from, from)
+		}
+		rng.Shuffle(len(can), func(a, b int) { can[a], can[b] = can[b], can[a] })
+		return can[:min(n, len(can))]
+	}
+	for _, e := range s.Events {
+		at := e.At.D()
+		switch e.Do {
+		case "deploy":
+			step(Step{At: at, Do: Announce, Text: fmt.Sprintf("deploy of %.0f%% over %v", 100*e.Part, e.Over)})
+			old := there(at, at)
+			rng.Shuffle(len(old), func(a, b int) { old[a], old[b] = old[b], old[a] })
+			old = old[:min(len(old), int(math.Round(e.Part*float64(len(old)))))]
+			batch := max(1, int(math.Round(e.Batch*float64(s.Boxes()))))
+			rounds := (len(old) + batch - 1) / batch
+			gap := time.Duration(0)
+			if rounds > 1 {
+				gap = e.Over.D() / time.Duration(rounds-1)
+			}
+			for i, k := range old {
+				t := at + time.Duration(i/batch)*gap
+				id, kind, site := p.Boxes[k].ID, p.Boxes[k].Kind, p.Boxes[k].Site
+				n := p.add(rng, kind, site)
+				exit := t + e.Drain.D()
+				begin := t
+				if e.Reuse && i%2 == 0 { // the successor needs the address
+					n.After, begin = id, exit+20*time.Millisecond
+				}
+				lives[id] = life{lives[id].from, t}
+				lives[n.ID] = life{begin, forever}
+				step(Step{At: t, Do: Drain, Box: id})
+				step(Step{At: exit, Do: Exit, Box: id})
+				step(Step{At: begin, Do: Start, Box: n.ID})
+			}
+		case "grow":
+			step(Step{At: at, Do: Announce, Text: fmt.Sprintf("the fleet grows %.1f times over %v", e.By, e.Over)})
+			now := there(at, at)
+			more := int(math.Round((e.By - 1) * float64(len(now))))
+			for i := range more {
+				like := p.Boxes[now[i%len(now)]]
+				n := p.add(rng, like.Kind, s.Sites[i%len(s.Sites)].Name)
+				t := at + time.Duration(float64(e.Over.D())*float64(i+1)/float64(more))
+				lives[n.ID] = life{t, forever}
+				step(Step{At: t, Do: Start, Box: n.ID})
+			}
+			grown := (e.By - 1) * e.Follow
+			p.levels = append(p.levels, level{at, forever, func(t time.Duration) float64 {
+				return 1 + grown*min(1, (t-at).Seconds()/e.Over.S())
+			}})
+		}
+	}
+	for _, e := range s.Events {
+		at, end := e.At.D(), e.At.D()+e.For.D()
+		announce := func(format string, args ...any) {
+			step(Step{At: at, Do: Announce, Text: fmt.Sprintf(format, args...)})
+		}
+		switch e.Do {
+		case "slow":
+			announce("%d boxes %.1f times slower for %v", e.Boxes, e.By, e.For)
+			for _, i := range some(at, end, e.Boxes) {
+				step(Step{At: at, Do: Slow, Box: p.Boxes[i].ID, By: e.By})
+				step(Step{At: end, Do: Slow, Box: p.Boxes[i].ID, By: 1})
+			}
+		case "vanish":
+			announce("%d boxes cut off for %v", e.Boxes, e.For)
+			for _, i := range some(at, end, e.Boxes) {
+				step(Step{At: at, Do: Silence, Box: p.Boxes[i].ID})
+				step(Step{At: end, Do: Return, Box: p.Boxes[i].ID})
+			}
+		case "crash":
+			announce("%d boxes crash", e.Boxes)
+			for _, i := range some(at, at+e.Down.D(), e.Boxes) {
+				step(Step{At: at, Do: Crash, Box: p.Boxes[i].ID})
+				step(Step{At: at + e.Down.D(), Do: Restart, Box: p.Boxes[i].ID})
+			}
+		case "reset", "spoil":
+			do := map[string]string{"reset": Reset, "spoil": Spoil}[e.Do]
+			announce("boxes %s %.0f%% for %v", e.Do, 100*e.Part, e.For)
+			step(Step{At: at, Do: do, By: e.Part})
+			step(Step{At: end, Do: do})
+		case "kill", "term":
+			do := map[string]string{"kill": Kill, "term": Term}[e.Do]
+			announce("%s node %d", e.Do, e.Node)
+			step(Step{At: at, Do: do, Node: e.Node})
+			step(Step{At: at + e.Down.D(), Do: Revive, Node: e.Node})
+		case "reload":
+			announce("another discovery and SIGHUP")
+			for n := 1; n <= s.Nodes.Count; n++ {
+				if e.Node == 0 || e.Node == n {
+					step(Step{At: at, Do: Reload, Node: n})
+				}
+			}
+		case "list-outage":
+			announce("the list is silent for %v", e.For)
+			step(Step{At: at, Do: Hush})
+			step(Step{At: end, Do: Speak})
+		case "list-stale":
+			announce("the list is %.1f s further behind for %v", e.By, e.For)
+			step(Step{At: at, Do: Lag, By: e.By})
+			step(Step{At: end, Do: Lag})
+		case "surge":
+			announce("traffic times %.1f for %v", e.By, e.For)
+			p.levels = append(p.levels, level{at, end, func(time.Duration) float64 { return e.By }})
+		case "bad-clients":
+			announce("%.0f bad clients a second for %v", e.Rate, e.For)
+			kinds := e.Kinds
+			if len(kinds) == 0 {
+				kinds = scenario.BadKinds
+			}
+			for t := at; ; {
+				t += time.Duration(rng.ExpFloat64() / e.Rate * 1e9)
+				if t >= end {
+					break
+				}
+				step(Step{At: t, Do: Bad, Node: 1 + rng.IntN(s.Nodes.Count), Text: kinds[rng.IntN(len(kinds))]})
+			}
+		}
+	}
+}
+
+// Rate is the number of first tries planned for a second about t.
+func (p *Plan) Rate(t time.Duration) float64 {
+	tr := p.Scenario.Traffic
+	r := tr.Rate
+	switch tr.Shape {
+	case "ramp":
+		r *= 1 + (tr.Peak-1)*min(1, t.Seconds()/p.Scenario.Length.S())
+	case "wave":
+		r *= 1 + tr.Swing*math.Sin(2*math.Pi*t.Seconds()/tr.Period.S())
+	case "bursty":
+		r *= max(0.05, p.bursts[min(int(t/(tr.Period.D()/4)), len(p.bursts)-1)])
+	}
+	for _, l := range p.levels {
+		if t >= l.from && t < l.to {
+			r *= l.by(t)
+		}
+	}
+	return r
+}
+
+// Needs is the stream of needs, in the order of their times. It holds no more than one at a time.
+type Needs struct {
+	p       *Plan
+	rng     *rand.Rand
+	t       time.Duration
+	n       int
+	class   []float64
+	tenant  []float64
+	site    []float64
+	credits []float64 // of each tenant, in requests; a second's worth at most
+	at      time.Duration
+}
+
+// Needs returns the stream from its start. Each call gives the same.
+func (p *Plan) Needs() *Needs {
+	s := p.Scenario
+	n := &Needs{p: p, rng: rand.New(rand.NewPCG(p.Seed, 2))}
+	for _, c := range s.Classes {
+		n.class = append(n.class, c.Share)
+	}
+	for _, t := range s.Tenants {
+		n.tenant = append(n.tenant, t.Share*t.Usage)
+		n.credits = append(n.credits, p.Quota(len(n.credits)))
+	}
+	for _, x := range s.Sites {
+		n.site = append(n.site, x.Share)
+	}
+	return n
+}
+
+// Quota is a tenant's share in requests a second.
+func (p *Plan) Quota(tenant int) float64 {
+	s := p.Scenario
+	sum := 0.0
+	for _, t := range s.Tenants {
+		sum += t.Share
+	}
+	return s.Traffic.Rate * s.Traffic.QuotaShare * s.Tenants[tenant].Share / sum
+}
+
+// Next returns the next need; false after the last.
+func (n *Needs) Next() (Need, bool) {
+	s := n.p.Scenario
+	for {
+		n.t += time.Duration(n.rng.ExpFloat64() / n.p.peak * 1e9)
+		if n.t >= s.Length.D() {
+			return Need{}, false
+		}
+		if n.rng.Float64()*n.p.peak < n.p.Rate(n.t) {
+			break
+		}
+	}
+	class := pick(n.rng, n.class)
+	c := s.Classes[class]
+	work := c.Work.S()
+	if c.Spread > 0 {
+		s2 := math.Log(1 + c.Spread*c.Spread)
+		work *= math.Exp(n.rng.NormFloat64()*math.Sqrt(s2) - s2/2)
+	}
+	d := Need{N: n.n, At: n.t, Class: class, Tenant: pick(n.rng, n.tenant), Site: pick(n.rng, n.site),
+		Work: time.Duration(work * 1e9).Round(time.Microsecond), Honours: n.rng.Float64() < s.Clients.Honour, Seed: n.rng.Uint64()}
+	if n.rng.Float64() < s.Clients.Impatient {
+		d.Impatient = time.Duration(n.rng.Float64() * 0.3 * float64(c.Deadline.D()))
+	}
+	for i := range n.credits {
+		q := n.p.Quota(i)
+		n.credits[i] = min(q, n.credits[i]+q*(n.t-n.at).Seconds())
+	}
+	n.at = n.t
+	if n.credits[d.Tenant] >= 1 {
+		n.credits[d.Tenant]--
+	} else {
+		d.Over = true
+	}
+	n.n++
+	return d, true
+}
+
+func pick(rng *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := rng.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// Write writes all of the plan as text.
+func (p *Plan) Write(w io.Writer) error {
+	for i, b := range p.Boxes {
+		if _, err := fmt.Fprintf(w, "box %d %+v\n", i, b); err != nil {
+			return err
+		}
+	}
+	for _, s := range p.Steps {
+		if _, err := fmt.Fprintf(w, "step %+v\n", s); err != nil {
+			return err
+		}
+	}
+	for n := p.Needs(); ; {
+		d, ok := n.Next()
+		if !ok {
+			return nil
+		}
+		if _, err := fmt.Fprintf(w, "need %+v\n", d); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/kit/report/html.go
@@ -0,0 +1,255 @@
+package report
+
+import (
+	"cmp"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"slices"
+	"strings"
+
+	"craneglade/internal/kit/judge"
+)
+
+//go:embed page.html
+var pageText string
+
+// HTML writes the report as one page that needs nothing else: styles and drawings are in it, and no script.
+func (r *Report) HTML(w io.Writer) error {
+	t, err := template.New("page").Funcs(template.FuncMap{
+		"pct":   func(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) },
+		"f0":    func(v float64) string { return fmt.Sprintf("%.0f", v) },
+		"f3":    func(v float64) string { return fmt.Sprintf("%.3f", v) },
+		"ms":    func(us int64) string { return ms(us).String() },
+		"sec":   func(us int64) string { return fmt.Sprintf("%.3f", r.sec(us)) },
+		"lines": func(n []int) string { return list(n, 8) },
+		"ints":  func(v judge.Rule) int { return int(v) },
+	}).Parse(pageText)
+	if err != nil {
+		return err
+	}
+	type rule struct {
+		N          int
+		Name, Word string
+	}
+	var rules []rule
+	for x := judge.OneAnswer; x <= judge.ColdKept; x++ {
+		word := "kept"
+		if r.Verdict.Broken(x) {
+			word = "broken"
+		} else if !r.Verdict.Kept(x) {
+			word = "undecided"
+		}
+		rules = append(rules, rule{int(x), x.String(), word})
+	}
+	return t.Execute(w, struct {
+		*Report
+		Rules                  []rule
+		Answers, Latency, Lane template.HTML
+	}{r, rules, template.HTML(r.answers()), template.HTML(r.latency()), template.HTML(r.lanes())})
+}
+
+// sec turns the trace's time into seconds since the traffic began.
+func (r *Report) sec(us int64) float64 { return float64(us-r.Begin) / 1e6 }
+
+const (
+	width, left, right = 1040.0, 56.0, 16.0
+	plotW              = width - left - right
+)
+
+// svg is a drawing with time from left to right.
+type svg struct {
+	strings.Builder
+	height, end float64
+}
+
+func (r *Report) drawing(height float64, label string) *svg {
+	end := max(r.Seconds, float64(len(r.PerS)), 1)
+	for _, b := range r.Boxes {
+		if n := len(b.Spans); n > 0 {
+			end = max(end, b.Spans[n-1].To)
+		}
+	}
+	s := &svg{height: height, end: math.Ceil(end)}
+	s.f(`<svg viewBox="0 0 %.0f %.0f" role="img" aria-label="%s">`, width, height, label)
+	return s
+}
+
+func (s *svg) f(format string, args ...any) { fmt.Fprintf(&s.Builder, format, args...) }
+
+func (s *svg) x(t float64) float64 { return left + plotW*min(max(t, 0), s.end)/s.end }
+
+// axis draws the time axis at y, and light lines up to top.
+func (s *svg) axis(y, top float64) {
+	step := nice(s.end / 12)
+	for t := 0.0; t <= s.end+1e-9; t += step {
+		s.f(`<line class="grid" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><text class="tick" x="%.1f" y="%.1f" text-anchor="middle">%g s</text>`,
+			s.x(t), s.x(t), top, y, s.x(t), y+15, t)
+	}
+	s.f(`<line class="axis" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/>`, left, left+plotW, y, y)
+}
+
+// scale draws the left axis and returns the place of a value.
+func (s *svg) scale(bottom, top, high float64, unit string) func(float64) float64 {
+	y := func(v float64) float64 { return bottom - (bottom-top)*min(v, high)/high }
+	step := nice(high / 4)
+	for v := 0.0; v <= high+1e-9; v += step {
+		s.f(`<line class="grid" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><text class="tick" x="%.1f" y="%.1f" text-anchor="end">%g</text>`,
+			left, left+plotW, y(v), y(v), left-6, y(v)+4, v)
+	}
+	s.f(`<text class="tick" x="%.1f" y="%.1f">%s</text>`, 4.0, top-8, unit)
+	return y
+}
+
+func nice(v float64) float64 {
+	if v <= 0 {
+		return 1
+	}
+	p := math.Pow(10, math.Floor(math.Log10(v)))
+	for _, m := range []float64{1, 2, 5, 10} {
+		if m*p >= v {
+			return max(m*p, 1e-6)
+		}
+	}
+	return 10 * p
+}
+
+// marks draws the events as numbered lines and the violations as red ones.
+func (r *Report) marks(s *svg, top, bottom float64) {
+	last := -100.0
+	row := 0.0
+	for i, e := range r.Events {
+		x := s.x(e.At)
+		if x-last < 16 {
+			row = math.Mod(row+1, 3)
+		} else {
+			row = 0
+		}
+		last = x
+		s.f(`<g><title>%.1f s: %s</title><line class="event" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><circle class="dot" cx="%.1f" cy="%.1f" r="7"/><text class="num" x="%.1f" y="%.1f" text-anchor="middle">%d</text></g>`,
+			e.At, template.HTMLEscapeString(e.Text), x, x, top, bottom, x, top+7+row*15, x, top+10.5+row*15, i+1)
+	}
+	for _, v := range r.Verdict.Violations {
+		x := s.x(r.sec(v.At))
+		s.f(`<g><title>%s</title><line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/></g>`, template.HTMLEscapeString(Line(v)), x, x, top, bottom)
+	}
+}
+
+var kinds = []struct {
+	class, name string
+	of          func(Second) int
+}{
+	{"intime", "in time", func(s Second) int { return s.InTime }},
+	{"late", "late", func(s Second) int { return s.Late }},
+	{"refused", "refused", func(s Second) int { return s.Refused }},
+	{"failed", "failed, unreached or left", func(s Second) int { return s.Failed }},
+}
+
+// answers is the load and what became of it.
+func (r *Report) answers() string {
+	s := r.drawing(280, "requests a second by what became of them")
+	const top, bottom = 44.0, 250.0
+	high := 1.0
+	for _, p := range r.PerS {
+		high = max(high, float64(p.Asked))
+	}
+	s.axis(bottom, top)
+	y := s.scale(bottom, top, math.Ceil(high*1.05), "requests a second")
+	bar := plotW / s.end
+	for i, p := range r.PerS {
+		sum := 0.0
+		for _, k := range kinds {
+			n := float64(k.of(p))
+			if n == 0 {
+				continue
+			}
+			s.f(`<rect class="%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"><title>%d s: %d %s of %d</title></rect>`, k.class, s.x(float64(i))+0.5,
+				y(sum+n), max(bar-1, 0.5), y(sum)-y(sum+n), i, int(n), k.name, p.Asked)
+			sum += n
+		}
+	}
+	r.marks(s, top, bottom)
+	for i, k := range kinds {
+		s.f(`<rect class="%s" x="%.1f" y="8" width="12" height="12"/><text class="tick" x="%.1f" y="18">%s</text>`, k.class, left+240+float64(i)*130,
+			left+257+float64(i)*130, k.name)
+	}
+	s.f(`</svg>`)
+	return s.String()
+}
+
+// latency is how long answers took.
+func (r *Report) latency() string {
+	s := r.drawing(220, "latency of served requests by second")
+	const top, bottom = 30.0, 190.0
+	high := 50.0
+	for _, p := range r.PerS {
+		high = max(high, p.P95)
+	}
+	s.axis(bottom, top)
+	y := s.scale(bottom, top, math.Ceil(high*1.05), "ms")
+	line := func(class string, of func(Second) float64) {
+		var at []string
+		for i, p := range r.PerS {
+			if v := of(p); v > 0 {
+				at = append(at, fmt.Sprintf("%.1f,%.1f", s.x(float64(i)+0.5), y(v)))
+			}
+		}
+		s.f(`<polyline class="%s" points="%s"/>`, class, strings.Join(at, " "))
+	}
+	line("p95", func(p Second) float64 { return p.P95 })
+	line("p50", func(p Second) float64 { return p.P50 })
+	s.f(`<line class="p50" x1="%.0f" x2="%.0f" y1="14" y2="14"/><text class="tick" x="%.0f" y="18">median</text><line class="p95" x1="%.0f" x2="%.0f" y1="14" y2="14"/><text class="tick" x="%.0f" y="18">95th percentile</text>`,
+		left+240, left+264, left+270, left+370, left+394, left+400)
+	for _, v := range r.Verdict.Violations {
+		s.f(`<line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/>`, s.x(r.sec(v.At)), s.x(r.sec(v.At)), top, bottom)
+	}
+	s.f(`</svg>`)
+	return s.String()
+}
+
+// lanes are the boxes, one below the other.
+func (r *Report) lanes() string {
+	const lane, top = 24.0, 28.0
+	boxes := slices.Clone(r.Boxes)
+	slices.SortStableFunc(boxes, func(a, b Box) int { return cmp.Compare(a.Site, b.Site) })
+	s := r.drawing(top+lane*float64(len(boxes))+26, "state and load of each box")
+	most := 8
+	for _, b := range boxes {
+		for _, p := range b.Load {
+			most = max(most, p.Held)
+		}
+	}
+	bottom := top + lane*float64(len(boxes))
+	s.axis(bottom, top)
+	for i, b := range boxes {
+		y := top + lane*float64(i)
+		s.f(`<text class="lane" x="%.1f" y="%.1f" text-anchor="end">%s</text><g><title>%s, %s, %s: %d attempts, %d served, %d turned away, %d failed, spoilt or reset</title>`,
+			left-4, y+16, strings.TrimPrefix(b.ID, "s-")[:min(8, len(b.ID)-2)], b.ID, b.Kind, b.Site, b.Got, b.Served, b.Turned, b.Broken)
+		for _, p := range b.Spans {
+			s.f(`<rect class="st-%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"/>`, p.State, s.x(p.From), y+2, max(s.x(p.To)-s.x(p.From), 0.5), lane-4)
+		}
+		s.f(`</g>`)
+		if len(b.Load) > 1 {
+			var at []string
+			for _, p := range b.Load {
+				at = append(at, fmt.Sprintf("%.1f,%.1f", s.x(p.At), y+lane-3-(lane-6)*float64(p.Held)/float64(most)))
+			}
+			s.f(`<polyline class="held" points="%s"/>`, strings.Join(at, " "))
+		}
+		for _, v := range r.Verdict.Violations {
+			if v.Box == b.ID {
+				s.f(`<circle class="hit" cx="%.1f" cy="%.1f" r="5"><title>%s</title></circle>`, s.x(r.sec(v.At)), y+lane/2, template.HTMLEscapeString(Line(v)))
+			}
+		}
+	}
+	x := left
+	for _, k := range []string{"normal", "cold", "slow", "Terminating", "silent", "fallen"} {
+		name := strings.ToLower(strings.Replace(k, "Terminating", "leaving", 1))
+		s.f(`<rect class="st-%s" x="%.1f" y="4" width="14" height="14"/><text class="tick" x="%.1f" y="15">%s</text>`, k, x, x+18, name)
+		x += 90
+	}
+	s.f(`<line class="held" x1="%.1f" x2="%.1f" y1="11" y2="11"/><text class="tick" x="%.1f" y="15">requests held (full height: %d)</text></svg>`, x, x+24, x+30, most)
+	return s.String()
+}
--- /dev/null
+++ b/internal/kit/run/node.go
@@ -0,0 +1,297 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"craneglade/internal/kit/stand"
+	"craneglade/internal/kit/trace"
+)
+
+const (
+	readyIn  = 15 * time.Second        // a node that is not ready by then does not start
+	readyAsk = 10 * time.Millisecond   // between two questions whether it is
+	termTime = 3700 * time.Millisecond // PROTOCOL: SIGKILL comes no sooner than this after SIGTERM
+	termLate = 300 * time.Millisecond  // the front takes a node out this long after SIGTERM
+	startTry = 3                       // another process may take a port before the node does
+	tailSize = 4 << 10
+)
+
+// node is one node process, through all its lives.
+type node struct {
+	trace.Node
+	index   int
+	r       *Rehearsal
+	agent   *stand.Agent
+	agentAt *stand.AgentServer
+
+	mu     sync.Mutex
+	addr   string
+	cmd    *exec.Cmd
+	ended  chan struct{} // closed when the process has ended
+	meant  bool          // it is to end
+	starts int
+	tail   *tail
+}
+
+// start starts the process and waits until it is ready. The address stays the same through all lives.
+func (n *node) start(ctx context.Context) error {
+	var err error
+	for range startTry {
+		if n.addr == "" {
+			ln, e := n.r.listen("")
+			if e != nil {
+				return e
+			}
+			n.addr = ln.Addr().String()
+			ln.Close()
+		}
+		if err = n.launch(ctx); err == nil || ctx.Err() != nil || n.starts > 1 {
+			return err
+		}
+		n.addr = ""
+	}
+	return err
+}
+
+func (n *node) launch(ctx context.Context) error {
+	n.mu.Lock()
+	n.starts++
+	path, err := n.write()
+	if err != nil {
+		n.mu.Unlock()
+		return err
+	}
+	cmd := exec.Command(n.r.opt.Command[0], n.r.opt.Command[1:]...)
+	cmd.Env = append(append(os.Environ(), n.r.opt.Env...), "GW_NAME="+n.Name, "GW_LISTEN="+n.addr, "GW_DISCOVERY="+n.agentAt.Addr, "GW_CONFIG="+path)
+	n.tail = &tail{}
+	log, err := os.OpenFile(filepath.Join(n.r.dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		n.mu.Unlock()
+		return err
+	}
+	n.tail.also = log
+	cmd.Stdout, cmd.Stderr = n.tail, n.tail
+	if err := cmd.Start(); err != nil {
+		n.mu.Unlock()
+		log.Close()
+		return fmt.Errorf("start node %s: %w", n.Name, err)
+	}
+	n.cmd, n.ended, n.meant = cmd, make(chan struct{}), false
+	ended := n.ended
+	n.note(trace.Started, "")
+	n.mu.Unlock()
+	n.r.procs.Add(1)
+	go func() {
+		defer n.r.procs.Done()
+		err := cmd.Wait()
+		log.Close()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		switch {
+		case !n.meant:
+			text := n.tail.last()
+			n.note(trace.Crashed, strings.TrimSpace(fmt.Sprintf("%v: %s", cmp(err), text)))
+			n.r.clients.Node(n.index, n.addr, false)
+		default:
+			n.note(trace.Exited, "")
+		}
+		close(ended)
+	}()
+	if err := n.ready(ctx, ended); err != nil {
+		return err
+	}
+	n.note(trace.Up, "")
+	n.r.clients.Node(n.index, n.addr, true)
+	return nil
+}
+
+func cmp(err error) string {
+	if err == nil {
+		return "exit status 0"
+	}
+	return err.Error()
+}
+
+// write writes the configuration.
+func (n *node) write() (string, error) {
+	text, err := config(n.r.plan, n, n.agent.List())
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(n.r.dir, n.Name+".json")
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return "", err
+	}
+	return path, os.Rename(path+".new", path)
+}
+
+func (n *node) note(state, text string) {
+	n.r.out.Add(&trace.Record{Kind: trace.Proc, T: n.r.clock().Now().Microseconds(), Node: n.Name, State: state, Text: text})
+}
+
+// ready asks until the node says that it is.
+func (n *node) ready(ctx context.Context, ended <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(ctx, readyIn)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	tick := time.NewTicker(readyAsk)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ended:
+			return fmt.Errorf("node %s ended before it was ready: %s", n.Name, n.tail.last())
+		case <-ctx.Done():
+			return fmt.Errorf("node %s was not ready within %v: %s", n.Name, readyIn, n.tail.last())
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.addr+"/ready", nil)
+		if err != nil {
+			return err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+}
+
+// signal sends a signal to the process, which is to end of it if end is set.
+func (n *node) signal(sig syscall.Signal, state string, end bool) (<-chan struct{}, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.ended:
+		return n.ended, false // it has crashed
+	default:
+	}
+	n.meant = n.meant || end
+	n.note(state, "")
+	n.cmd.Process.Signal(sig)
+	return n.ended, true
+}
+
+// kill ends the process without a word.
+func (n *node) kill() {
+	ended, ok := n.signal(syscall.SIGKILL, trace.Kill, true)
+	if ok {
+		<-ended
+	}
+	n.r.after(n.r.plan.Scenario.Clients.Notice.D(), func() { n.takeOut(ended) })
+}
+
+// takeOut lets no more clients go to a life that is over.
+func (n *node) takeOut(ended <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended == ended {
+		n.r.clients.Node(n.index, n.addr, false)
+	}
+}
+
+// term asks the process to end and sees that it does.
+func (n *node) term() {
+	ended, ok := n.signal(syscall.SIGTERM, trace.Term, true)
+	n.r.after(termLate, func() { n.takeOut(ended) })
+	if !ok {
+		return
+	}
+	timer := time.NewTimer(termTime)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		n.cmd.Process.Kill()
+		<-ended
+	}
+}
+
+// reload gives the node another discovery.
+func (n *node) reload() error {
+	ln, err := n.r.listen("")
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	old := n.agentAt
+	n.agentAt = stand.ServeAgent(n.agent, ln)
+	_, err = n.write()
+	n.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	n.agent.Settle(settleTime)
+	n.signal(syscall.SIGHUP, trace.Hup, false)
+	old.Leave(leaveTime)
+	return nil
+}
+
+// use notes what the process holds, where the system tells.
+func (n *node) use() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.ended:
+		return
+	default:
+	}
+	proc := "/proc/" + strconv.Itoa(n.cmd.Process.Pid)
+	text, err := os.ReadFile(proc + "/statm")
+	if err != nil {
+		return
+	}
+	fields := bytes.Fields(text)
+	fds, err := os.ReadDir(proc + "/fd")
+	if len(fields) < 2 || err != nil {
+		return
+	}
+	pages, _ := strconv.ParseInt(string(fields[1]), 10, 64)
+	n.r.out.Add(&trace.Record{Kind: trace.Use, T: n.r.clock().Now().Microseconds(), Node: n.Name, Bytes: pages * int64(os.Getpagesize()),
+		Conns: len(fds)})
+}
+
+// tail keeps the end of what a process writes.
+type tail struct {
+	also *os.File
+	mu   sync.Mutex
+	text []byte
+}
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	if n := len(t.text); n > tailSize {
+		t.text = append(t.text[:0], t.text[n-tailSize:]...)
+	}
+	_, err := t.also.Write(p)
+	return len(p), errors.Join(err)
+}
+
+// last is the last line that says something.
+func (t *tail) last() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := strings.Split(strings.TrimSpace(string(t.text)), "\n")
+	for _, l := range all {
+		if strings.HasPrefix(l, "panic:") || strings.HasPrefix(l, "fatal error:") {
+			return l
+		}
+	}
+	return all[len(all)-1]
+}
--- /dev/null
+++ b/internal/kit/scenario/default.go
@@ -0,0 +1,143 @@
+package scenario
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+)
+
+const ms = Duration(time.Millisecond)
+const sec = Duration(time.Second)
+
+// Default is what a file that says nothing describes: the service configurator-nw on a busy morning.
+func Default() *Scenario {
+	return &Scenario{
+		Length: 30 * sec,
+		Nodes:  Nodes{Count: 3, Cores: 1, MemoryMB: 128, Sockets: 512},
+		Traffic: Traffic{Rate: 300, Shape: "steady", Peak: 1, Swing: 0.25, Period: 12 * sec, OverShare: 0.2,
+			QuotaShare: 1.2},
+		Net:  Net{Same: 250 * Duration(time.Microsecond), Cross: 2 * ms, Jitter: 0.2},
+		List: List{Mode: "push", Lag: 2 * sec, Add: sec, Spread: 80 * ms},
+		Clients: Clients{Retries: 1, Backoff: "fixed", Wait: 80 * ms, Honour: 0.6, MaxWait: 2 * sec, TryShare: 0.7,
+			Impatient: 0.01, Notice: 2500 * ms},
+		Rules:  Rules{DrainGrace: 2 * sec, FallFactor: 4, FallFor: 1500 * ms, Attempts: 3},
+		Report: Report{Every: 700 * ms, Late: 250 * ms, Noise: 0.02},
+		Choke:  Choke{At: 5.5, Over: 2 * sec, Slower: 2.5, Below: 0.33, Rest: 3500 * ms, Most: 24 * sec},
+		Conn:   Conn{Max: 76, Handshake: 27 * ms, Idle: 60 * sec, Timeout: 200 * ms},
+		Sites:  []Site{{"tacoma", 0.45}, {"everett", 0.3}, {"olympia", 0.25}},
+		Kinds: []Kind{
+			{Name: "gen-a", Cores: 4, Speed: 0.97, Spread: 0.1, Slots: 4, Queue: 1600, Thrash: 0.42, ThrashAt: 11, ColdFrom: 0.48,
+				Cold: 6 * sec, WarmBy: "requests", PauseEvery: 7 * sec, Pause: 25 * ms, Errors: 0.001, Cancel: "queued"},
+			{Name: "gen-b", Cores: 4, Speed: 0.6, Spread: 0.1, Slots: 4, Queue: 1400, Thrash: 0.42, ThrashAt: 11, ColdFrom: 0.4,
+				Cold: 5 * sec, WarmBy: "requests", PauseEvery: 5 * sec, Pause: 30 * ms, Errors: 0.001, Cancel: "all"}},
+		Fleet: []Fleet{{"gen-a", 6}, {"gen-b", 5}},
+		Classes: []Class{
+			{Name: "save-config", Share: 0.68, Work: 70 * ms, Spread: 0.4, Noise: 0.3, Aim: 400 * ms, Deadline: sec, Worth: 10,
+				Effect: "keyed", Group: "site", Window: 600 * ms, Bytes: 600},
+			{Name: "send-quote", Share: 0.32, Work: 70 * ms, Spread: 0.5, Noise: 0.3, Aim: 500 * ms, Deadline: 2500 * ms, Worth: 2,
+				Effect: "unsafe", Group: "all", Bytes: 300}},
+		Tenants: []Tenant{{"cascade-lumber", 0.26, 0.9}, {"sound-supply", 0.19, 1}, {"ridgeline-build", 0.18, 1},
+			{"tidewater-doors", 0.12, 0.9}, {"fircrest-yard", 0.1, 0.9}, {"bayside-millwork", 0.08, 0.9}, {"northfork-home", 0.04, 1},
+			{"cedar-hollow", 0.03, 0.9}},
+	}
+}
+
+// fill gives what the file has left out its default. A table of an array that is there at all replaces the default's
+// whole array; its entries' own defaults are those of the default's first entry, but for names.
+func (s *Scenario) fill() {
+	def := Default()
+	kinds, classes, tenants, sites := s.Kinds, s.Classes, s.Tenants, s.Sites // those that the file has
+	merge(reflect.ValueOf(s).Elem(), reflect.ValueOf(def).Elem(), "", s.where)
+	for i := range kinds {
+		d := def.Kinds[0]
+		d.Slots = max(s.Kinds[i].Cores, 1)
+		if s.Kinds[i].Cores == 0 {
+			d.Slots = d.Cores
+		}
+		mergeEntry(&s.Kinds[i], &d, indexed("kind", i), s.where)
+	}
+	for i := range classes {
+		d := def.Classes[0]
+		if s.Classes[i].Effect != "" && s.Classes[i].Effect != "keyed" {
+			d.Group, d.Window = "all", 0
+		}
+		mergeEntry(&s.Classes[i], &d, indexed("class", i), s.where)
+		if s.Classes[i].Effect != "keyed" {
+			s.Classes[i].Group, s.Classes[i].Window = "all", 0
+		}
+	}
+	for i := range tenants {
+		mergeEntry(&s.Tenants[i], &Tenant{Share: 1, Usage: 1}, indexed("tenant", i), s.where)
+	}
+	for i := range sites {
+		mergeEntry(&s.Sites[i], &Site{Share: 1}, indexed("site", i), s.where)
+	}
+	for i := range s.Events {
+		d := Event{}
+		switch s.Events[i].Do {
+		case "deploy":
+			d = Event{Batch: 0.15, Drain: 4 * sec}
+		case "slow", "vanish", "crash":
+			d = Event{Boxes: 1}
+		case "kill", "term":
+			d = Event{Node: 1}
+		}
+		mergeEntry(&s.Events[i], &d, indexed("event", i), s.where)
+	}
+}
+
+func indexed(table string, i int) string { return fmt.Sprintf("%s[%d]", table, i) }
+
+func mergeEntry[T any](v, def *T, prefix string, where map[string]int) {
+	merge(reflect.ValueOf(v).Elem(), reflect.ValueOf(def).Elem(), prefix, where)
+}
+
+// merge copies def's fields over those of v that the file does not name. A zero that is written down stays.
+func merge(v, def reflect.Value, prefix string, where map[string]int) {
+	t := v.Type()
+	for i := range t.NumField() {
+		name := t.Field(i).Tag.Get("toml")
+		if name == "" {
+			continue
+		}
+		key := name
+		if prefix != "" {
+			key = prefix + "." + name
+		}
+		f := v.Field(i)
+		switch {
+		case f.Kind() == reflect.Struct:
+			merge(f, def.Field(i), key, where)
+		case f.Kind() == reflect.Slice:
+			if f.Len() == 0 {
+				f.Set(def.Field(i))
+			}
+		default:
+			if _, ok := where[key]; !ok {
+				f.Set(def.Field(i))
+			}
+		}
+	}
+}
+
+// knownKeys are all the keys that files may hold, for suggestions.
+var knownKeys = keysOf(reflect.TypeFor[Scenario](), nil)
+
+func keysOf(t reflect.Type, keys []string) []string {
+	for i := range t.NumField() {
+		name := t.Field(i).Tag.Get("toml")
+		if name == "" {
+			continue
+		}
+		keys = append(keys, name)
+		switch f := t.Field(i).Type; f.Kind() {
+		case reflect.Struct:
+			keys = keysOf(f, keys)
+		case reflect.Slice:
+			if f.Elem().Kind() == reflect.Struct {
+				keys = keysOf(f.Elem(), keys)
+			}
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/kit/scenario/scenario.go
@@ -0,0 +1,680 @@
+// Package scenario reads the files that describe a rehearsal: the fleet, the traffic, the list and a time table of
+// what happens. Files are TOML v1.0.0. What a file leaves out has the value of Default, which is the opening of a
+// season at a service like configurator-nw.
+//
+// A file is checked whole before anything is started. An error is one line: file, line, key, what is wrong and what
+// would be right.
+package scenario
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Duration is a time span written as Go writes them: "30s", "1m30s", "250ms", "1.5ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration; an error tells the form.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf(`%q is no time: write a number and a unit, such as "30s" or "250ms"`, text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// D is the duration as the time package's.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// S is the duration in seconds.
+func (d Duration) S() float64 { return time.Duration(d).Seconds() }
+
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Scenario is one rehearsal.
+type Scenario struct {
+	Title  string   `toml:"title"`  // one line, for --list
+	Length Duration `toml:"length"` // from the first request planned to the last
+	Seed   uint64   `toml:"seed"`   // used where the command line names none; 0 draws one
+
+	Nodes   Nodes   `toml:"nodes"`
+	Traffic Traffic `toml:"traffic"`
+	Net     Net     `toml:"net"`
+	List    List    `toml:"list"`
+	Clients Clients `toml:"clients"`
+	Rules   Rules   `toml:"rules"`
+	Report  Report  `toml:"report"`
+	Choke   Choke   `toml:"choke"`
+	Conn    Conn    `toml:"connections"`
+
+	Sites   []Site   `toml:"site"`
+	Kinds   []Kind   `toml:"kind"`
+	Fleet   []Fleet  `toml:"fleet"`
+	Classes []Class  `toml:"class"`
+	Tenants []Tenant `toml:"tenant"`
+	Events  []Event  `toml:"event"`
+
+	where map[string]int // line by key path
+	file  string
+}
+
+// Nodes are the load balancers under rehearsal.
+type Nodes struct {
+	Count    int     `toml:"count"`
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"` // descriptors a node may hold
+}
+
+// Traffic is the load. Rates are first tries a second, over all sites.
+type Traffic struct {
+	Rate       float64  `toml:"rate"`
+	Shape      string   `toml:"shape"` // steady, ramp (from Rate to Rate x Peak), wave (about Rate by Swing), bursty
+	Peak       float64  `toml:"peak"`
+	Swing      float64  `toml:"swing"`
+	Period     Duration `toml:"period"`
+	OverShare  float64  `toml:"over_share_worth"` // worth of a request past its tenant's share, as a part of the usual
+	QuotaShare float64  `toml:"quota_of_rate"`    // what all tenants' shares together are, as a multiple of Rate
+}
+
+// Net are one-way delays.
+type Net struct {
+	Same   Duration `toml:"same_site"`
+	Cross  Duration `toml:"cross_site"`
+	Jitter float64  `toml:"jitter"` // spread as a part of the delay
+}
+
+// List is the box list.
+type List struct {
+	Mode   string   `toml:"mode"`   // push or ask
+	Lag    Duration `toml:"lag"`    // from a change to the nodes' being told
+	Add    Duration `toml:"add"`    // the same for a box that is new
+	Spread Duration `toml:"spread"` // between the first node that is told and the last
+}
+
+// Clients are what showroom terminals and tablets do.
+type Clients struct {
+	Retries   int      `toml:"retries"`
+	Backoff   string   `toml:"backoff"` // none, fixed, exponential
+	Wait      Duration `toml:"wait"`
+	Honour    float64  `toml:"honour_retry_after"` // part of the clients that wait as Retry-After says
+	MaxWait   Duration `toml:"max_retry_after"`
+	TryShare  float64  `toml:"try_share"` // a try is given up after this part of the class's deadline
+	Impatient float64  `toml:"impatient"` // part that leaves long before its time is up
+	Notice    Duration `toml:"front_notice"`
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	DrainGrace Duration `toml:"drain_grace"`
+	FallFactor float64  `toml:"fall_factor"`
+	FallFor    Duration `toml:"fall_for"`
+	Attempts   int      `toml:"attempts"`
+}
+
+// Report is how boxes report their load in answers.
+type Report struct {
+	Every Duration `toml:"every"`
+	Late  Duration `toml:"late"`
+	Noise float64  `toml:"noise"`
+}
+
+// Choke is what makes an overloaded box slow and keeps it so.
+type Choke struct {
+	At     float64  `toml:"at"`
+	Over   Duration `toml:"over"`
+	Slower float64  `toml:"slower"`
+	Below  float64  `toml:"below"`
+	Rest   Duration `toml:"rest"`
+	Most   Duration `toml:"most"`
+}
+
+// Conn are the connections of boxes.
+type Conn struct {
+	Max       int      `toml:"max"` // that a box accepts
+	Handshake Duration `toml:"handshake_work"`
+	Idle      Duration `toml:"idle"`    // a box closes one that stood idle for so long
+	Timeout   Duration `toml:"timeout"` // for nodes to connect in
+}
+
+// Site is a place with nodes, boxes and clients.
+type Site struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"` // of the traffic
+}
+
+// Kind is a kind of machine.
+type Kind struct {
+	Name       string   `toml:"name"`
+	Cores      int      `toml:"cores"`
+	Speed      float64  `toml:"speed"`        // of a core; 1 is the usual
+	Spread     float64  `toml:"speed_spread"` // standard deviation between boxes, as a part
+	Slots      int      `toml:"slots"`
+	Queue      int      `toml:"queue"`
+	Thrash     float64  `toml:"thrash"`
+	ThrashAt   float64  `toml:"thrash_at"`
+	ColdFrom   float64  `toml:"cold_from"`
+	Cold       Duration `toml:"cold"`
+	WarmBy     string   `toml:"warm_by"` // time or requests
+	PauseEvery Duration `toml:"pause_every"`
+	Pause      Duration `toml:"pause"`
+	Errors     float64  `toml:"errors"` // part of the requests
+	Cancel     string   `toml:"cancel"` // none, queued or all: what a box drops when its sender has gone
+	DropsLate  bool     `toml:"drops_expired"`
+}
+
+// Fleet is a number of boxes of one kind, dealt out over the sites in turn.
+type Fleet struct {
+	Kind  string `toml:"kind"`
+	Count int    `toml:"count"`
+}
+
+// Class is one kind of request.
+type Class struct {
+	Name     string   `toml:"name"`
+	Share    float64  `toml:"share"`
+	Work     Duration `toml:"work"`   // mean, on a core of speed 1
+	Spread   float64  `toml:"spread"` // coefficient of variation
+	Noise    float64  `toml:"attempt_noise"`
+	Aim      Duration `toml:"aim"`
+	Deadline Duration `toml:"deadline"`
+	Worth    float64  `toml:"worth"`
+	Effect   string   `toml:"effect"` // safe, keyed, unsafe
+	Group    string   `toml:"group"`  // keyed: all, site, cell
+	Window   Duration `toml:"window"`
+	Bytes    int      `toml:"bytes"` // of the body
+}
+
+// Tenant is one customer.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Usage float64 `toml:"usage"` // of its share
+}
+
+// Event is one entry of the time table. Do names it; the other keys that it reads are listed with Actions.
+type Event struct {
+	Do     string   `toml:"do"`
+	At     Duration `toml:"at"`
+	For    Duration `toml:"for"`
+	Over   Duration `toml:"over"`
+	Part   float64  `toml:"part"`
+	Batch  float64  `toml:"batch"`
+	Drain  Duration `toml:"drain"`
+	By     float64  `toml:"by"`
+	Follow float64  `toml:"traffic_follows"`
+	Boxes  int      `toml:"boxes"`
+	Node   int      `toml:"node"`
+	Down   Duration `toml:"down"`
+	Rate   float64  `toml:"rate"`
+	Kinds  []string `toml:"kinds"`
+	Reuse  bool     `toml:"same_address"`
+}
+
+// Action is what an event can do, with the keys that it reads beside do and at.
+type Action struct {
+	Keys []string
+	Need []string
+	Text string
+}
+
+// Actions are the events that there are.
+var Actions = map[string]Action{
+	"deploy":      {[]string{"over", "part", "batch", "drain", "same_address"}, []string{"over", "part"}, "replace part of the fleet, a batch at a time, by cold successors"},
+	"grow":        {[]string{"over", "by", "traffic_follows"}, []string{"over", "by"}, "add cold boxes until the fleet is by times as large"},
+	"slow":        {[]string{"boxes", "by", "for"}, []string{"by", "for"}, "make boxes slower by a factor"},
+	"vanish":      {[]string{"boxes", "for"}, []string{"for"}, "cut boxes off: they say nothing and refuse nothing"},
+	"crash":       {[]string{"boxes", "down"}, []string{"down"}, "end boxes' processes; they start again, cold, under their names"},
+	"reset":       {[]string{"part", "for"}, []string{"part", "for"}, "boxes reset connections under part of the requests that they have read"},
+	"spoil":       {[]string{"part", "for"}, []string{"part", "for"}, "boxes spoil part of their answers"},
+	"kill":        {[]string{"node", "down"}, []string{"down"}, "kill a node and start it again"},
+	"term":        {[]string{"node", "down"}, []string{"down"}, "SIGTERM a node, and start it again"},
+	"reload":      {[]string{"node"}, nil, "give a node another discovery and SIGHUP it; node 0 means each"},
+	"list-outage": {[]string{"for"}, []string{"for"}, "the box list says nothing"},
+	"list-stale":  {[]string{"for", "by"}, []string{"for", "by"}, "the box list runs further behind, by so many seconds"},
+	"bad-clients": {[]string{"for", "rate", "kinds"}, []string{"for", "rate"}, "clients that send what is no request"},
+	"surge":       {[]string{"for", "by"}, []string{"for", "by"}, "traffic times by"},
+}
+
+// BadKinds are the kinds of bad clients.
+var BadKinds = []string{"garbage", "endless-head", "negative-length", "huge-length", "both-lengths", "no-id", "no-class",
+	"bad-deadline", "half", "silent", "open-id"}
+
+//go:embed scenarios/*.toml
+var shipped embed.FS
+
+// Names lists the scenarios that ship with the program.
+func Names() []string {
+	entries, err := shipped.ReadDir("scenarios")
+	if err != nil {
+		return nil // embedded: can't be
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
+// Load reads a shipped scenario by its name, or a file by its path: what ends in .toml or holds a slash is a path.
+func Load(name string) (*Scenario, error) {
+	if strings.HasSuffix(name, ".toml") || strings.ContainsRune(name, '/') {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		return Parse(name, text)
+	}
+	text, err := Text(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name+".toml", text)
+}
+
+// Text is a shipped scenario as it is written.
+func Text(name string) ([]byte, error) {
+	text, err := shipped.ReadFile(path.Join("scenarios", name+".toml"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("no scenario %q: shipped are %s; a file's name ends in .toml", name, strings.Join(Names(), ", "))
+	}
+	return text, err
+}
+
+// Parse reads and checks a scenario; file is its name for errors.
+func Parse(file string, text []byte) (*Scenario, error) {
+	s := &Scenario{file: file, where: lines(text)}
+	dec := toml.NewDecoder(strings.NewReader(string(text)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			e := strict.Errors[0]
+			row, _ := e.Position()
+			key := strings.Join(e.Key(), ".")
+			return nil, fmt.Errorf("%s:%d: %s: no such key%s", file, row, key, near(key))
+		}
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			if key := strings.Join(de.Key(), "."); key != "" {
+				return nil, fmt.Errorf("%s:%d: %s: %s", file, row, key, strings.TrimPrefix(de.Error(), "toml: "))
+			}
+			return nil, fmt.Errorf("%s:%d: %s", file, row, strings.TrimPrefix(de.Error(), "toml: "))
+		}
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	s.fill()
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// lines maps each key path to its line; entries of arrays of tables are numbered: event[1].at.
+func lines(text []byte) map[string]int {
+	where, count := map[string]int{}, map[string]int{}
+	var p unstable.Parser
+	p.Reset(text)
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			if line == 0 {
+				line = p.Shape(it.Node().Raw).Start.Line
+			}
+			parts = append(parts, string(it.Node().Data))
+		}
+		key := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = key
+		case unstable.ArrayTable:
+			prefix = fmt.Sprintf("%s[%d]", key, count[key])
+			count[key]++
+		case unstable.KeyValue:
+			if prefix != "" {
+				key = prefix + "." + key
+			}
+		default:
+			continue
+		}
+		if e.Kind != unstable.KeyValue {
+			key = prefix
+		}
+		where[key] = line
+	}
+	return where
+}
+
+// near names the known key that is closest to an unknown one.
+func near(key string) string {
+	last := key[strings.LastIndexByte(key, '.')+1:]
+	best, dist := "", 3
+	for _, k := range knownKeys {
+		if d := distance(last, k); d < dist {
+			best, dist = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %s?", best)
+}
+
+// distance is the edit distance of two short words.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for i := range row {
+		row[i] = i
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for k := range len(b) {
+			cost := last
+			if a[i] != b[k] {
+				cost++
+			}
+			last = row[k+1]
+			row[k+1] = min(cost, row[k+1]+1, row[k]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+// problem is an error at a key; the line is that of the key, else of the table that it would stand in.
+func (s *Scenario) problem(key, format string, args ...any) error {
+	line, ok := s.where[key]
+	for k := key; !ok && k != ""; {
+		if i := strings.LastIndexByte(k, '.'); i >= 0 {
+			k = k[:i]
+		} else {
+			k = ""
+		}
+		line, ok = s.where[k]
+	}
+	return fmt.Errorf("%s:%d: %s: %s", s.file, max(line, 1), key, fmt.Sprintf(format, args...))
+}
+
+// check reports the first thing that makes no sense.
+func (s *Scenario) check() error {
+	type bound struct {
+		key      string
+		v        float64
+		min, max float64
+		unit     string
+	}
+	bounds := []bound{
+		{"length", s.Length.S(), 1, 24 * 3600, "s"},
+		{"nodes.count", float64(s.Nodes.Count), 1, 64, ""},
+		{"nodes.cores", s.Nodes.Cores, 0.1, 64, ""},
+		{"nodes.memory_mb", float64(s.Nodes.MemoryMB), 16, 1 << 20, ""},
+		{"nodes.sockets", float64(s.Nodes.Sockets), 64, 1 << 20, ""},
+		{"traffic.rate", s.Traffic.Rate, 0.1, 20000, " a second"},
+		{"traffic.peak", s.Traffic.Peak, 0.01, 100, ""},
+		{"traffic.swing", s.Traffic.Swing, 0, 0.95, ""},
+		{"traffic.period", s.Traffic.Period.S(), 0.1, 3600, "s"},
+		{"traffic.over_share_worth", s.Traffic.OverShare, 0, 1, ""},
+		{"traffic.quota_of_rate", s.Traffic.QuotaShare, 0.01, 100, ""},
+		{"net.same_site", s.Net.Same.S(), 0, 1, "s"},
+		{"net.cross_site", s.Net.Cross.S(), 0, 1, "s"},
+		{"net.jitter", s.Net.Jitter, 0, 1, ""},
+		{"list.lag", s.List.Lag.S(), 0, 60, "s"},
+		{"list.add", s.List.Add.S(), 0, 60, "s"},
+		{"list.spread", s.List.Spread.S(), 0, 10, "s"},
+		{"clients.retries", float64(s.Clients.Retries), 0, 10, ""},
+		{"clients.wait", s.Clients.Wait.S(), 0, 10, "s"},
+		{"clients.honour_retry_after", s.Clients.Honour, 0, 1, ""},
+		{"clients.max_retry_after", s.Clients.MaxWait.S(), 0, 60, "s"},
+		{"clients.try_share", s.Clients.TryShare, 0.05, 1, ""},
+		{"clients.impatient", s.Clients.Impatient, 0, 1, ""},
+		{"clients.front_notice", s.Clients.Notice.S(), 0, 30, "s"},
+		{"rules.drain_grace", s.Rules.DrainGrace.S(), 0.1, 60, "s"},
+		{"rules.fall_factor", s.Rules.FallFactor, 0, 100, ""},
+		{"rules.fall_for", s.Rules.FallFor.S(), 0.1, 60, "s"},
+		{"rules.attempts", float64(s.Rules.Attempts), 1, 10, ""},
+		{"report.every", s.Report.Every.S(), 0, 60, "s"},
+		{"report.late", s.Report.Late.S(), 0, 60, "s"},
+		{"report.noise", s.Report.Noise, 0, 1, ""},
+		{"choke.at", s.Choke.At, 0, 1000, ""},
+		{"choke.over", s.Choke.Over.S(), 0.1, 60, "s"},
+		{"choke.slower", s.Choke.Slower, 1, 100, ""},
+		{"choke.below", s.Choke.Below, 0, 1, ""},
+		{"choke.rest", s.Choke.Rest.S(), 0.1, 60, "s"},
+		{"choke.most", s.Choke.Most.S(), 0.1, 600, "s"},
+		{"connections.max", float64(s.Conn.Max), 1, 65535, ""},
+		{"connections.handshake_work", s.Conn.Handshake.S(), 0, 1, "s"},
+		{"connections.idle", s.Conn.Idle.S(), 0.1, 3600, "s"},
+		{"connections.timeout", s.Conn.Timeout.S(), 0.01, 60, "s"},
+	}
+	for i, k := range s.Kinds {
+		p := fmt.Sprintf("kind[%d].", i)
+		bounds = append(bounds, bound{p + "cores", float64(k.Cores), 1, 256, ""}, bound{p + "speed", k.Speed, 0.01, 100, ""},
+			bound{p + "speed_spread", k.Spread, 0, 1, ""}, bound{p + "slots", float64(k.Slots), 1, 65536, ""},
+			bound{p + "queue", float64(k.Queue), 0, 1 << 20, ""}, bound{p + "thrash", k.Thrash, 0, 0.95, ""},
+			bound{p + "thrash_at", k.ThrashAt, 0, 1000, ""}, bound{p + "cold_from", k.ColdFrom, 0.01, 1, ""},
+			bound{p + "cold", k.Cold.S(), 0, 600, "s"}, bound{p + "pause_every", k.PauseEvery.S(), 0, 3600, "s"},
+			bound{p + "pause", k.Pause.S(), 0, 10, "s"}, bound{p + "errors", k.Errors, 0, 1, ""})
+	}
+	for i, c := range s.Classes {
+		p := fmt.Sprintf("class[%d].", i)
+		bounds = append(bounds, bound{p + "share", c.Share, 0.0001, 1e6, ""}, bound{p + "work", c.Work.S(), 1e-6, 60, "s"},
+			bound{p + "spread", c.Spread, 0, 5, ""}, bound{p + "attempt_noise", c.Noise, 0, 2, ""},
+			bound{p + "aim", c.Aim.S(), 0.001, 600, "s"}, bound{p + "deadline", c.Deadline.S(), c.Aim.S(), 600, "s"},
+			bound{p + "worth", c.Worth, 0, 1e6, ""}, bound{p + "bytes", float64(c.Bytes), 0, 64 << 10, ""})
+	}
+	for i, t := range s.Tenants {
+		p := fmt.Sprintf("tenant[%d].", i)
+		bounds = append(bounds, bound{p + "share", t.Share, 0.0001, 1e6, ""}, bound{p + "usage", t.Usage, 0, 100, ""})
+	}
+	for i, t := range s.Sites {
+		bounds = append(bounds, bound{fmt.Sprintf("site[%d].share", i), t.Share, 0.0001, 1e6, ""})
+	}
+	for i, f := range s.Fleet {
+		bounds = append(bounds, bound{fmt.Sprintf("fleet[%d].count", i), float64(f.Count), 1, 1000, ""})
+	}
+	for _, b := range bounds {
+		if !(b.v >= b.min && b.v <= b.max) {
+			return s.problem(b.key, "%v%s is outside %v to %v%s", trim(b.v), b.unit, trim(b.min), trim(b.max), b.unit)
+		}
+	}
+	words := []struct {
+		key, v string
+		of     []string
+	}{
+		{"traffic.shape", s.Traffic.Shape, []string{"steady", "ramp", "wave", "bursty"}},
+		{"list.mode", s.List.Mode, []string{"push", "ask"}},
+		{"clients.backoff", s.Clients.Backoff, []string{"none", "fixed", "exponential"}},
+	}
+	for i, k := range s.Kinds {
+		words = append(words, struct {
+			key, v string
+			of     []string
+		}{fmt.Sprintf("kind[%d].warm_by", i), k.WarmBy, []string{"time", "requests"}}, struct {
+			key, v string
+			of     []string
+		}{fmt.Sprintf("kind[%d].cancel", i), k.Cancel, []string{"none", "queued", "all"}})
+	}
+	for i, c := range s.Classes {
+		words = append(words, struct {
+			key, v string
+			of     []string
+		}{fmt.Sprintf("class[%d].effect", i), c.Effect, []string{"safe", "keyed", "unsafe"}}, struct {
+			key, v string
+			of     []string
+		}{fmt.Sprintf("class[%d].group", i), c.Group, []string{"all", "site", "cell"}})
+		if c.Effect == "keyed" && c.Window <= 0 {
+			return s.problem(fmt.Sprintf("class[%d].window", i), "a keyed class needs the time for which repeats are dropped")
+		}
+	}
+	for _, w := range words {
+		if !slices.Contains(w.of, w.v) {
+			return s.problem(w.key, "%q is none of %s", w.v, strings.Join(w.of, ", "))
+		}
+	}
+	if err := s.names(); err != nil {
+		return err
+	}
+	return s.events()
+}
+
+func trim(v float64) float64 { return math.Round(v*1e6) / 1e6 }
+
+// names checks that names are there once, and that what they refer to is there.
+func (s *Scenario) names() error {
+	for table, names := range map[string][]string{"site": names(s.Sites, func(x Site) string { return x.Name }),
+		"kind":   names(s.Kinds, func(x Kind) string { return x.Name }),
+		"class":  names(s.Classes, func(x Class) string { return x.Name }),
+		"tenant": names(s.Tenants, func(x Tenant) string { return x.Name })} {
+		for i, n := range names {
+			key := fmt.Sprintf("%s[%d].name", table, i)
+			if n == "" || strings.ContainsFunc(n, func(r rune) bool { return r <= ' ' || r > '~' || r == '"' }) {
+				return s.problem(key, "%q is no name: use letters, digits and dashes", n)
+			}
+			if slices.Index(names, n) != i {
+				return s.problem(key, "%q is there twice", n)
+			}
+		}
+	}
+	for i, f := range s.Fleet {
+		if s.Kind(f.Kind) == nil {
+			return s.problem(fmt.Sprintf("fleet[%d].kind", i), "%q is no kind of machine: there are %s", f.Kind,
+				strings.Join(names(s.Kinds, func(x Kind) string { return x.Name }), ", "))
+		}
+	}
+	return nil
+}
+
+func names[T any](list []T, name func(T) string) []string {
+	var out []string
+	for _, x := range list {
+		out = append(out, name(x))
+	}
+	return out
+}
+
+// Kind returns a kind of machine by its name, or nil.
+func (s *Scenario) Kind(name string) *Kind {
+	i := slices.IndexFunc(s.Kinds, func(k Kind) bool { return k.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &s.Kinds[i]
+}
+
+// Boxes is the number of boxes at the start.
+func (s *Scenario) Boxes() int {
+	n := 0
+	for _, f := range s.Fleet {
+		n += f.Count
+	}
+	return n
+}
+
+// events checks the time table.
+func (s *Scenario) events() error {
+	for i, e := range s.Events {
+		p := fmt.Sprintf("event[%d].", i)
+		act, ok := Actions[e.Do]
+		if !ok {
+			return s.problem(p+"do", "%q is none of %s", e.Do, strings.Join(sortedKeys(Actions), ", "))
+		}
+		given := map[string]bool{"over": e.Over != 0, "part": e.Part != 0, "batch": e.Batch != 0, "drain": e.Drain != 0, "by": e.By != 0,
+			"traffic_follows": e.Follow != 0, "boxes": e.Boxes != 0, "node": e.Node != 0, "down": e.Down != 0, "rate": e.Rate != 0,
+			"kinds": len(e.Kinds) > 0, "same_address": e.Reuse, "for": e.For != 0}
+		for _, k := range sortedKeys(given) {
+			if given[k] && !slices.Contains(act.Keys, k) {
+				return s.problem(p+k, "%s does not read it: it reads %s", e.Do, strings.Join(act.Keys, ", "))
+			}
+			if !given[k] && slices.Contains(act.Need, k) {
+				return s.problem(p+k, "%s needs it", e.Do)
+			}
+		}
+		switch {
+		case e.At < 0 || e.At > s.Length:
+			return s.problem(p+"at", "%v is outside the length of %v", e.At, s.Length)
+		case e.Over < 0 || e.For < 0 || e.Drain < 0 || e.Down < 0:
+			return s.problem(p+"at", "a time is negative")
+		case e.At+e.Over > s.Length:
+			return s.problem(p+"over", "it ends at %v, after the length of %v", e.At+e.Over, s.Length)
+		case e.Part < 0 || e.Part > 1:
+			return s.problem(p+"part", "%v is outside 0 to 1", e.Part)
+		case e.Batch < 0 || e.Batch > 1:
+			return s.problem(p+"batch", "%v is outside 0 to 1", e.Batch)
+		case e.Do == "grow" && !(e.By > 1 && e.By <= 10):
+			return s.problem(p+"by", "%v is outside 1 to 10: the fleet grows by that factor", e.By)
+		case e.Do == "slow" && !(e.By > 1 && e.By <= 100):
+			return s.problem(p+"by", "%v is outside 1 to 100: boxes are slower by that factor", e.By)
+		case e.Do == "surge" && !(e.By > 0 && e.By <= 100):
+			return s.problem(p+"by", "%v is outside 0 to 100: traffic is times that", e.By)
+		case e.Do == "list-stale" && !(e.By > 0 && e.By <= 60):
+			return s.problem(p+"by", "%v is outside 0 to 60 s", e.By)
+		case e.Follow < 0 || e.Follow > 1:
+			return s.problem(p+"traffic_follows", "%v is outside 0 to 1", e.Follow)
+		case e.Node < 0 || e.Node > s.Nodes.Count:
+			return s.problem(p+"node", "%d is none: nodes are numbered 1 to %d", e.Node, s.Nodes.Count)
+		case e.Boxes < 0 || e.Boxes > s.Boxes():
+			return s.problem(p+"boxes", "%d is more than the fleet has: %d", e.Boxes, s.Boxes())
+		case e.Rate < 0 || e.Rate > 1000:
+			return s.problem(p+"rate", "%v is outside 0 to 1000 a second", e.Rate)
+		}
+		for _, k := range e.Kinds {
+			if !slices.Contains(BadKinds, k) {
+				return s.problem(p+"kinds", "%q is none of %s", k, strings.Join(BadKinds, ", "))
+			}
+		}
+		if e.Do == "deploy" {
+			if err := s.reachable(p, e); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// reachable tells whether a deploy can replace what it is to replace by its end: each batch waits for its drain.
+func (s *Scenario) reachable(p string, e Event) error {
+	n := s.Boxes()
+	replace := int(math.Round(e.Part * float64(n)))
+	if replace < 1 {
+		return s.problem(p+"part", "%v of %d boxes is none", e.Part, n)
+	}
+	batch := max(1, int(math.Round(cmpOr(e.Batch, 0.15)*float64(n))))
+	rounds := (replace + batch - 1) / batch
+	if least := time.Duration(rounds-1) * 500 * time.Millisecond; e.Over.D() < least {
+		return s.problem(p+"over", "%d boxes in batches of %d take %d rounds, %v at the least: give it longer or a larger batch",
+			replace, batch, rounds, least)
+	}
+	return nil
+}
+
+func cmpOr(a, b float64) float64 {
+	if a != 0 {
+		return a
+	}
+	return b
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/kit/stand/box.go
@@ -0,0 +1,551 @@
+package stand
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"craneglade/internal/kit/boxmodel"
+	"craneglade/internal/kit/trace"
+)
+
+// loadEvery and capEvery say how often a box notes its load and, while it is cold, what it can do.
+const (
+	loadEvery = 500 * time.Millisecond
+	capEvery  = 100 * time.Millisecond
+)
+
+// BoxConfig is what a box is.
+type BoxConfig struct {
+	ID, Site, Kind string
+	Cell           int
+	Seed           uint64
+	Spec           boxmodel.Spec
+	Handshake      time.Duration                       // work that a new connection costs, on a core of speed 1
+	MaxConns       int                                 // connections that it accepts; 0 for any number
+	Idle           time.Duration                       // a connection that stood idle for so long is closed
+	Delay          func(from string) time.Duration     // one way, between a site and this box
+	Report         struct{ Every, Late time.Duration } // of load reports
+	Noise          float64                             // of load reports, as a part
+}
+
+// Box is a box process. It serves until Stop.
+type Box struct {
+	cfg   BoxConfig
+	clock Clock
+	out   *trace.Writer
+	atts  *atomic.Int64
+	kick  chan struct{}
+	quit  chan struct{}
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	model    *boxmodel.Box
+	rng      *rand.Rand
+	open     map[uint64]*call
+	conns    map[*boxConn]struct{}
+	lns      []net.Listener
+	draining bool
+	stopped  bool
+	silent   chan struct{} // closed when the box is back; nil while it is not silent
+	resets   float64
+	spoils   float64
+	slow     bool
+	reports  []report
+}
+
+type report struct {
+	at          time.Duration
+	held, queue int
+}
+
+// call is one request at this box.
+type call struct {
+	conn *boxConn
+	id   string
+	att  int64
+	body string // that it is answered with
+	dead bool   // it is reset when it ends, not answered
+}
+
+type boxConn struct {
+	net.Conn
+	node  trace.Node
+	fresh bool
+	extra bool // past the number that the box accepts
+	busy  atomic.Pointer[call]
+}
+
+// NewBox starts a box that listens nowhere yet. atts numbers the requests at all boxes of a rehearsal.
+func NewBox(cfg BoxConfig, clock Clock, out *trace.Writer, atts *atomic.Int64) *Box {
+	b := &Box{cfg: cfg, clock: clock, out: out, atts: atts, kick: make(chan struct{}, 1), quit: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 3)), open: map[uint64]*call{}, conns: map[*boxConn]struct{}{}}
+	now := clock.Now()
+	b.model = boxmodel.New(cfg.Spec, cfg.Seed, now)
+	b.state(now, trace.Ready)
+	b.wg.Add(1)
+	go func() {
+		defer b.wg.Done()
+		b.drive()
+	}()
+	return b
+}
+
+// state notes a change of the box as a whole. b.mu is held, or nobody else knows the box.
+func (b *Box) state(now time.Duration, state string) {
+	b.out.Add(&trace.Record{Kind: trace.Box, T: trace.US(now), Box: b.cfg.ID, Site: b.cfg.Site, Cell: b.cfg.Cell, Kit: b.cfg.Kind,
+		State: state, Cores: b.model.Capacity(), Full: b.model.Full()})
+}
+
+// Warm tells whether the box started warm.
+func (b *Box) Warm() bool { return b.cfg.Spec.ColdFrom >= 1 }
+
+// Serve takes connections of one node from ln, and closes it when the box stops.
+func (b *Box) Serve(ln net.Listener, node trace.Node) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		ln.Close()
+		return
+	}
+	b.lns = append(b.lns, ln)
+	b.wg.Add(1)
+	go func() {
+		defer b.wg.Done()
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return // closed
+			}
+			b.accept(conn, node)
+		}
+	}()
+}
+
+func (b *Box) accept(conn net.Conn, node trace.Node) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		reset(conn)
+		return
+	}
+	c := &boxConn{Conn: conn, node: node, fresh: true, extra: b.cfg.MaxConns > 0 && len(b.conns) >= b.cfg.MaxConns}
+	b.conns[c] = struct{}{}
+	b.wg.Add(1)
+	go func() {
+		defer b.wg.Done()
+		b.talk(c)
+		b.mu.Lock()
+		delete(b.conns, c)
+		b.mu.Unlock()
+		c.Close()
+	}()
+}
+
+// Drain makes the box finish what it has and turn new requests away.
+func (b *Box) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
+	b.state(b.clock.Now(), trace.Terminating)
+}
+
+// Stop ends the process: connections are reset, new ones are refused. It returns when all of it has ended.
+func (b *Box) Stop() {
+	b.mu.Lock()
+	if !b.stopped {
+		b.stopped = true
+		now := b.clock.Now()
+		b.state(now, trace.Gone)
+		b.model.Stop(now)
+		b.model.Take()
+		for _, ln := range b.lns {
+			ln.Close()
+		}
+		for c := range b.conns {
+			b.lost(c)
+		}
+		if b.silent != nil {
+			close(b.silent)
+			b.silent = nil
+		}
+		close(b.quit)
+	}
+	b.mu.Unlock()
+	b.wg.Wait()
+}
+
+// lost resets a connection, and notes so for the request on it. b.mu is held.
+func (b *Box) lost(c *boxConn) {
+	if k := c.busy.Swap(nil); k != nil {
+		b.out.Add(&trace.Record{Kind: trace.Reply, T: b.clock.us(), Box: b.cfg.ID, Att: k.att, ID: k.id, How: trace.Reset})
+	}
+	reset(c.Conn)
+}
+
+// Silence cuts the box off; Return brings it back, with every connection from before reset.
+func (b *Box) Silence() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silent == nil && !b.stopped {
+		b.silent = make(chan struct{})
+		b.state(b.clock.Now(), trace.Silent)
+	}
+}
+
+// Return ends Silence.
+func (b *Box) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silent == nil {
+		return
+	}
+	b.state(b.clock.Now(), trace.Back)
+	for c := range b.conns {
+		b.lost(c)
+	}
+	close(b.silent)
+	b.silent = nil
+}
+
+// Slow makes the box slower by a factor; 1 is its usual speed.
+func (b *Box) Slow(factor float64) {
+	b.mu.Lock()
+	b.model.Slowed(b.clock.Now(), factor)
+	b.mu.Unlock()
+	b.poke()
+}
+
+// Trouble sets the parts of the requests that are reset and of the answers that are spoilt.
+func (b *Box) Trouble(resets, spoils float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.resets, b.spoils = resets, spoils
+}
+
+// Standing is what there is to show of a box.
+type Standing struct {
+	Warm, Slow, Draining, Silent, Fallen bool
+	Held                                 int
+}
+
+// Standing tells how the box stands.
+func (b *Box) Standing() Standing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Standing{b.model.Warm(), b.slow, b.draining, b.silent != nil, b.model.Down(), b.model.Held()}
+}
+
+func (b *Box) poke() {
+	select {
+	case b.kick <- struct{}{}:
+	default:
+	}
+}
+
+// drive keeps the model up to the time and answers what it has done.
+func (b *Box) drive() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	loads, caps, reports := time.Duration(0), time.Duration(0), time.Duration(0)
+	for {
+		b.mu.Lock()
+		now := b.clock.Now()
+		b.model.Advance(now)
+		b.settle()
+		if now >= reports {
+			reports = now + b.cfg.Report.Every
+			b.note(now)
+		}
+		if now >= loads {
+			loads = now + loadEvery
+			b.out.Add(&trace.Record{Kind: trace.Load, T: trace.US(now), Box: b.cfg.ID, Held: b.model.Held(), Queue: b.model.Waiting(),
+				Conns: len(b.conns), Cores: b.model.Capacity()})
+		}
+		if now >= caps && !b.model.Warm() && !b.model.Down() {
+			caps = now + capEvery
+			b.out.Add(&trace.Record{Kind: trace.Cap, T: trace.US(now), Box: b.cfg.ID, Cores: b.model.Capacity()})
+		}
+		next := loads
+		if b.cfg.Report.Every > 0 {
+			next = min(next, reports)
+		}
+		if at, ok := b.model.Next(); ok {
+			next = min(next, at)
+		}
+		b.mu.Unlock()
+		timer.Reset(max(next-b.clock.Now(), 0))
+		select {
+		case <-timer.C:
+		case <-b.kick:
+		case <-b.quit:
+			return
+		}
+	}
+}
+
+// note takes down what the next load reports will tell. b.mu is held.
+func (b *Box) note(now time.Duration) {
+	noisy := func(n int) int { return max(0, int(float64(n)*(1+b.cfg.Noise*b.rng.NormFloat64())+0.5)) }
+	b.reports = append(b.reports, report{now, noisy(b.model.Held()), noisy(b.model.Waiting())})
+	for len(b.reports) > 1 && b.reports[1].at <= now-b.cfg.Report.Late {
+		b.reports = b.reports[1:]
+	}
+}
+
+// settle carries out what the model has done. b.mu is held.
+func (b *Box) settle() {
+	results, changes := b.model.Take()
+	for _, c := range changes {
+		switch c.What {
+		case boxmodel.TurnedSlow:
+			b.slow = true
+			b.state(c.At, trace.Slow)
+		case boxmodel.TurnedNormal:
+			b.slow = false
+			b.state(c.At, trace.Normal)
+		case boxmodel.TurnedWarm:
+			b.state(c.At, trace.Warm)
+		case boxmodel.FellOver:
+			b.state(c.At, trace.Fallen)
+			for _, ln := range b.lns {
+				ln.Close()
+			}
+			for o := range b.conns {
+				b.lost(o)
+			}
+		}
+	}
+	for _, r := range results {
+		k := b.open[r.ID]
+		delete(b.open, r.ID)
+		if k == nil || k.conn.busy.Load() != k {
+			continue
+		}
+		switch {
+		case r.Outcome == boxmodel.Lost:
+			b.lost(k.conn)
+		case k.dead || r.Outcome == boxmodel.Cancelled:
+		case r.Outcome == boxmodel.Served && b.spoils > 0 && b.rng.Float64() < b.spoils:
+			b.later(k, trace.Spoilt, spoilt[b.rng.IntN(len(spoilt))])
+		case r.Outcome == boxmodel.Served:
+			b.later(k, trace.Served, b.answer(200, "", k.body))
+		case r.Outcome == boxmodel.Failed:
+			b.later(k, trace.Failed, b.answer(500, "", "the box failed\n"))
+		case r.Outcome == boxmodel.Expired:
+			b.later(k, trace.Turned, b.answer(504, "X-Not-Run: 1\r\n", "over before it ran\n"))
+		default:
+			b.later(k, trace.Turned, b.answer(503, "X-Not-Run: 1\r\n", "no room\n"))
+		}
+	}
+}
+
+// spoilt are things that are no answers.
+var spoilt = []string{
+	"\x00\x01\x02 this is noise \xff\xfe\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nminus",
+	"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nnever ends",
+	"HTTP/1.1 two hundred\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nwhich",
+}
+
+// answer is an answer's text with the load report that is due. b.mu is held.
+func (b *Box) answer(status int, headers, body string) string {
+	if len(b.reports) > 0 && status != 400 && status != 404 {
+		r := b.reports[0]
+		headers += fmt.Sprintf("X-Load: {\"inflight\":%d,\"queue\":%d}\r\n", r.held, r.queue)
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sContent-Length: %d\r\n\r\n%s", status,
+		http.StatusText(status), headers, len(body), body)
+}
+
+// later writes an answer once it has come as far as the node's site.
+func (b *Box) later(k *call, how, text string) {
+	status := 0
+	if how != trace.Spoilt {
+		status, _ = strconv.Atoi(text[9:12])
+	}
+	b.wg.Add(1)
+	time.AfterFunc(b.cfg.Delay(k.conn.node.Site), func() {
+		defer b.wg.Done()
+		if !k.conn.busy.CompareAndSwap(k, nil) {
+			return // the node has gone, or the box has
+		}
+		rec := trace.Record{Kind: trace.Reply, T: b.clock.us(), Box: b.cfg.ID, Att: k.att, ID: k.id, Status: status, How: how}
+		if how == trace.Served {
+			rec.Sum = digest([]byte(k.body))
+		}
+		b.out.Add(&rec)
+		k.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.WriteString(k.conn, text); err != nil || k.conn.extra {
+			k.conn.Close()
+		}
+	})
+}
+
+// wait returns once the box can be reached. It tells whether it could all along.
+func (b *Box) wait() bool {
+	b.mu.Lock()
+	silent := b.silent
+	b.mu.Unlock()
+	if silent == nil {
+		return true
+	}
+	<-silent
+	return false
+}
+
+// talk reads the requests of one connection.
+func (b *Box) talk(c *boxConn) {
+	if !b.wait() {
+		reset(c.Conn)
+		return
+	}
+	in := bufio.NewReader(c.Conn)
+	for {
+		if b.cfg.Idle > 0 && c.busy.Load() == nil {
+			c.SetReadDeadline(time.Now().Add(b.cfg.Idle))
+		}
+		_, err := in.Peek(1)
+		first := b.clock.us()
+		if !b.wait() {
+			return // what came while it was cut off came nowhere
+		}
+		if err != nil {
+			b.gone(c)
+			return
+		}
+		c.SetReadDeadline(time.Time{})
+		if !b.request(c, in, first) {
+			return
+		}
+	}
+}
+
+// gone is called when a node has closed a connection.
+func (b *Box) gone(c *boxConn) {
+	k := c.busy.Swap(nil)
+	if k == nil {
+		return
+	}
+	b.out.Add(&trace.Record{Kind: trace.Drop, T: b.clock.us(), Box: b.cfg.ID, Node: c.node.Name, Att: k.att, ID: k.id})
+	b.wg.Add(1)
+	time.AfterFunc(b.cfg.Delay(c.node.Site), func() {
+		defer b.wg.Done()
+		b.mu.Lock()
+		b.model.Cancel(b.clock.Now(), uint64(k.att))
+		b.settle()
+		b.mu.Unlock()
+		b.poke()
+	})
+}
+
+// request reads one request and hands it to the model. It returns false when the connection is of no further use.
+func (b *Box) request(c *boxConn, in *bufio.Reader, first int64) bool {
+	r, err := http.ReadRequest(in)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(r.Body, 80<<10))
+	}
+	rec := trace.Record{Kind: trace.Recv, T: b.clock.us(), T0: first, Box: b.cfg.ID, Node: c.node.Name}
+	if err != nil {
+		rec.Kind = trace.Part
+		if r != nil {
+			rec.ID = r.Header.Get("X-Request-Id")
+		}
+		b.out.Add(&rec)
+		return false
+	}
+	if r.URL.Path == "/health" || r.URL.Path == "/status/load" {
+		b.mu.Lock()
+		text := b.answer(200, "", "")
+		b.mu.Unlock()
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+	rec.ID, rec.Class, rec.Att = r.Header.Get("X-Request-Id"), r.Header.Get("X-Class"), b.atts.Add(1)
+	work, bad := formed(r, body)
+	if r.URL.Query().Get("key") == "bad" {
+		rec.How = trace.BadClient
+	}
+	extra := time.Duration(0)
+	if c.fresh {
+		extra, c.fresh = b.cfg.Handshake, false
+	}
+	rec.Work = trace.US(work + extra)
+	k := &call{conn: c, id: rec.ID, att: rec.Att}
+	k.body = fmt.Sprintf(`{"for":%q,"box":%q,"run":%d,"saved":true,"price":"%d.00"}`, rec.ID, b.cfg.ID, rec.Att, 400+rec.Att%900)
+	if !c.busy.CompareAndSwap(nil, k) {
+		return false // a second request before the first is answered
+	}
+	b.out.Add(&rec)
+	var until time.Duration
+	if wait, err := strconv.ParseFloat(trimUnit(r.Header.Get("X-Deadline")), 64); err == nil {
+		until = b.clock.Now() + time.Duration(wait*1e3)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bad != "" {
+		b.out.Add(&trace.Record{Kind: trace.Reply, T: b.clock.us(), Box: b.cfg.ID, Att: k.att, ID: k.id, Status: 400, How: trace.Refused, Why: bad})
+		c.busy.Store(nil)
+		_, err := io.WriteString(c, b.answer(400, "", bad+"\n"))
+		return err == nil
+	}
+	if b.draining || c.extra {
+		b.later(k, trace.Turned, b.answer(503, "X-Not-Run: 1\r\n", "turned away\n"))
+		return true
+	}
+	if b.resets > 0 && b.rng.Float64() < b.resets {
+		k.dead = true
+	}
+	job := boxmodel.Job{ID: uint64(k.att), Work: work.Seconds(), Extra: extra.Seconds(), Until: until}
+	b.wg.Add(1)
+	time.AfterFunc(b.cfg.Delay(c.node.Site), func() {
+		defer b.wg.Done()
+		b.mu.Lock()
+		b.open[job.ID] = k
+		b.model.Arrive(b.clock.Now(), job)
+		b.settle()
+		if k.dead {
+			b.lost(c)
+		}
+		b.mu.Unlock()
+		b.poke()
+	})
+	return true
+}
+
+// trimUnit turns X-Deadline into microseconds, as text.
+func trimUnit(s string) string {
+	if n := len(s); n > 0 && s[n-1] == 'm' {
+		return s[:n-1] + "e3"
+	} else if n > 0 {
+		return s[:n-1]
+	}
+	return s
+}
+
+// formed tells a request's work, and what is wrong with it where a client of the kit can't have sent it so.
+func formed(r *http.Request, body []byte) (time.Duration, string) {
+	id := r.Header.Get("X-Request-Id")
+	us, err := strconv.ParseInt(r.URL.Query().Get("w"), 10, 64)
+	switch {
+	case id == "":
+		return 0, "no X-Request-Id"
+	case err != nil || us < 0 || us > 60e6:
+		return 0, "no such work"
+	case r.Method == http.MethodPost && !bytes.HasPrefix(body, []byte(`{"id":"`+id+`"`)):
+		return 0, "the body is not this request's"
+	case r.URL.Query().Get("key") != "" && r.URL.Path != "/api":
+		return 0, "no such path"
+	}
+	return time.Duration(us) * time.Microsecond, ""
+}
--- /dev/null
+++ b/internal/kit/stand/client.go
@@ -0,0 +1,580 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"craneglade/internal/kit/plan"
+	"craneglade/internal/kit/scenario"
+	"craneglade/internal/kit/trace"
+)
+
+const (
+	// A client of the kit stays for longer than its time, so that a late answer is told from none.
+	overtime    = 200 * time.Millisecond
+	connectTime = time.Second
+	idleKeep    = 30 * time.Second
+	badTime     = 3 * time.Second // within which a bad client is owed an error or a close
+)
+
+// Clients are all clients of a rehearsal, with the front that deals their connections out among the nodes.
+type Clients struct {
+	plan  *plan.Plan
+	dial  Dial
+	clock Clock
+	out   *trace.Writer
+	slack time.Duration
+	begin time.Duration
+	wg    sync.WaitGroup
+	conns atomic.Int64
+	Count Counts
+
+	mu    sync.Mutex
+	nodes []*front
+	rng   *rand.Rand
+	pads  []string // a body's filler by class
+}
+
+// Counts are figures for the eye, since the start.
+type Counts struct {
+	Asked, InTime, Late, Refused, Failed, Unreached, Left atomic.Int64
+	Open                                                  atomic.Int64
+}
+
+// front is what the front layer knows of a node.
+type front struct {
+	trace.Node
+	addr  string
+	alive bool
+	idle  []*clientConn
+	all   map[*clientConn]struct{}
+	ids   []string // of open requests, the latest last: what a bad client steals
+}
+
+// NewClients returns the clients of a plan. slack is how much later than its client's deadline an answer still counts.
+func NewClients(p *plan.Plan, nodes []trace.Node, dial Dial, clock Clock, out *trace.Writer, slack time.Duration) *Clients {
+	c := &Clients{plan: p, dial: dial, clock: clock, out: out, slack: slack, rng: rand.New(rand.NewPCG(p.Seed, 4))}
+	for _, n := range nodes {
+		c.nodes = append(c.nodes, &front{Node: n, all: map[*clientConn]struct{}{}})
+	}
+	for _, k := range p.Scenario.Classes {
+		c.pads = append(c.pads, strings.Repeat("window ", max(0, k.Bytes-60)/7+1))
+	}
+	return c
+}
+
+// Begin says when the plan's time begins, since the start of the rehearsal. It is called before Play.
+func (c *Clients) Begin(at time.Duration) { c.begin = at }
+
+// Node tells the front of a node's address and whether clients are to go there.
+func (c *Clients) Node(i int, addr string, alive bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[i].addr, c.nodes[i].alive = addr, alive
+}
+
+// Play sends what the plan's needs say, each at its time, until the last or until ctx ends. It returns when the last
+// has begun; Wait waits for the rest.
+func (c *Clients) Play(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for needs := c.plan.Needs(); ; {
+		n, ok := needs.Next()
+		if !ok {
+			return
+		}
+		n.At += c.begin
+		if d := n.At - c.clock.Now(); d > 0 {
+			timer.Reset(d)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.need(ctx, n)
+		}()
+	}
+}
+
+// Wait returns when every request has its end.
+func (c *Clients) Wait() { c.wg.Wait() }
+
+// Close closes all connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	var all []*clientConn
+	for _, n := range c.nodes {
+		for k := range n.all {
+			all = append(all, k)
+		}
+	}
+	c.mu.Unlock()
+	for _, k := range all {
+		k.Close()
+		<-k.done
+	}
+}
+
+// pick deals out a node for a client of a site.
+func (c *Clients) pick(site string) *front {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var near, far []*front
+	for _, n := range c.nodes {
+		if n.alive && n.Site == site {
+			near = append(near, n)
+		} else if n.alive {
+			far = append(far, n)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[c.rng.IntN(len(near))]
+}
+
+// result is how one try ended.
+type result struct {
+	how        string // served, refused, failed, unreachable, left
+	retryAfter time.Duration
+}
+
+// need is one client's: its tries, and what became of them.
+func (c *Clients) need(ctx context.Context, n plan.Need) {
+	s := c.plan.Scenario
+	class := &s.Classes[n.Class]
+	rng := rand.New(rand.NewPCG(n.Seed, 5))
+	id := func() string { return fmt.Sprintf("%016x", rng.Uint64()) }
+	first := id()
+	rec := trace.Record{Class: class.Name, Tenant: s.Tenants[n.Tenant].Name, Site: s.Sites[n.Site].Name, Over: n.Over}
+	want := rec
+	want.Kind, want.T, want.ID = trace.Want, trace.US(n.At), first
+	c.out.Add(&want)
+	c.Count.Asked.Add(1)
+	c.Count.Open.Add(1)
+	defer c.Count.Open.Add(-1)
+	end := n.At + class.Deadline.D()
+	idem := fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+	key := strconv.FormatUint(rng.Uint64()%100000, 36)
+	var res result
+	this, backoff := first, s.Clients.Wait.D()
+	for try := 0; ; try++ {
+		wait := min(time.Duration(float64(class.Deadline.D())*s.Clients.TryShare), end-c.clock.Now())
+		if wait < 5*time.Millisecond {
+			break
+		}
+		t := &sending{need: &n, class: class, id: this, of: first, try: try, wait: wait, key: key, idem: idem, rec: rec}
+		res = c.attempt(ctx, t)
+		if res.how == "served" || res.how == "left" || try >= s.Clients.Retries || ctx.Err() != nil {
+			break
+		}
+		again := res.how == "refused" || res.how == "unreachable" || class.Effect == "safe"
+		if !again {
+			break
+		}
+		pause := time.Duration(0)
+		switch s.Clients.Backoff {
+		case "fixed":
+			pause = backoff
+		case "exponential":
+			pause = backoff << try
+		}
+		if n.Honours && res.retryAfter > 0 {
+			pause = min(res.retryAfter, s.Clients.MaxWait.D())
+		}
+		if c.clock.Now()+pause >= end {
+			break
+		}
+		if !sleep(ctx, pause) {
+			break
+		}
+		this = id()
+	}
+	took := c.clock.Now() - n.At
+	done := rec
+	done.Kind, done.T, done.ID, done.How, done.Took = trace.Done, c.clock.us(), first, res.how, trace.US(took)
+	c.out.Add(&done)
+	switch res.how {
+	case "served":
+		if took <= class.Aim.D() {
+			c.Count.InTime.Add(1)
+		} else {
+			c.Count.Late.Add(1)
+		}
+	case "refused":
+		c.Count.Refused.Add(1)
+	case "unreachable":
+		c.Count.Unreached.Add(1)
+	case "left":
+		c.Count.Left.Add(1)
+	default:
+		c.Count.Failed.Add(1)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// sending is one request.
+type sending struct {
+	need   *plan.Need
+	class  *scenario.Class
+	id, of string
+	try    int
+	wait   time.Duration
+	key    string
+	idem   string
+	rec    trace.Record
+	conn   *clientConn
+	ended  chan ending // holds one
+}
+
+// ending is what a connection saw of a request's end.
+type ending struct {
+	status     int // 0: the connection ended without an answer
+	bytes      int64
+	retryAfter time.Duration
+	why        string
+}
+
+// attempt sends a request, once more on a new connection where a kept one had closed, and waits for its end.
+func (c *Clients) attempt(ctx context.Context, t *sending) result {
+	for again := false; ; again = true {
+		f := c.pick(t.rec.Site)
+		if f == nil {
+			return result{how: "unreachable"}
+		}
+		conn, reused, err := c.connect(ctx, f, again)
+		if err != nil {
+			return result{how: "unreachable"}
+		}
+		res, crossed := c.exchange(ctx, t, conn, reused, again)
+		if !crossed || again {
+			return res
+		}
+	}
+}
+
+// exchange sends a request on a connection. The second result tells that the connection was a kept one that ended
+// without a word.
+func (c *Clients) exchange(ctx context.Context, t *sending, conn *clientConn, reused, again bool) (result, bool) {
+	t.conn, t.ended = conn, make(chan ending, 1)
+	rec := t.rec
+	rec.ID, rec.Node, rec.Conn = t.id, conn.front.Name, conn.n
+	left := time.Duration(0)
+	if t.need.Impatient > 0 && t.try == 0 {
+		left = t.need.Impatient
+	}
+	sent := rec
+	sent.Kind, sent.T, sent.Of, sent.Try, sent.Wait, sent.Reused, sent.Again = trace.Sent, c.clock.us(), t.of, t.try, trace.US(t.wait), reused, again
+	if t.try == 0 {
+		sent.Plan = trace.US(t.need.At)
+	}
+	conn.begin(t)
+	c.note(conn.front, t.id, true)
+	defer c.note(conn.front, t.id, false)
+	c.out.Add(&sent)
+	conn.SetWriteDeadline(time.Now().Add(t.wait))
+	_, err := io.WriteString(conn, t.text(c.pads[t.need.Class]))
+	over := time.NewTimer(t.wait + c.slack + overtime)
+	defer over.Stop()
+	var leave <-chan time.Time
+	if left > 0 {
+		timer := time.NewTimer(left)
+		defer timer.Stop()
+		leave = timer.C
+	}
+	end := rec
+	why := "time"
+	var e ending
+	select {
+	case e = <-t.ended:
+	case <-over.C:
+		why = "time"
+	case <-leave:
+		why = "impatient"
+	case <-ctx.Done():
+		why = "over"
+	}
+	if e == (ending{}) {
+		if conn.finish(t) {
+			end.Kind, end.T, end.Why = trace.GaveUp, c.clock.us(), why
+			c.out.Add(&end)
+			c.drop(conn)
+			if why == "time" {
+				return result{how: "failed"}, false
+			}
+			return result{how: "left"}, false
+		}
+		e = <-t.ended // it came at this moment
+	}
+	if e.status == 0 {
+		c.drop(conn)
+		if err != nil && e.why == "" {
+			e.why = err.Error()
+		}
+		return result{how: "failed"}, reused && e.bytes == 0
+	}
+	if e.why == "keep" {
+		c.keep(conn)
+	} else {
+		c.drop(conn)
+	}
+	switch e.status {
+	case 200:
+		return result{how: "served"}, false
+	case 429, 503:
+		return result{how: "refused", retryAfter: e.retryAfter}, false
+	}
+	return result{how: "failed"}, false
+}
+
+// note keeps the ids of a node's open requests.
+func (c *Clients) note(f *front, id string, open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if open {
+		f.ids = append(f.ids, id)
+		return
+	}
+	for i, x := range f.ids {
+		if x == id {
+			f.ids = append(f.ids[:i], f.ids[i+1:]...)
+			return
+		}
+	}
+}
+
+// text is the request as PROTOCOL has it.
+func (t *sending) text(pad string) string {
+	method, body := "POST", ""
+	if t.class.Effect == "safe" {
+		method = "GET"
+	} else {
+		body = fmt.Sprintf(`{"id":%q,"of":%q,"pad":%q}`, t.id, t.of, pad)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s /api?key=%s&w=%d HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline: %du\r\n",
+		method, t.key, t.need.Work.Microseconds(), t.id, t.class.Name, t.rec.Tenant, t.wait.Microseconds())
+	if t.class.Effect == "keyed" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", t.idem)
+	}
+	if method == "POST" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n")
+	b.WriteString(body)
+	return b.String()
+}
+
+// clientConn is a connection to a node. One goroutine reads it for as long as it is open, so that what comes when
+// nothing is asked for is seen when it comes.
+type clientConn struct {
+	net.Conn
+	n     int64
+	c     *Clients
+	front *front
+	used  bool
+	since time.Time
+	done  chan struct{}
+
+	mu   sync.Mutex
+	open *sending
+	last string // the id of the latest request
+	dead bool
+}
+
+// connect returns a connection to a node: one that is kept, unless fresh, or a new one.
+func (c *Clients) connect(ctx context.Context, f *front, fresh bool) (*clientConn, bool, error) {
+	c.mu.Lock()
+	for !fresh && len(f.idle) > 0 {
+		k := f.idle[len(f.idle)-1]
+		f.idle = f.idle[:len(f.idle)-1]
+		k.mu.Lock()
+		dead := k.dead
+		k.mu.Unlock()
+		if !dead {
+			c.mu.Unlock()
+			return k, true, nil
+		}
+	}
+	addr := f.addr
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, connectTime)
+	defer cancel()
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, false, err
+	}
+	k := &clientConn{Conn: conn, n: c.conns.Add(1), c: c, front: f, done: make(chan struct{})}
+	c.mu.Lock()
+	f.all[k] = struct{}{}
+	c.mu.Unlock()
+	go func() {
+		defer close(k.done)
+		k.read()
+	}()
+	return k, false, nil
+}
+
+func (c *Clients) keep(k *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.used, k.since = true, time.Now()
+	k.front.idle = append(k.front.idle, k)
+	// Those that have not been needed for long are closed, the oldest first.
+	for len(k.front.idle) > 0 && time.Since(k.front.idle[0].since) > idleKeep {
+		k.front.idle[0].Close()
+		k.front.idle = k.front.idle[1:]
+	}
+}
+
+func (c *Clients) drop(k *clientConn) { k.Close() }
+
+func (k *clientConn) begin(t *sending) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.open, k.last = t, t.id
+}
+
+// finish takes a request off its connection; false if its end has come.
+func (k *clientConn) finish(t *sending) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.open != t {
+		return false
+	}
+	k.open, k.dead = nil, true
+	return true
+}
+
+// take takes the open request, if there is one.
+func (k *clientConn) take() (*sending, string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.open
+	k.open = nil
+	return t, k.last
+}
+
+func (k *clientConn) read() {
+	defer func() {
+		k.c.mu.Lock()
+		delete(k.front.all, k)
+		k.c.mu.Unlock()
+		k.Close()
+	}()
+	counted := &counter{r: k.Conn}
+	in := bufio.NewReaderSize(counted, 4096)
+	for {
+		_, err := in.Peek(1)
+		first := k.c.clock.us()
+		counted.n = int64(in.Buffered())
+		if err == nil {
+			k.mu.Lock()
+			idle := k.open == nil
+			last, dead := k.last, k.dead
+			k.mu.Unlock()
+			if idle {
+				if !dead { // we left it: what comes now is nobody's
+					k.c.out.Add(&trace.Record{Kind: trace.Extra, T: first, Node: k.front.Name, Conn: k.n, ID: last, Bytes: int64(in.Buffered())})
+				}
+				k.end(err, first, 0)
+				return
+			}
+		}
+		var resp *http.Response
+		var body []byte
+		if err == nil {
+			resp, err = http.ReadResponse(in, nil)
+		}
+		if err == nil {
+			body, err = io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+		}
+		if err != nil {
+			k.end(err, first, counted.n)
+			return
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		t, _ := k.take()
+		if t == nil {
+			return // its client has left at this moment
+		}
+		e := ending{status: resp.StatusCode, bytes: counted.n}
+		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 {
+			e.retryAfter = time.Duration(s * float64(time.Second))
+		}
+		if !resp.Close {
+			e.why = "keep"
+		}
+		k.c.out.Add(&trace.Record{Kind: trace.Got, T: k.c.clock.us(), T0: first, Node: k.front.Name, Conn: k.n, ID: t.id,
+			Status: resp.StatusCode, Sum: digest(body), Bytes: int64(len(body))})
+		t.ended <- e
+		if resp.Close {
+			return
+		}
+	}
+}
+
+// end notes the end of a connection for the request that is open on it.
+func (k *clientConn) end(err error, first, bytes int64) {
+	k.mu.Lock()
+	t := k.open
+	k.open, k.dead = nil, true
+	k.mu.Unlock()
+	if t == nil {
+		return
+	}
+	why := "closed"
+	if err != nil && !errors.Is(err, io.EOF) {
+		why = err.Error()
+	}
+	k.c.out.Add(&trace.Record{Kind: trace.Broke, T: k.c.clock.us(), Node: k.front.Name, Conn: k.n, ID: t.id, Bytes: bytes, Why: why})
+	t.ended <- ending{bytes: bytes, why: why}
+}
+
+// counter counts the bytes of one answer.
+type counter struct {
+	r io.Reader
+	n int64
+}
+
+func (c *counter) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/kit/stand/list.go
@@ -0,0 +1,239 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"craneglade/internal/kit/trace"
+)
+
+// Entry is one box in the list, as PROTOCOL's discovery writes it.
+type Entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"` // Ready, Terminating or Gone
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"` // Unix time; 0 for long ago
+}
+
+// Whole is a list or a change of one, as PROTOCOL's discovery writes it.
+type Whole struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Agent is the box list as one node sees it: in push mode the agent on its machine, which has what it was sent; in ask
+// mode the service, which counts as telling a change when it has written it.
+type Agent struct {
+	node  string
+	ask   bool
+	clock Clock
+	out   *trace.Writer
+
+	mu      sync.Mutex
+	version int64
+	entries map[string]versioned
+	changed chan struct{} // closed at the next change
+	hush    chan struct{} // closed when it speaks again; nil while it speaks
+	held    []Entry       // changes that came while it was silent
+	settled time.Duration // what it is told before this counts as told then
+	told    map[string]string
+}
+
+type versioned struct {
+	Entry
+	version int64
+}
+
+// NewAgent returns the list of one node, with what the node has had from the start.
+func NewAgent(node string, ask bool, clock Clock, out *trace.Writer, known []Entry) *Agent {
+	a := &Agent{node: node, ask: ask, clock: clock, out: out, version: 1, entries: map[string]versioned{},
+		changed: make(chan struct{}), told: map[string]string{}}
+	for _, e := range known {
+		a.entries[e.ID] = versioned{e, 1}
+		a.tell(&e)
+	}
+	return a
+}
+
+// tell notes that the node has been told of a box's state. a.mu is held, or nobody else knows a.
+func (a *Agent) tell(e *Entry) {
+	state := e.State + " " + strconv.FormatInt(e.Started, 10)
+	if a.told[e.ID] == state {
+		return
+	}
+	a.told[e.ID] = state
+	a.out.Add(&trace.Record{Kind: trace.Told, T: trace.US(max(a.clock.Now(), a.settled)), Node: a.node, Box: e.ID, State: e.State})
+}
+
+// Apply takes in a change.
+func (a *Agent) Apply(e Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hush != nil {
+		a.held = append(a.held, e)
+		return
+	}
+	a.apply(e)
+}
+
+func (a *Agent) apply(e Entry) {
+	a.version++
+	a.entries[e.ID] = versioned{e, a.version}
+	if !a.ask {
+		a.tell(&e)
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Hush makes the list say nothing and hear nothing, until Speak.
+func (a *Agent) Hush() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hush == nil {
+		a.hush = make(chan struct{})
+	}
+}
+
+// Speak ends Hush.
+func (a *Agent) Speak() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hush == nil {
+		return
+	}
+	for _, e := range a.held {
+		a.apply(e)
+	}
+	a.held = nil
+	close(a.hush)
+	a.hush = nil
+}
+
+// Settle says that what the list has to tell counts as told after d at the earliest: a node that has just been given
+// another discovery gets that long to find it.
+func (a *Agent) Settle(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settled = a.clock.Now() + d
+}
+
+// List is the whole list.
+func (a *Agent) List() Whole {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.since(0, true)
+}
+
+// since is what has changed after a version, or the whole list. a.mu is held.
+func (a *Agent) since(version int64, full bool) Whole {
+	l := Whole{Version: a.version, Full: full, Servers: []Entry{}}
+	for _, e := range a.entries {
+		if full && e.State != trace.Gone || !full && e.version > version {
+			l.Servers = append(l.Servers, e.Entry)
+		}
+	}
+	return l
+}
+
+// ServeHTTP answers GET /v1/endpoints.
+func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/endpoints" {
+		http.NotFound(w, r)
+		return
+	}
+	q := r.URL.Query()
+	since, err := strconv.ParseInt(q.Get("since"), 10, 64)
+	watch := err == nil
+	ms, _ := strconv.ParseInt(q.Get("timeout_ms"), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(max(ms, 0), 60000))*time.Millisecond)
+	defer cancel()
+	for {
+		a.mu.Lock()
+		hush, changed, newer := a.hush, a.changed, !watch || a.version > since
+		var l Whole
+		if hush == nil && (newer || ctx.Err() != nil) {
+			l = a.since(since, !watch || since > a.version)
+		}
+		a.mu.Unlock()
+		if hush != nil {
+			if a.ask {
+				http.Error(w, "the list is down", http.StatusServiceUnavailable)
+				return
+			}
+			select {
+			case <-hush:
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
+		if newer || ctx.Err() != nil {
+			a.write(w, l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			if r.Context().Err() != nil {
+				return
+			}
+		}
+	}
+}
+
+func (a *Agent) write(w http.ResponseWriter, l Whole) {
+	w.Header().Set("Content-Type", "application/json")
+	if json.NewEncoder(w).Encode(l) != nil || !a.ask {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i := range l.Servers {
+		a.tell(&l.Servers[i])
+	}
+}
+
+// AgentServer is an Agent at one address.
+type AgentServer struct {
+	Addr string
+	srv  *http.Server
+	ln   net.Listener
+	done chan struct{}
+}
+
+// ServeAgent serves a on ln until Close or Leave.
+func ServeAgent(a *Agent, ln net.Listener) *AgentServer {
+	s := &AgentServer{Addr: ln.Addr().String(), srv: &http.Server{Handler: a}, ln: ln, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		if err := s.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			return // nothing is answered any more: the node's calls tell
+		}
+	}()
+	return s
+}
+
+// Leave takes no new connection from now on, and closes the open ones after d.
+func (s *AgentServer) Leave(d time.Duration) {
+	s.ln.Close()
+	time.AfterFunc(d, func() { s.srv.Close() })
+}
+
+// Close ends it.
+func (s *AgentServer) Close() {
+	s.srv.Close()
+	s.ln.Close()
+	<-s.done
+}
--- /dev/null
+++ b/internal/kit/trace/trace.go
@@ -0,0 +1,281 @@
+// Package trace is the record of a rehearsal: one JSON object a line, in the order in which the kit noted them.
+// The first line is a Head, every other line a Record. The format is versioned; docs/operators/trace.md describes it.
+//
+// All times are whole microseconds since the start of the rehearsal, taken from one monotonic clock. Lines are not
+// sorted by time: two stand-ins may note what they saw in the other order. A reader that needs order has to allow
+// for Disorder between neighbours.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Version is the version of the format that this package writes, and the only one that it reads.
+const Version = 1
+
+// Disorder bounds by how much a line's time may lie before that of a line above it.
+const Disorder = 2 * time.Second
+
+// maxLine is the longest line that Read takes, in bytes.
+const maxLine = 1 << 20
+
+// Head is the first line: what a judge has to know of the deployment.
+type Head struct {
+	Trace     int     `json:"trace"` // Version
+	Scenario  string  `json:"scenario"`
+	Seed      uint64  `json:"seed"`
+	Length    int64   `json:"length_us"`  // planned, from the first request to the last
+	Started   string  `json:"started_at"` // RFC 3339
+	Rules     Rules   `json:"rules"`
+	Classes   []Class `json:"classes"`
+	Nodes     []Node  `json:"nodes"`
+	OverShare float64 `json:"over_share_worth"` // worth of a request past its share, as a part of the usual
+}
+
+// Rules are the figures behind the four rules, as the settings of the nodes tell them.
+type Rules struct {
+	AnswerSlack int64   `json:"answer_slack_us"` // how long after the client's deadline a final answer still counts
+	DrainGrace  int64   `json:"drain_grace_us"`  // how long a node may go on sending to a box that it was told is leaving
+	FallFactor  float64 `json:"fall_factor"`     // a cold box that is sent more than this multiple of its capacity
+	FallFor     int64   `json:"fall_us"`         // for this long falls over
+	Slack       int64   `json:"slack_us"`        // added to every time limit: what sockets may cost
+}
+
+// Class is one kind of request. Effect is safe, keyed or unsafe; Group, for keyed ones, all, site or cell.
+type Class struct {
+	Name   string  `json:"name"`
+	Effect string  `json:"effect"`
+	Group  string  `json:"group,omitempty"`
+	Window int64   `json:"window_us,omitempty"` // keyed: how long repeats are dropped, from the first send that may have run
+	Aim    int64   `json:"aim_us"`              // an answer within this earns the worth
+	Worth  float64 `json:"worth"`
+}
+
+// Node is one node of the deployment.
+type Node struct {
+	Name string `json:"name"`
+	Site string `json:"site"`
+}
+
+// The kinds of records.
+const (
+	Want   = "want"   // a client's need: its first try is planned for T
+	Sent   = "sent"   // the last byte of a request is written to a node
+	Got    = "got"    // a whole answer is read; T0 is its first byte
+	Broke  = "broke"  // the connection ended, or gave what is no answer, before a whole answer was there
+	GaveUp = "gaveup" // the client left: its time was up, or it lost patience (Why)
+	Extra  = "extra"  // bytes came on a client's connection on which no request was open
+	Done   = "done"   // what became of a need: How and Took
+	Recv   = "recv"   // the last byte of a request is read at a box; T0 is its first byte
+	Part   = "part"   // a request began at a box and its connection ended before the last byte
+	Reply  = "reply"  // a box is about to write an answer, or does away with the connection (How)
+	Drop   = "drop"   // a node closed a connection on which a box had a request in hand
+	Told   = "told"   // the list has told a node of a box's State
+	Box    = "box"    // a box changes: State
+	Cap    = "cap"    // what a box that warms up can do at T, in cores of speed 1
+	Load   = "load"   // what a box holds at T
+	Proc   = "proc"   // a node's process changes: State
+	Use    = "use"    // what a node's process holds: Bytes of memory, Conns descriptors
+	Event  = "event"  // an entry of the time table takes place
+	Bad    = "bad"    // a client that sends what is no request is done: How
+	Lag    = "lag"    // the kit itself was late by Late
+	End    = "end"    // the rehearsal is over; a trace without this line is cut short
+)
+
+// States of boxes in Box and Told records.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating"
+	Gone        = "Gone"
+	Fallen      = "fallen" // pushed over while cold; stays down
+	Slow        = "slow"   // turned slower
+	Normal      = "normal" // at its usual speed again
+	Silent      = "silent" // cut off: answers nothing, refuses nothing
+	Back        = "back"   // no longer silent
+	Warm        = "warm"   // at its full capacity for the first time
+)
+
+// States of nodes in Proc records.
+const (
+	Started = "started" // the process runs
+	Up      = "ready"   // it answered its readiness call
+	Kill    = "kill"    // it is about to be killed
+	Term    = "term"    // it is about to get SIGTERM
+	Hup     = "hup"     // it is about to get SIGHUP
+	Exited  = "exited"  // it ended as it was told to
+	Crashed = "crashed" // it ended by itself
+)
+
+// Outcomes in Reply records.
+const (
+	Served  = "served"  // 200 with a body made for the request
+	Failed  = "failed"  // 500: it may have run
+	Turned  = "turned"  // 503 or 504 with X-Not-Run: it never ran
+	Refused = "refused" // 400 or 404: not a request of this service
+	Spoilt  = "spoilt"  // what is written is no answer; it has run
+	Reset   = "reset"   // the connection is reset; it may have run
+)
+
+// Begin is the How of the Event with which the traffic begins.
+const Begin = "begin"
+
+// BadClient is the How of a Recv that carries the mark of a client that sends what is no request.
+const BadClient = "bad"
+
+// Record is any line but the first. Only the fields of its kind are set; the others are left out.
+type Record struct {
+	Kind string `json:"e"`
+	T    int64  `json:"t"`            // microseconds since the start
+	T0   int64  `json:"t0,omitempty"` // the first byte, where T is the last
+
+	Node string `json:"n,omitempty"`
+	Box  string `json:"b,omitempty"`
+	ID   string `json:"id,omitempty"`   // X-Request-Id
+	Of   string `json:"of,omitempty"`   // the id of the need's first try
+	Conn int64  `json:"c,omitempty"`    // a client's connection
+	Att  int64  `json:"a,omitempty"`    // one request at one box
+	Try  int    `json:"try,omitempty"`  // 0 for the first
+	Plan int64  `json:"plan,omitempty"` // when the send was planned
+
+	Class  string `json:"class,omitempty"`
+	Tenant string `json:"tenant,omitempty"`
+	Site   string `json:"site,omitempty"`
+	Cell   int    `json:"cell,omitempty"`
+	Wait   int64  `json:"wait,omitempty"`   // X-Deadline in microseconds
+	Reused bool   `json:"reused,omitempty"` // the connection has carried a request before
+	Again  bool   `json:"again,omitempty"`  // the same id once more: a kept connection had closed on the first
+
+	Status int    `json:"status,omitempty"`
+	Sum    string `json:"sum,omitempty"` // a digest of the body
+	Bytes  int64  `json:"bytes,omitempty"`
+	How    string `json:"how,omitempty"`
+	Why    string `json:"why,omitempty"`
+	Took   int64  `json:"took,omitempty"`
+	Over   bool   `json:"over,omitempty"` // past its tenant's share
+
+	Work  int64   `json:"work,omitempty"` // microseconds of a core of speed 1
+	State string  `json:"state,omitempty"`
+	Kit   string  `json:"kind,omitempty"` // a box's machine kind
+	Cores float64 `json:"cores,omitempty"`
+	Full  float64 `json:"full,omitempty"` // capacity when warm, in cores of speed 1
+	Held  int     `json:"held,omitempty"`
+	Queue int     `json:"queue,omitempty"`
+	Conns int     `json:"conns,omitempty"`
+	Late  int64   `json:"late,omitempty"`
+	Text  string  `json:"text,omitempty"`
+}
+
+// At is the record's time as a duration.
+func (r *Record) At() time.Duration { return time.Duration(r.T) * time.Microsecond }
+
+// US turns a duration since the start into the trace's microseconds.
+func US(d time.Duration) int64 { return d.Microseconds() }
+
+// Writer writes a trace. It may be used from many goroutines; the first error of the stream is kept for Close.
+type Writer struct {
+	mu  sync.Mutex
+	buf *bufio.Writer
+	enc *json.Encoder
+	err error
+}
+
+// NewWriter writes the head to w.
+func NewWriter(w io.Writer, h Head) *Writer {
+	h.Trace = Version
+	out := &Writer{buf: bufio.NewWriterSize(w, 256<<10)}
+	out.enc = json.NewEncoder(out.buf)
+	out.enc.SetEscapeHTML(false)
+	out.err = out.enc.Encode(h)
+	return out
+}
+
+// Add writes one record.
+func (w *Writer) Add(r *Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.enc.Encode(r)
+	}
+}
+
+// Close flushes and returns the first error. The underlying writer stays open.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.buf.Flush()
+	}
+	return w.err
+}
+
+// ErrFormat is wrapped by every error that a malformed trace gives.
+var ErrFormat = errors.New("not a trace of this format")
+
+// Reader reads a trace.
+type Reader struct {
+	Head Head
+	in   *bufio.Scanner
+	line int
+}
+
+// NewReader reads the head. A stream that is no trace, or of another version, gives an error that wraps ErrFormat.
+func NewReader(r io.Reader) (*Reader, error) {
+	out := &Reader{in: bufio.NewScanner(r)}
+	out.in.Buffer(make([]byte, 64<<10), maxLine)
+	text, err := out.next()
+	if err == io.EOF {
+		return nil, fmt.Errorf("line 1: %w: it is empty", ErrFormat)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(text, &out.Head); err != nil {
+		return nil, fmt.Errorf("line 1: %w: %v", ErrFormat, err)
+	}
+	if out.Head.Trace != Version {
+		return nil, fmt.Errorf("line 1: %w: trace is %d, and should be %d", ErrFormat, out.Head.Trace, Version)
+	}
+	return out, nil
+}
+
+func (r *Reader) next() ([]byte, error) {
+	if !r.in.Scan() {
+		if err := r.in.Err(); err != nil {
+			return nil, fmt.Errorf("line %d: %w", r.line+1, err)
+		}
+		return nil, io.EOF
+	}
+	r.line++
+	return bytes.TrimSpace(r.in.Bytes()), nil
+}
+
+// Line is the number of the line that Next read last; the head's is 1.
+func (r *Reader) Line() int { return r.line }
+
+// Next reads the next record. At the end it returns io.EOF; an error names the line.
+func (r *Reader) Next(rec *Record) error {
+	for {
+		text, err := r.next()
+		if err != nil {
+			return err
+		}
+		if len(text) == 0 {
+			continue
+		}
+		*rec = Record{}
+		if err := json.Unmarshal(text, rec); err != nil {
+			return fmt.Errorf("line %d: %w: %v", r.line, ErrFormat, err)
+		}
+		if rec.Kind == "" || rec.T < 0 {
+			return fmt.Errorf("line %d: %w: e or t is missing", r.line, ErrFormat)
+		}
+		return nil
+	}
+}
