Planted faults prove the judge: a plain proxy with 14 switches, the daemon with 8 changed lines

A judge is believed once it names known faults. The proxy in the kit's test tree says what it does wrong on purpose and when; the daemon's faults are one line each through go build -overlay. The judge learnt from them: connections that break just before a crash belong to it, a second answer that stands for the next request's is named as such, and a client's repeat through another node is held against the node that let the first go.

--- a/internal/kit/judge/judge.go
+++ b/internal/kit/judge/judge.go
@@ -18,6 +18,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,8 +80,9 @@
 	Text    string `json:"text"`
 	Lines   []int  `json:"lines"` // of the trace: the evidence
 
-	margin   int64 // how far a time limit was overrun; 0 where there is none
-	from, to int64 // the time that is in doubt with it
+	first    string // the node of the earlier attempt, where that was another
+	margin   int64  // how far a time limit was overrun; 0 where there is none
+	from, to int64  // the time that is in doubt with it
 }
 
 // Verdict is what a trace shows.
@@ -118,6 +120,7 @@
 	lateCells  = 20000
 	lateCell   = int64(100) // microseconds
 	disorder   = int64(trace.Disorder / time.Microsecond)
+	crashSeen  = int64(500 * time.Millisecond / time.Microsecond) // a process's end is noted this much after it at the latest
 	sweepEvery = int64(time.Second / time.Microsecond)
 )
 
@@ -130,6 +133,7 @@
 	reqs    map[string]*request
 	byAtt   map[int64]*attempt
 	sums    map[string]*reply
+	served  map[int64]*reply // the latest request that got its final answer on a client's connection
 	pending lines
 	newest  int64
 	swept   int64
@@ -198,7 +202,8 @@
 // New returns a judge for a trace with this head.
 func New(h trace.Head) *Judge {
 	j := &Judge{head: h, classes: map[string]*trace.Class{}, nodes: map[string]*node{}, boxes: map[string]*box{},
-		reqs: map[string]*request{}, byAtt: map[int64]*attempt{}, sums: map[string]*reply{}}
+		reqs: map[string]*request{}, byAtt: map[int64]*attempt{}, sums: map[string]*reply{},
+		served: map[int64]*reply{}}
 	for i := range h.Classes {
 		j.classes[h.Classes[i].Name] = &h.Classes[i]
 	}
@@ -329,6 +334,10 @@
 	case trace.Crashed:
 		n.killed = r.T
 		j.verdict.Crashes++
+		// Connections break before the end of the process is seen: what broke just before it did so with it.
+		j.found = slices.DeleteFunc(j.found, func(v Violation) bool {
+			return v.At > r.T-crashSeen && (v.Name == CutOff && v.Node == r.Node || v.first == r.Node)
+		})
 		j.broken(Violation{Rule: OneAnswer, Name: NodeCrashed, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: "the node ended by itself: " + r.Text})
 	}
@@ -395,6 +404,8 @@
 	}
 	s.over = true
 	q.final, q.finalL = r.T, r.line
+	before := j.served[r.Conn]
+	j.served[r.Conn] = &reply{r.ID, r.T, r.line}
 	if limit := s.at + s.wait + j.head.Rules.AnswerSlack + j.head.Rules.Slack; r.T > limit {
 		j.broken(Violation{Rule: OneAnswer, Name: LateAnswer, At: s.at + s.wait, Node: r.Node, Request: r.ID,
 			Lines: []int{s.line, r.line}, margin: r.T - limit, from: s.at, to: r.T,
@@ -403,7 +414,10 @@
 	switch r.Status {
 	case 200:
 		made := j.sums[r.Sum]
-		if made == nil || made.id != r.ID {
+		if made != nil && before != nil && made.id == before.id && made.id != r.ID {
+			j.broken(Violation{Rule: OneAnswer, Name: SecondAnswer, At: begun, Node: r.Node, Request: made.id,
+				Lines: []int{before.line, s.line, r.line}, Text: "its answer came a second time, and stands for that of request " + r.ID})
+		} else if made == nil || made.id != r.ID {
 			text, evidence := "its body was made by no box for any request", []int{s.line, r.line}
 			if made != nil {
 				text, evidence = "its body was made for request "+made.id, append(evidence, made.line)
@@ -516,11 +530,22 @@
 }
 
 // again judges an attempt that follows one that may have run.
-func (j *Judge) again(q *request, e, a *attempt) (Violation, bool) {
-	v := Violation{Rule: NoEffect2, At: a.first, Node: a.node, Request: a.id, Box: a.box, Lines: []int{e.line, a.line}}
+func (j *Judge) again(q *request, e, a *attempt) (v Violation, bad bool) {
+	v = Violation{Rule: NoEffect2, At: a.first, Node: a.node, Request: a.id, Box: a.box, Lines: []int{e.line, a.line}}
 	if e.turnedAt >= 0 {
 		v.Lines = append(v.Lines, e.turnedLine)
 	}
+	through := ""
+	if e.node != a.node {
+		if j.wasKilled(e.node, e.first, a.first) {
+			return v, false // its client's to send again
+		}
+		// A client sends the same request through another node only where the first has let it go.
+		v.Node, v.first, through = e.node, e.node, fmt.Sprintf(" (through node %s, once node %s had closed on its client)", a.node, e.node)
+	} else if j.wasKilled(e.node, e.first, a.first) {
+		return v, false
+	}
+	defer func() { v.Text += through }()
 	if q.class.Effect == "unsafe" {
 		v.Name = UnsafeTwice
 		v.Text = fmt.Sprintf("unsafe, and sent to box %s though box %s may have run it", a.box, e.box)
@@ -613,11 +638,9 @@
 			delete(j.byAtt, n)
 		}
 	}
-	for sum, r := range j.sums {
-		if now-r.at > horizon {
-			delete(j.sums, sum)
-		}
-	}
+	old := func(r *reply) bool { return now-r.at > horizon }
+	maps.DeleteFunc(j.sums, func(_ string, r *reply) bool { return old(r) })
+	maps.DeleteFunc(j.served, func(_ int64, r *reply) bool { return old(r) })
 }
 
 // close looks at a request for the last time.
--- /dev/null
+++ b/internal/kit/proof/proof_test.go
@@ -0,0 +1,411 @@
+// Package proof shows that the judge can be believed: programs that are known to break a rule, each in one way, are
+// rehearsed, and the judge has to name that rule, the right request or box, and the moment within a second. Sound
+// programs must not be blamed.
+//
+// CI plays each fault once. The whole table is made again by
+//
+//	go test ./internal/kit/proof -count=1 -v -timeout 2h -seeds 20 -sound 20
+package proof
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"craneglade/internal/kit/judge"
+	"craneglade/internal/kit/report"
+	"craneglade/internal/kit/scenario"
+)
+
+var (
+	seeds = flag.Int("seeds", 1, "seeds to play each fault with")
+	sound = flag.Int("sound", 0, "seeds to play each shipped scenario with on the sound daemon")
+	lanes = flag.Int("lanes", 0, "rehearsals at a time; 0: one for each core, but for one")
+)
+
+const (
+	near   = time.Second // how far from the true moment a violation may be put
+	replay = 5           // times that a void rehearsal is played again
+)
+
+// fault is one way to break a rule.
+type fault struct {
+	name  string
+	names []string // of the violations that it may show as
+	// Of the daemon's: one line of a source file, and what stands there instead.
+	file, old, new string
+}
+
+var proxyFaults = []fault{
+	{name: "drop", names: []string{judge.CutOff}},
+	{name: "hang", names: []string{judge.NoAnswer}},
+	{name: "late", names: []string{judge.LateAnswer}},
+	{name: "swap", names: []string{judge.WrongAnswer}},
+	{name: "invent", names: []string{judge.WrongAnswer}},
+	{name: "twice", names: []string{judge.SecondAnswer}},
+	{name: "after", names: []string{judge.SentAfterEnd}},
+	{name: "crash", names: []string{judge.NodeCrashed}},
+	{name: "unsafe", names: []string{judge.UnsafeTwice}},
+	{name: "group", names: []string{judge.OutsideGroup}},
+	{name: "window", names: []string{judge.AfterWindow}},
+	{name: "refuse", names: []string{judge.FalseRefusal}},
+	{name: "drain", names: []string{judge.Drained}},
+	{name: "cold", names: []string{judge.Flooded}},
+}
+
+const logged = `n.log.Info("planted", "id", `
+
+var daemonFaults = []fault{
+	{name: "drains not taken in", names: []string{judge.Drained}, file: "internal/node/discovery.go",
+		old: `			e.State = policy.Leaving`,
+		new: `			e.State = policy.Active; ` + logged + `"-", "box", s.ID)`},
+	{name: "a reset counts as never run", names: []string{judge.UnsafeTwice, judge.FalseRefusal, judge.OutsideGroup, judge.AfterWindow},
+		file: "internal/node/backends.go",
+		old:  `		outcome := policy.Reset // unless shown otherwise it may have run`,
+		new:  `		outcome := policy.ConnectFailed; ` + logged + `a.request.id)`},
+	{name: "failures told as refusals", names: []string{judge.FalseRefusal}, file: "internal/node/node.go",
+		old: `			n.finish(a.ID, answer{status: http.StatusInternalServerError})`,
+		new: `			n.finish(a.ID, answer{status: http.StatusServiceUnavailable}); ` + logged + `a.ID)`},
+	{name: "the deadline read too long", names: []string{judge.LateAnswer, judge.NoAnswer}, file: "internal/node/node.go",
+		old: `	left := max(0, r.patience-time.Since(r.arrived)-transit)`,
+		new: `	left := r.patience + 150*time.Millisecond; time.AfterFunc(r.patience, func() { ` + logged + `r.id) })`},
+	{name: "groups not looked at", names: []string{judge.OutsideGroup}, file: "policy/policy.go",
+		old: `		(group != GroupZone || s.Zone == m.Zone) && (group != GroupCell || s.Cell == m.Cell)`,
+		new: `		(group != GroupZone || s.Zone == m.Zone || b.planted(r.id)) && (group != GroupCell || s.Cell == m.Cell)`},
+	{name: "the window not looked at", names: []string{judge.AfterWindow}, file: "policy/policy.go",
+		old: `	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && now < r.mayRunAt+c.Window.Seconds()`,
+		new: `	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && (now < r.mayRunAt+c.Window.Seconds() || b.planted(r.id))`},
+	{name: "a reset ends the node", names: []string{judge.NodeCrashed}, file: "internal/node/backends.go",
+		old: `		outcome := policy.Reset // unless shown otherwise it may have run`,
+		new: `		outcome := policy.Reset; ` + logged + `"-"); panic("planted")`},
+	{name: "an answer for the request before", names: []string{judge.WrongAnswer}, file: "internal/node/node.go",
+		old: `		r.done <- res.answer`,
+		new: `		r.done <- n.planted(r.id, res.answer)`},
+}
+
+// helpers is what the changed lines of a package call to say what they do; each is a file of its own in the overlay.
+var helpers = map[string]string{
+	"policy/policy.go": `package policy
+
+func (b *Balancer) planted(id string) bool {
+	b.do(Action{Kind: ActLog, Text: "planted " + id})
+	return true
+}
+`,
+	"internal/node/node.go": `package node
+
+var before answer
+
+func (n *node) planted(id string, a answer) answer {
+	if len(id) > 0 && id[len(id)-1] == '7' && before.body != nil {
+		n.log.Info("planted", "id", id)
+		return before
+	}
+	before = a
+	return a
+}
+`,
+}
+
+func root(t *testing.T) string {
+	t.Helper()
+	dir, err := filepath.Abs("../../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func build(t *testing.T, out, pkg string, args ...string) {
+	t.Helper()
+	cmd := exec.Command("go", append(append([]string{"build", "-o", out}, args...), pkg)...)
+	cmd.Dir = root(t)
+	if text, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build %s: %v\n%s", pkg, err, text)
+	}
+}
+
+// broken builds the daemon with a fault's line in place of the source's.
+func broken(t *testing.T, f fault, out string) {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(root(t), f.file)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(text), f.old+"\n"); n != 1 {
+		t.Fatalf("%s: the line stands there %d times, not once:\n%s", f.file, n, f.old)
+	}
+	changed := filepath.Join(dir, "changed.go")
+	replace := map[string]string{path: changed}
+	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), f.old+"\n", f.new+"\n", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if h := helpers[f.file]; h != "" && strings.Contains(f.new, ".planted(") {
+		helper := filepath.Join(dir, "helper.go")
+		if err := os.WriteFile(helper, []byte(h), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		replace[filepath.Join(filepath.Dir(path), "planted_by_proof.go")] = helper
+	}
+	overlay := filepath.Join(dir, "overlay.json")
+	doc, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(overlay, doc, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	build(t, out, "./cmd/craneglade", "-overlay", overlay)
+}
+
+// planted is something done wrong on purpose.
+type planted struct {
+	at      time.Time
+	id, box string
+}
+
+// truth reads what a program said of its own faults.
+func truth(t *testing.T, dir string) []planted {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []planted
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewScanner(f)
+		for in.Scan() {
+			if p, ok := said(in.Text()); ok {
+				all = append(all, p)
+			}
+		}
+		f.Close()
+	}
+	return all
+}
+
+// said reads one line: the proxy's own form, or the daemon's log.
+func said(line string) (planted, bool) {
+	fields := strings.Fields(line)
+	if len(fields) == 4 && fields[0] == "planted" {
+		ns, err := strconv.ParseInt(fields[1], 10, 64)
+		return planted{time.Unix(0, ns), fields[2], fields[3]}, err == nil
+	}
+	if !strings.Contains(line, "planted") || !strings.HasPrefix(line, "time=") {
+		return planted{}, false
+	}
+	p := planted{id: "-", box: "-"}
+	var err error
+	for i, w := range fields {
+		k, v, _ := strings.Cut(w, "=")
+		switch k {
+		case "time":
+			p.at, err = time.Parse(time.RFC3339Nano, v)
+		case "id":
+			p.id = strings.Trim(v, `"`)
+		case "box":
+			p.box = v
+		case "msg":
+			if v == `"planted` && i+1 < len(fields) {
+				p.id = strings.TrimSuffix(fields[i+1], `"`)
+			}
+		}
+	}
+	return p, err == nil
+}
+
+// played is one rehearsal.
+type played struct {
+	rep   *report.Report
+	start time.Time
+	truth []planted
+	runs  int
+}
+
+// rehearse plays a scenario until it is not void.
+func rehearse(t *testing.T, craneglade, scenario string, seed int, env []string, node ...string) played {
+	t.Helper()
+	for n := 1; ; n++ {
+		dir := t.TempDir()
+		file := filepath.Join(dir, "trace")
+		args := []string{"rehearse", scenario, "-q", "--seed", strconv.Itoa(seed), "--trace", file, "--logs", dir}
+		for _, a := range node {
+			args = append(args, "--node", a)
+		}
+		cmd := exec.Command(craneglade, args...)
+		cmd.Env = append(os.Environ(), env...)
+		text, err := cmd.CombinedOutput()
+		var status *exec.ExitError
+		if err != nil && (!errors.As(err, &status) || status.ExitCode() != 1 && status.ExitCode() != 3) {
+			t.Fatalf("rehearse: %v\n%s", err, text)
+		}
+		f, err := os.Open(file)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+		rep, err := report.Read(f)
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rep.Verdict.Void != "" && n < replay {
+			continue
+		}
+		if rep.Verdict.Void != "" {
+			t.Skipf("this machine is too busy to rehearse on: %s", rep.Verdict.Void)
+		}
+		begun, err := time.Parse(time.RFC3339Nano, rep.Started)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return played{rep, begun, truth(t, dir), n}
+	}
+}
+
+// blamed checks that a verdict names a fault rightly. It returns how far off its moments are.
+func blamed(t *testing.T, f fault, p played) time.Duration {
+	t.Helper()
+	v := p.rep.Verdict
+	if len(v.Violations) == 0 {
+		t.Errorf("%s, seed %d: nothing was named, and %d were planted", f.name, p.rep.Seed, len(p.truth))
+	}
+	worst := time.Duration(0)
+	for _, x := range v.Violations {
+		if !slices.Contains(f.names, x.Name) {
+			t.Errorf("%s, seed %d: named as %s", f.name, p.rep.Seed, report.Line(x))
+			continue
+		}
+		at := p.start.Add(time.Duration(x.At) * time.Microsecond)
+		off := time.Duration(math.MaxInt64)
+		for _, m := range p.truth {
+			if (m.id == "-" || m.id == x.Request) && (m.box == "-" || x.Box == "" || m.box == x.Box || m.id != "-") {
+				d := at.Sub(m.at).Abs()
+				if f.names[0] == judge.Drained && m.id == "-" && at.After(m.at) {
+					d = 0 // from when the drain is not taken in on, every send to that box is the fault
+				}
+				off = min(off, d)
+			}
+		}
+		if off > near {
+			t.Errorf("%s, seed %d: off by %v, or not planted: %s", f.name, p.rep.Seed, off, report.Line(x))
+			continue
+		}
+		worst = max(worst, off)
+	}
+	return worst
+}
+
+func parallel() int {
+	if *lanes > 0 {
+		return *lanes
+	}
+	return max(1, runtime.NumCPU()-1)
+}
+
+// TestFaults rehearses every planted fault, and the sound forms beside them.
+func TestFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("rehearsals take seconds each")
+	}
+	dir := t.TempDir()
+	craneglade, proxy := filepath.Join(dir, "craneglade"), filepath.Join(dir, "proxy")
+	build(t, craneglade, "./cmd/craneglade")
+	build(t, proxy, "./internal/kit/proof/proxy")
+	day, err := filepath.Abs("testdata/proof.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slots := make(chan struct{}, parallel())
+	sow := func(name string, play func(t *testing.T, seed int) (time.Duration, int)) {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			worst, runs := time.Duration(0), 0
+			for seed := 1; seed <= *seeds; seed++ {
+				slots <- struct{}{}
+				off, n := play(t, seed)
+				<-slots
+				worst, runs = max(worst, off), runs+n
+			}
+			t.Logf("| %s | %d seeds | %d rehearsals | moments off by at most %v | failed: %v |", name, *seeds, runs, worst.Round(time.Millisecond), t.Failed())
+		})
+	}
+	for _, f := range proxyFaults {
+		sow("proxy: "+f.name, func(t *testing.T, seed int) (time.Duration, int) {
+			p := rehearse(t, craneglade, day, seed, []string{"PROXY_FAULT=" + f.name}, proxy)
+			return blamed(t, f, p), p.runs
+		})
+	}
+	for i, f := range daemonFaults {
+		sow("daemon: "+f.name, func(t *testing.T, seed int) (time.Duration, int) {
+			bin := filepath.Join(dir, fmt.Sprintf("broken%d", i))
+			if seed == 1 {
+				broken(t, f, bin)
+			}
+			p := rehearse(t, craneglade, day, seed, nil, bin, "serve")
+			return blamed(t, f, p), p.runs
+		})
+	}
+	for name, node := range map[string][]string{"the sound proxy": {proxy}, "the sound daemon": nil} {
+		sow(name, func(t *testing.T, seed int) (time.Duration, int) {
+			p := rehearse(t, craneglade, day, seed, nil, node...)
+			unblamed(t, p)
+			return 0, p.runs
+		})
+	}
+}
+
+// unblamed checks that nothing was held against a sound program.
+func unblamed(t *testing.T, p played) {
+	t.Helper()
+	v := p.rep.Verdict
+	for _, x := range append(v.Violations, v.Undecided...) {
+		t.Errorf("%s, seed %d: %s", p.rep.Scenario, p.rep.Seed, report.Line(x))
+	}
+	for r := judge.OneAnswer; r <= judge.ColdKept; r++ {
+		if !v.Kept(r) {
+			t.Errorf("%s, seed %d: rule %d is not known to be kept", p.rep.Scenario, p.rep.Seed, r)
+		}
+	}
+}
+
+// TestShipped rehearses the shipped scenarios with the sound daemon.
+func TestShipped(t *testing.T) {
+	if *sound == 0 {
+		t.Skip("takes many minutes; -sound N plays each with N seeds")
+	}
+	dir := t.TempDir()
+	craneglade := filepath.Join(dir, "craneglade")
+	build(t, craneglade, "./cmd/craneglade")
+	slots := make(chan struct{}, parallel())
+	for _, name := range scenario.Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := 1; seed <= *sound; seed++ {
+				slots <- struct{}{}
+				p := rehearse(t, craneglade, name, seed, nil)
+				<-slots
+				unblamed(t, p)
+				t.Logf("| %s | seed %d | %d requests | %.1f%% of the worth in time | kit late p99 %d us |", name, seed, p.rep.Whole.Asked,
+					100*p.rep.Whole.Share, p.rep.Verdict.LateP99)
+			}
+		})
+	}
+}
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -120,7 +120,7 @@
 		r.nodes, nodes = append(r.nodes, n), append(nodes, n.Node)
 	}
 	r.queues = make([]listQueue, len(nodes))
-	r.out = trace.NewWriter(opt.Trace, head(r.plan, opt.Name, r.start.UTC().Format(time.RFC3339), nodes))
+	r.out = trace.NewWriter(opt.Trace, head(r.plan, opt.Name, r.start.UTC().Format(time.RFC3339Nano), nodes))
 	dialer := &net.Dialer{KeepAlive: -1}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	r.clients = stand.NewClients(r.plan, nodes, dial, r.clock(), r.out, answerSlack+limitSlack)
