--- a/internal/kit/judge/judge.go
+++ b/internal/kit/judge/judge.go
@@ -361,6 +361,9 @@
 
 func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
+// rounded is for people to read.
+func rounded(n int64) time.Duration { return us(n).Round(time.Millisecond) }
+
 func (j *Judge) sent(r lineRec) {
 	q := j.reqs[r.ID]
 	if q == nil {
@@ -397,19 +400,20 @@
 		return
 	}
 	begun := cmp.Or(r.T0, r.T)
-	if s.over || q.final >= 0 {
+	again := s.over || q.final >= 0
+	s.over = true
+	if again {
 		j.broken(Violation{Rule: OneAnswer, Name: SecondAnswer, At: begun, Node: r.Node, Request: r.ID,
 			Lines: []int{s.line, q.finalL, r.line}, Text: "a second final answer"})
 		return
 	}
-	s.over = true
 	q.final, q.finalL = r.T, r.line
 	before := j.served[r.Conn]
 	j.served[r.Conn] = &reply{r.ID, r.T, r.line}
 	if limit := s.at + s.wait + j.head.Rules.AnswerSlack + j.head.Rules.Slack; r.T > limit {
 		j.broken(Violation{Rule: OneAnswer, Name: LateAnswer, At: s.at + s.wait, Node: r.Node, Request: r.ID,
 			Lines: []int{s.line, r.line}, margin: r.T - limit, from: s.at, to: r.T,
-			Text: fmt.Sprintf("answered %v after it was sent, with %v to wait", us(r.T-s.at), us(s.wait))})
+			Text: fmt.Sprintf("answered %v after it was sent, with %v to wait", rounded(r.T-s.at), rounded(s.wait))})
 	}
 	switch r.Status {
 	case 200:
@@ -453,7 +457,7 @@
 		return
 	}
 	evidence := []int{s.line, r.line}
-	taken := false
+	taken := r.How == trace.Taken
 	for _, a := range q.atts {
 		if a.node == r.Node && a.first >= s.at-disorder {
 			taken, evidence = true, append(evidence, a.line)
@@ -462,7 +466,6 @@
 	if s.reused && !taken {
 		return // the node closed a kept connection, and the request crossed that
 	}
-	q.final, q.finalL = r.T, r.line
 	j.broken(Violation{Rule: OneAnswer, Name: CutOff, At: r.T, Node: r.Node, Request: r.ID, Lines: evidence,
 		Text: "the connection ended without an answer: " + r.Why})
 }
@@ -483,7 +486,7 @@
 		evidence = append(evidence, a.line)
 	}
 	j.broken(Violation{Rule: OneAnswer, Name: NoAnswer, At: s.at + s.wait, Node: r.Node, Request: r.ID, Lines: evidence,
-		margin: max(r.T-limit, 1), from: s.at, to: r.T, Text: fmt.Sprintf("no final answer within %v", us(s.wait))})
+		margin: max(r.T-limit, 1), from: s.at, to: r.T, Text: fmt.Sprintf("no final answer within %v", rounded(s.wait))})
 }
 
 // mayHaveRun tells whether a sender that acted at a moment can't have known that this attempt never ran.
@@ -514,7 +517,7 @@
 		}
 		j.broken(Violation{Rule: OneAnswer, Name: SentAfterEnd, At: first, Node: r.Node, Request: r.ID, Box: r.Box,
 			Lines: []int{q.finalL, r.line}, margin: first - end, from: q.final, to: first,
-			Text: fmt.Sprintf("sent to box %s %v after %s", r.Box, us(first-q.final), what)})
+			Text: fmt.Sprintf("sent to box %s %v after %s", r.Box, rounded(first-q.final), what)})
 	}
 	if q.class == nil || q.class.Effect == "safe" {
 		return
@@ -567,7 +570,7 @@
 	if over := a.first - e.first - q.class.Window - j.head.Rules.Slack; over > 0 {
 		v.Name, v.margin, v.from, v.to = AfterWindow, over, e.first, a.first
 		v.Text = fmt.Sprintf("keyed, and sent again %v after box %s may have run it, where repeats are dropped for %v",
-			us(a.first-e.first), e.box, us(q.class.Window))
+			rounded(a.first-e.first), e.box, us(q.class.Window))
 		return v, true
 	}
 	return v, false
@@ -582,7 +585,7 @@
 	if over := first - t.at - j.head.Rules.DrainGrace - j.head.Rules.Slack; over > 0 {
 		j.broken(Violation{Rule: DrainsKept, Name: Drained, At: first, Node: r.Node, Request: r.ID, Box: r.Box,
 			Lines: []int{t.line, r.line}, margin: over, from: t.at, to: first,
-			Text: fmt.Sprintf("sent to box %s %v after the node was told that it is %s", r.Box, us(first-t.at), t.state)})
+			Text: fmt.Sprintf("sent to box %s %v after the node was told that it is %s", r.Box, rounded(first-t.at), t.state)})
 	}
 }
 
--- /dev/null
+++ b/internal/kit/plan/plan_test.go
@@ -0,0 +1,169 @@
+package plan
+
+import (
+	"bytes"
+	"math"
+	"testing"
+	"time"
+
+	"craneglade/internal/kit/scenario"
+)
+
+func text(t *testing.T, s *scenario.Scenario, seed uint64) []byte {
+	t.Helper()
+	var b bytes.Buffer
+	if err := New(s, seed).Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+func load(t *testing.T, name string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Load(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestSameSeedSamePlan(t *testing.T) {
+	for _, name := range scenario.Names() {
+		s := load(t, name)
+		one, two, other := text(t, s, 5), text(t, load(t, name), 5), text(t, s, 6)
+		if !bytes.Equal(one, two) {
+			t.Errorf("%s: two plans of one seed differ", name)
+		}
+		if bytes.Equal(one, other) {
+			t.Errorf("%s: another seed gives the same plan", name)
+		}
+	}
+}
+
+// The opening replaces 93 percent of the fleet within 25 to 40 s, no box twice, and no more than a batch at a time.
+func TestDeployReplacesItsPart(t *testing.T) {
+	p := New(load(t, "opening"), 3)
+	drained, started := map[string]time.Duration{}, 0
+	var first, last time.Duration
+	for i, s := range p.Steps {
+		if i > 0 && s.At < p.Steps[i-1].At {
+			t.Fatalf("step %d is before the one above", i)
+		}
+		switch s.Do {
+		case Drain:
+			if _, twice := drained[s.Box]; twice {
+				t.Errorf("%s drains twice", s.Box)
+			}
+			drained[s.Box] = s.At
+			last = s.At
+			if first == 0 {
+				first = s.At
+			}
+		case Start:
+			started++
+		case Exit:
+			if s.At-drained[s.Box] != 4*time.Second {
+				t.Errorf("%s had %v to finish", s.Box, s.At-drained[s.Box])
+			}
+		}
+	}
+	if len(drained) != 10 || started != 10 { // 93 percent of 11
+		t.Errorf("%d of %d drained, %d started", len(drained), p.Initial, started)
+	}
+	if d := last - first; d < 20*time.Second || d > 40*time.Second {
+		t.Errorf("it took %v", d)
+	}
+}
+
+func TestGrowthAndTraffic(t *testing.T) {
+	s, err := scenario.Parse("grow.toml", []byte(`
+length = "20s"
+[traffic]
+rate = 100
+[[event]]
+do = "grow"
+at = "5s"
+over = "10s"
+by = 2.8
+traffic_follows = 0.5
+[[event]]
+do = "surge"
+at = "17s"
+for = "2s"
+by = 2
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := New(s, 1)
+	if n := len(p.Boxes) - p.Initial; n != 20 { // 1.8 times 11
+		t.Errorf("%d boxes more", n)
+	}
+	for at, want := range map[time.Duration]float64{time.Second: 100, 10 * time.Second: 145, 16 * time.Second: 190, 18 * time.Second: 380} {
+		if got := p.Rate(at); math.Abs(got-want) > 1 {
+			t.Errorf("at %v the rate is %v, want %v", at, got, want)
+		}
+	}
+	n := 0
+	for needs := p.Needs(); ; n++ {
+		d, ok := needs.Next()
+		if !ok {
+			break
+		}
+		if d.Work <= 0 || d.At < 0 || d.At >= s.Length.D() {
+			t.Fatalf("%+v", d)
+		}
+	}
+	if want := 5*100 + 10*145 + 5*190 + 2*190; math.Abs(float64(n-want)) > 5*math.Sqrt(float64(want)) {
+		t.Errorf("%d needs, want about %d", n, want)
+	}
+}
+
+func TestOverShareIsMarked(t *testing.T) {
+	s, err := scenario.Parse("over.toml", []byte(`
+length = "30s"
+[traffic]
+rate = 200
+quota_of_rate = 0.5
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	over, all := 0, 0
+	for needs := New(s, 1).Needs(); ; all++ {
+		d, ok := needs.Next()
+		if !ok {
+			break
+		}
+		if d.Over {
+			over++
+		}
+	}
+	if part := float64(over) / float64(all); part < 0.4 || part > 0.6 {
+		t.Errorf("%.2f past the shares, want about half", part)
+	}
+}
+
+// Events that touch single boxes find ones that are there for all of it.
+func TestEventsFindLivingBoxes(t *testing.T) {
+	p := New(load(t, "opening"), 9)
+	gone := map[string]time.Duration{}
+	for _, s := range p.Steps {
+		if s.Do == Drain {
+			gone[s.Box] = s.At
+		}
+	}
+	n := 0
+	for _, s := range p.Steps {
+		if s.Do != Slow {
+			continue
+		}
+		n++
+		if at, ok := gone[s.Box]; ok && at <= s.At {
+			t.Errorf("%s is slow at %v and drains at %v", s.Box, s.At, at)
+		}
+	}
+	if n != 2 {
+		t.Errorf("%d slow steps", n)
+	}
+}
--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -290,7 +290,7 @@
 	worst := time.Duration(0)
 	for _, x := range v.Violations {
 		if !slices.Contains(f.names, x.Name) {
-			t.Errorf("%s, seed %d: named as %s", f.name, p.rep.Seed, report.Line(x))
+			t.Errorf("%s, seed %d: named as %s", f.name, p.rep.Seed, p.rep.Line(x))
 			continue
 		}
 		at := p.start.Add(time.Duration(x.At) * time.Microsecond)
@@ -305,7 +305,7 @@
 			}
 		}
 		if off > near {
-			t.Errorf("%s, seed %d: off by %v, or not planted: %s", f.name, p.rep.Seed, off, report.Line(x))
+			t.Errorf("%s, seed %d: off by %v, or not planted: %s", f.name, p.rep.Seed, off, p.rep.Line(x))
 			continue
 		}
 		worst = max(worst, off)
@@ -377,7 +377,7 @@
 	t.Helper()
 	v := p.rep.Verdict
 	for _, x := range append(v.Violations, v.Undecided...) {
-		t.Errorf("%s, seed %d: %s", p.rep.Scenario, p.rep.Seed, report.Line(x))
+		t.Errorf("%s, seed %d: %s", p.rep.Scenario, p.rep.Seed, p.rep.Line(x))
 	}
 	for r := judge.OneAnswer; r <= judge.ColdKept; r++ {
 		if !v.Kept(r) {
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -133,7 +133,7 @@
 	}
 	for _, v := range r.Verdict.Violations {
 		x := s.x(r.sec(v.At))
-		s.f(`<g><title>%s</title><line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/></g>`, template.HTMLEscapeString(Line(v)), x, x, top, bottom)
+		s.f(`<g><title>%s</title><line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/></g>`, template.HTMLEscapeString(r.Line(v)), x, x, top, bottom)
 	}
 }
 
@@ -211,20 +211,33 @@
 
 // lanes are the boxes, one below the other.
 func (r *Report) lanes() string {
-	const lane, top = 24.0, 28.0
+	const lane, siteH, top = 24.0, 18.0, 28.0
 	boxes := slices.Clone(r.Boxes)
 	slices.SortStableFunc(boxes, func(a, b Box) int { return cmp.Compare(a.Site, b.Site) })
-	s := r.drawing(top+lane*float64(len(boxes))+26, "state and load of each box")
+	sites := 0
+	for i := range boxes {
+		if i == 0 || boxes[i].Site != boxes[i-1].Site {
+			sites++
+		}
+	}
+	s := r.drawing(top+lane*float64(len(boxes))+siteH*float64(sites)+26, "state and load of each box")
 	most := 8
 	for _, b := range boxes {
 		for _, p := range b.Load {
 			most = max(most, p.Held)
 		}
 	}
-	bottom := top + lane*float64(len(boxes))
+	bottom := top + lane*float64(len(boxes)) + siteH*float64(sites)
 	s.axis(bottom, top)
-	for i, b := range boxes {
-		y := top + lane*float64(i)
+	next, site := top, ""
+	for _, b := range boxes {
+		if b.Site != site {
+			site = b.Site
+			s.f(`<text class="site" x="4" y="%.1f">%s</text>`, next+13, template.HTMLEscapeString(site))
+			next += siteH
+		}
+		y := next
+		next += lane
 		s.f(`<text class="lane" x="%.1f" y="%.1f" text-anchor="end">%s</text><g><title>%s, %s, %s: %d attempts, %d served, %d turned away, %d failed, spoilt or reset</title>`,
 			left-4, y+16, strings.TrimPrefix(b.ID, "s-")[:min(8, len(b.ID)-2)], b.ID, b.Kind, b.Site, b.Got, b.Served, b.Turned, b.Broken)
 		for _, p := range b.Spans {
@@ -240,7 +253,7 @@
 		}
 		for _, v := range r.Verdict.Violations {
 			if v.Box == b.ID {
-				s.f(`<circle class="hit" cx="%.1f" cy="%.1f" r="5"><title>%s</title></circle>`, s.x(r.sec(v.At)), y+lane/2, template.HTMLEscapeString(Line(v)))
+				s.f(`<circle class="hit" cx="%.1f" cy="%.1f" r="5"><title>%s</title></circle>`, s.x(r.sec(v.At)), y+lane/2, template.HTMLEscapeString(r.Line(v)))
 			}
 		}
 	}
--- a/internal/kit/report/report.go
+++ b/internal/kit/report/report.go
@@ -41,6 +41,7 @@
 	Events   []Mark         `json:"events"`
 	Bad      []Bad          `json:"bad_clients,omitempty"`
 	Attempts Attempts       `json:"attempts"`
+	Broken   []Group        `json:"broken"`
 	Verdict  *judge.Verdict `json:"verdict"`
 	Kit      any            `json:"kit,omitempty"` // what the kit used itself
 }
@@ -125,6 +126,32 @@
 	Served int    `json:"served"`
 }
 
+// Group is all that broke one rule in the same way at one box, or without a box at one node.
+type Group struct {
+	First judge.Violation `json:"first"`
+	Last  int64           `json:"last_us"`
+	Count int             `json:"count"`
+}
+
+// groups gathers violations, which are in the order of their moments.
+func groups(all []judge.Violation) []Group {
+	type key struct{ name, at string }
+	place := map[key]int{}
+	var out []Group
+	for _, v := range all {
+		k := key{v.Name, cmp.Or(v.Box, v.Node)}
+		i, ok := place[k]
+		if !ok {
+			i = len(out)
+			place[k] = i
+			out = append(out, Group{First: v})
+		}
+		out[i].Last = v.At
+		out[i].Count++
+	}
+	return out
+}
+
 // Attempts are sends to boxes.
 type Attempts struct {
 	All    int     `json:"all"`
@@ -223,7 +250,7 @@
 		case trace.Started:
 			n.Lives++
 		case trace.Kill, trace.Term, trace.Hup, trace.Crashed, trace.Up:
-			if c.begin >= 0 {
+			if c.begin >= 0 && r.T < c.begin+c.head.Length { // the end of all nodes is none
 				c.rep.Events = append(c.rep.Events, Mark{c.s(r.T), r.Node + " " + r.State})
 			}
 		}
@@ -412,7 +439,7 @@
 // Finish returns the report. Nothing may be added after it.
 func (c *Collector) Finish(v *judge.Verdict) *Report {
 	rep := &c.rep
-	rep.Verdict = v
+	rep.Verdict, rep.Broken = v, groups(v.Violations)
 	rep.Seconds = float64(c.head.Length) / 1e6
 	rep.Whole.close()
 	for _, s := range c.class {
@@ -570,19 +597,25 @@
 		}
 		fmt.Fprintf(&b, "  rule %d, %-26s %s\n", int(rule), rule.String()+":", word)
 	}
-	for i, x := range v.Violations {
+	for i, g := range r.Broken {
 		if i == most {
-			fmt.Fprintf(&b, "  ... and %d more; --json lists them\n", len(v.Violations)+v.More-most)
+			fmt.Fprintf(&b, "  ... and %d more; --json lists them\n", len(r.Broken)-most)
 			break
 		}
-		fmt.Fprintf(&b, "  %s\n", Line(x))
+		fmt.Fprintf(&b, "  %s\n", r.Line(g.First))
+		if g.Count > 1 {
+			fmt.Fprintf(&b, "    and %d more like it until %.3f s\n", g.Count-1, r.sec(g.Last))
+		}
+	}
+	if v.More > 0 {
+		fmt.Fprintf(&b, "  %d violations past the first %d are not listed\n", v.More, len(v.Violations))
 	}
 	for i, x := range v.Undecided {
 		if i == most {
 			fmt.Fprintf(&b, "  ... and %d more undecided\n", len(v.Undecided)-most)
 			break
 		}
-		fmt.Fprintf(&b, "  undecided: %s\n", Line(x))
+		fmt.Fprintf(&b, "  undecided: %s\n", r.Line(x))
 	}
 	if !v.Whole {
 		b.WriteString("  the trace is cut short: nothing can be said to be kept\n")
@@ -596,10 +629,10 @@
 
 func ms(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// Line is a violation on one line.
-func Line(x judge.Violation) string {
+// Line is a violation on one line; its moment is since the traffic began.
+func (r *Report) Line(x judge.Violation) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%.3f s: rule %d, %s", float64(x.At)/1e6, int(x.Rule), x.Name)
+	fmt.Fprintf(&b, "%.3f s: rule %d, %s", r.sec(x.At), int(x.Rule), x.Name)
 	for _, p := range []struct{ name, v string }{{"node", x.Node}, {"request", x.Request}, {"box", x.Box}} {
 		if p.v != "" {
 			fmt.Fprintf(&b, ", %s %s", p.name, p.v)
--- /dev/null
+++ b/internal/kit/scenario/scenario_test.go
@@ -0,0 +1,105 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestShippedAreGood(t *testing.T) {
+	names := Names()
+	for _, want := range []string{"opening", "calm", "rolling-deploy", "late-list", "slow-after-overload", "bad-clients", "bad-boxes", "reload", "kill"} {
+		if !strings.Contains(" "+strings.Join(names, " ")+" ", " "+want+" ") {
+			t.Errorf("%s is not shipped", want)
+		}
+	}
+	for _, n := range names {
+		s, err := Load(n)
+		if err != nil {
+			t.Errorf("%s: %v", n, err)
+		} else if s.Title == "" || s.Boxes() == 0 {
+			t.Errorf("%s: no title or no boxes", n)
+		}
+	}
+}
+
+// A bad file gives one line with file, line, key and what would be right.
+func TestBadFiles(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"lenght = \"30s\"", `f.toml:1: lenght: no such key; did you mean length?`},
+		{"length = \"30s\"\n[traffic]\nrte = 5", `f.toml:3: traffic.rte: no such key; did you mean rate?`},
+		{"length = 30", `f.toml:1: `},
+		{"length = \"30\"", `f.toml:1: length: "30" is no time: write a number and a unit`},
+		{"length = \"30 seconds\"", `write a number and a unit, such as "30s"`},
+		{"[traffic]\nrate = -5", `f.toml:2: traffic.rate: -5 a second is outside 0.1 to 20000 a second`},
+		{"[traffic]\nshape = \"square\"", `f.toml:2: traffic.shape: "square" is none of steady, ramp, wave, bursty`},
+		{"[[class]]\nname = \"a\"\neffect = \"keyed\"\nwindow = \"0s\"", `f.toml:4: class[0].window: a keyed class needs`},
+		{"[[class]]\nname = \"a\"\naim = \"2s\"\ndeadline = \"1s\"", `f.toml:4: class[0].deadline: 1s is outside 2 to 600s`},
+		{"[[class]]\nname = \"a\"\n[[class]]\nname = \"a\"", `f.toml:4: class[1].name: "a" is there twice`},
+		{"[[class]]\nname = \"a b\"", `f.toml:2: class[0].name: "a b" is no name`},
+		{"[[fleet]]\nkind = \"gen-z\"\ncount = 3", `f.toml:2: fleet[0].kind: "gen-z" is no kind of machine: there are gen-a, gen-b`},
+		{"[[event]]\ndo = \"deplay\"\nat = \"1s\"", `f.toml:2: event[0].do: "deplay" is none of bad-clients, crash, deploy`},
+		{"[[event]]\ndo = \"kill\"\nat = \"1s\"\ndown = \"1s\"\nby = 3", `f.toml:5: event[0].by: kill does not read it: it reads node, down`},
+		{"[[event]]\ndo = \"kill\"\nat = \"1s\"", `f.toml:1: event[0].down: kill needs it`},
+		{"[[event]]\ndo = \"kill\"\nat = \"99s\"\ndown = \"1s\"", `f.toml:3: event[0].at: 1m39s is outside the length of 30s`},
+		{"[[event]]\ndo = \"kill\"\nat = \"1s\"\ndown = \"1s\"\nnode = 9", `f.toml:5: event[0].node: 9 is none: nodes are numbered 1 to 3`},
+		{"[[event]]\ndo = \"deploy\"\nat = \"1s\"\nover = \"2s\"\npart = 0.93\nbatch = 0.09", `f.toml:4: event[0].over: 10 boxes in batches of 1 take 10 rounds, 4.5s at the least`},
+		{"[[event]]\ndo = \"deploy\"\nat = \"20s\"\nover = \"20s\"\npart = 0.9", `f.toml:4: event[0].over: it ends at 40s, after the length of 30s`},
+		{"[[event]]\ndo = \"vanish\"\nat = \"1s\"\nfor = \"2s\"\nboxes = 40", `f.toml:5: event[0].boxes: 40 is more than the fleet has: 11`},
+		{"[[event]]\ndo = \"bad-clients\"\nat = \"1s\"\nfor = \"2s\"\nrate = 5\nkinds = [\"rude\"]", `f.toml:6: event[0].kinds: "rude" is none of garbage`},
+		{"title = \"x\"\n[nodes\ncount = 3", `f.toml:2: `},
+	} {
+		_, err := Parse("f.toml", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: more than one line: %v", c.text, err)
+		}
+	}
+}
+
+func TestWhatIsWrittenStays(t *testing.T) {
+	s, err := Parse("f.toml", []byte("[clients]\nretries = 0\nimpatient = 0.0\n[[kind]]\nname = \"k\"\ncores = 2\n[[fleet]]\nkind = \"k\"\ncount = 4\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Clients.Retries != 0 || s.Clients.Impatient != 0 {
+		t.Errorf("zeros were replaced: %+v", s.Clients)
+	}
+	if s.Clients.TryShare != Default().Clients.TryShare || s.Kinds[0].Slots != 2 || s.Kinds[0].Speed != Default().Kinds[0].Speed || len(s.Kinds) != 1 {
+		t.Errorf("defaults: %+v %+v", s.Clients, s.Kinds)
+	}
+}
+
+func TestLoadByNameAndPath(t *testing.T) {
+	if _, err := Load("no-such"); err == nil || !strings.Contains(err.Error(), "opening") {
+		t.Errorf("an unknown name: %v", err)
+	}
+	path := filepath.Join(t.TempDir(), "mine.toml")
+	if err := os.WriteFile(path, []byte("length = \"5s\""), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path)
+	if err != nil || s.Length.S() != 5 {
+		t.Errorf("%v, %v", s, err)
+	}
+	if _, err := Load(path + "x.toml"); err == nil {
+		t.Error("a file that is not there was read")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, n := range Names() {
+		text, _ := Text(n)
+		f.Add(string(text))
+	}
+	f.Add("[[event]]\ndo = 3")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("f.toml", []byte(text))
+		if err == nil && (s.Boxes() < 1 || s.Length <= 0) {
+			t.Errorf("accepted: %s", fmt.Sprintf("%+v", s))
+		}
+	})
+}
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -25,7 +25,8 @@
 	overtime    = 200 * time.Millisecond
 	connectTime = time.Second
 	idleKeep    = 30 * time.Second
-	badTime     = 3 * time.Second // within which a bad client is owed an error or a close
+	resetTime   = 10 * time.Millisecond // for a reset to come behind an end
+	badTime     = 3 * time.Second       // within which a bad client is owed an error or a close
 )
 
 // Clients are all clients of a rehearsal, with the front that deals their connections out among the nodes.
@@ -511,7 +512,7 @@
 				if !dead { // we left it: what comes now is nobody's
 					k.c.out.Add(&trace.Record{Kind: trace.Extra, T: first, Node: k.front.Name, Conn: k.n, ID: last, Bytes: int64(in.Buffered())})
 				}
-				k.end(err, first, 0)
+				k.end(err, 0)
 				return
 			}
 		}
@@ -524,10 +525,10 @@
 			body, err = io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 		}
 		if err != nil {
-			k.end(err, first, counted.n)
+			k.end(err, counted.n)
 			return
 		}
-		if resp.StatusCode < 200 {
+		if resp.StatusCode < 200 { // informational: the answer follows
 			continue
 		}
 		t, _ := k.take()
@@ -551,7 +552,8 @@
 }
 
 // end notes the end of a connection for the request that is open on it.
-func (k *clientConn) end(err error, first, bytes int64) {
+func (k *clientConn) end(err error, bytes int64) {
+	at := k.c.clock.us()
 	k.mu.Lock()
 	t := k.open
 	k.open, k.dead = nil, true
@@ -559,14 +561,28 @@
 	if t == nil {
 		return
 	}
+	how := ""
+	if errors.Is(err, io.EOF) && bytes == 0 && k.taken() {
+		how = trace.Taken
+	}
 	why := "closed"
 	if err != nil && !errors.Is(err, io.EOF) {
 		why = err.Error()
 	}
-	k.c.out.Add(&trace.Record{Kind: trace.Broke, T: k.c.clock.us(), Node: k.front.Name, Conn: k.n, ID: t.id, Bytes: bytes, Why: why})
+	k.c.out.Add(&trace.Record{Kind: trace.Broke, T: at, Node: k.front.Name, Conn: k.n, ID: t.id, Bytes: bytes, Why: why, How: how})
 	t.ended <- ending{bytes: bytes, why: why}
 }
 
+// taken tells whether the other side, which has closed, had read what was sent. Where it had not, its network answers
+// the bytes with a reset (RFC 9293, 3.10.7.1), which comes a moment behind the end.
+func (k *clientConn) taken() bool {
+	time.Sleep(resetTime)
+	k.SetReadDeadline(time.Now().Add(resetTime))
+	var b [1]byte
+	_, err := k.Conn.Read(b[:])
+	return errors.Is(err, io.EOF)
+}
+
 // counter counts the bytes of one answer.
 type counter struct {
 	r io.Reader
--- a/internal/kit/trace/trace.go
+++ b/internal/kit/trace/trace.go
@@ -126,6 +126,9 @@
 // Begin is the How of the Event with which the traffic begins.
 const Begin = "begin"
 
+// Taken is the How of a Broke whose other side had read the request before it closed.
+const Taken = "taken"
+
 // BadClient is the How of a Recv that carries the mark of a client that sends what is no request.
 const BadClient = "bad"
 
