Tests of the stand-ins over loopback, of the report's figures and of the command line

Each stand-in is checked by what it notes and says: a box's answers, resets, spoilt answers, falls and silences; the list's watches, outages and settling; clients' retries, crossed closes, late and unasked answers. The worst window counts also where a run is shorter than one.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestMain lets a rehearsal under test start this program as its nodes.
+func TestMain(m *testing.M) {
+	if os.Getenv("CRANEGLADE_TEST_CHILD") != "" {
+		os.Exit(Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func call(t *testing.T, args ...string) (status int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	status = Main(args, func(string) string { return "" }, &o, &e)
+	return status, o.String(), e.String()
+}
+
+func file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestUsage(t *testing.T) {
+	bad := file(t, "bad.toml", "length = \"30s\"\nrate = 3\n")
+	for _, c := range []struct {
+		args     []string
+		status   int
+		out, err string
+	}{
+		{[]string{"--help"}, 0, "rehearse", ""},
+		{[]string{"--version"}, 0, "craneglade", ""},
+		{[]string{"rehearse", "--list"}, 0, "rolling-deploy", ""},
+		{[]string{"rehearse", "kill", "--show"}, 0, `do = "term"`, ""},
+		{[]string{"rehearse", "calm", "--plan", "--seed", "3"}, 0, "need {N:0 At:", ""},
+		{[]string{"check", "opening"}, 0, "opening: good", ""},
+		{nil, 2, "", "craneglade: GW_CONFIG: not set\n"},
+		{[]string{"serve"}, 2, "", "craneglade: GW_CONFIG: not set\n"},
+		{[]string{"frobnicate"}, 2, "", "frobnicate"},
+		{[]string{"rehearse", "--frob"}, 2, "", "--frob"},
+		{[]string{"rehearse", "no-such"}, 2, "", `no scenario "no-such": shipped are `},
+		{[]string{"rehearse", bad}, 2, "", "bad.toml:2: rate: no such key"},
+		{[]string{"check", bad}, 2, "", "bad.toml:2: rate: no such key"},
+		{[]string{"check", file(t, "c.json", "{}")}, 2, "", "c.json: listen:"},
+		{[]string{"judge", "/no/such/trace"}, 2, "", "no such file"},
+		{[]string{"judge", file(t, "t", "{\"trace\":77}\n")}, 2, "", "trace is 77, and should be 1"},
+		{[]string{"rehearse", "calm", "--trace", "/no/such/folder/t"}, 2, "", "no such file"},
+	} {
+		status, out, errOut := call(t, c.args...)
+		if status != c.status || !strings.Contains(out, c.out) || !strings.Contains(errOut, c.err) {
+			t.Errorf("%q: status %d\n%s%s", c.args, status, out, errOut)
+		}
+		if c.err != "" && strings.Count(errOut, "\n") != 1 {
+			t.Errorf("%q: not one line: %q", c.args, errOut)
+		}
+	}
+}
+
+// The trace of a rehearsal gives the verdict again; what a run leaves behind is what was asked for.
+func TestRehearseAndJudgeAgain(t *testing.T) {
+	t.Setenv("CRANEGLADE_TEST_CHILD", "1")
+	t.Setenv("TMPDIR", t.TempDir())
+	day := file(t, "day.toml", "length = \"2s\"\n[nodes]\ncount = 2\n[traffic]\nrate = 40\n[[event]]\ndo = \"kill\"\nat = \"500ms\"\ndown = \"200ms\"\n")
+	dir := t.TempDir()
+	kept := filepath.Join(dir, "trace")
+	status, out, errOut := call(t, "rehearse", day, "--seed", "5", "--trace", kept, "--html", filepath.Join(dir, "r.html"), "--json", filepath.Join(dir, "r.json"))
+	if status != ExitKept && status != ExitVoid {
+		t.Fatalf("status %d\n%s%s", status, out, errOut)
+	}
+	for _, want := range []string{"day, seed 5: 2 nodes, 11 boxes, 2s", "* kill node 1", "rule 4, no cold box pushed over:"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("the output lacks %q:\n%s", want, out)
+		}
+	}
+	again, text, _ := call(t, "judge", kept)
+	if again != status || !strings.Contains(out, text) {
+		t.Errorf("judged again: status %d, was %d\n%s", again, status, text)
+	}
+	for _, f := range []string{"r.html", "r.json"} {
+		if info, err := os.Stat(filepath.Join(dir, f)); err != nil || info.Size() < 1000 {
+			t.Errorf("%s: %v", f, err)
+		}
+	}
+	if left, _ := os.ReadDir(os.TempDir()); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+	// A node that can't start ends it, with what the node said last.
+	status, _, errOut = call(t, "rehearse", day, "-q", "--node=/bin/sh", "--node=-c", "--node=echo no such luck >&2; exit 7")
+	if status != ExitBroken || !strings.Contains(errOut, "no such luck") {
+		t.Errorf("a node that does not start: status %d, %s", status, errOut)
+	}
+}
--- a/internal/kit/report/report.go
+++ b/internal/kit/report/report.go
@@ -464,7 +464,7 @@
 		return w
 	}
 	// A window in which next to nothing was asked says nothing: the last one may be cut short.
-	full := rep.Whole.Asked * windowFor / max(int(rep.Seconds), 1) / 3
+	full := int(float64(rep.Whole.Asked) * min(1, windowFor/max(rep.Seconds, 1)) / 3)
 	rep.Figure = wWhole*rep.Whole.Share + wWindow*worst(rep.Windows, full) + wClass*worst(rep.Classes, 1) + wTenant*worst(rep.Tenants, 1)
 	end := 0
 	for k := range c.perS {
--- /dev/null
+++ b/internal/kit/stand/stand_test.go
@@ -0,0 +1,570 @@
+package stand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"craneglade/internal/kit/boxmodel"
+	"craneglade/internal/kit/plan"
+	"craneglade/internal/kit/scenario"
+	"craneglade/internal/kit/trace"
+)
+
+// patience is how long a test waits for what must come: far longer than it takes on a busy machine.
+const patience = 30 * time.Second
+
+// book is a trace that a test reads while it grows.
+type book struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	w    *trace.Writer
+}
+
+func (b *book) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func newBook() *book {
+	b := &book{}
+	b.w = trace.NewWriter(b, trace.Head{})
+	return b
+}
+
+// records returns those of a kind so far.
+func (b *book) records(t *testing.T, kind string) []trace.Record {
+	t.Helper()
+	if err := b.w.Close(); err != nil { // flushes
+		t.Fatal(err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, err := trace.NewReader(bytes.NewReader(b.text.Bytes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []trace.Record
+	for {
+		var rec trace.Record
+		if err := r.Next(&rec); err == io.EOF {
+			return out
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if rec.Kind == kind {
+			out = append(out, rec)
+		}
+	}
+}
+
+// until waits until ok holds.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// newBox starts a box that one node sees.
+func newBox(t *testing.T, b *book, change func(*BoxConfig)) (*Box, string) {
+	t.Helper()
+	cfg := BoxConfig{ID: "b1", Site: "a", Kind: "k", Seed: 1, Delay: func(string) time.Duration { return 0 },
+		Spec: boxmodel.Spec{Cores: 2, Speed: 1, Slots: 2, Queue: 1, ColdFrom: 1, CancelQueued: true, CancelRuns: true}}
+	cfg.Report.Every = 10 * time.Millisecond
+	if change != nil {
+		change(&cfg)
+	}
+	x := NewBox(cfg, Clock{time.Now()}, b.w, &atomic.Int64{})
+	ln := listen(t)
+	x.Serve(ln, trace.Node{Name: "n1", Site: "a"})
+	t.Cleanup(x.Stop)
+	return x, ln.Addr().String()
+}
+
+type peer struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *peer {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &peer{c, bufio.NewReader(c)}
+}
+
+func post(id string, work time.Duration) string {
+	body := fmt.Sprintf(`{"id":%q}`, id)
+	return fmt.Sprintf("POST /api?key=k&w=%d HTTP/1.1\r\nHost: b\r\nX-Request-Id: %s\r\nX-Class: quote\r\nX-Deadline: 900m\r\nContent-Length: %d\r\n\r\n%s",
+		work.Microseconds(), id, len(body), body)
+}
+
+func (p *peer) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	if _, err := io.WriteString(p, text); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(p.in, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func TestBoxServesAndNotes(t *testing.T) {
+	b := newBook()
+	x, addr := newBox(t, b, nil)
+	p := dial(t, addr)
+	resp, body := p.ask(t, post("r1", 2*time.Millisecond))
+	var answer struct{ For, Box string }
+	if err := json.Unmarshal([]byte(body), &answer); err != nil || answer.For != "r1" || answer.Box != "b1" || resp.StatusCode != 200 {
+		t.Errorf("%d %s", resp.StatusCode, body)
+	}
+	if !strings.Contains(resp.Header.Get("X-Load"), `"queue":0`) {
+		t.Errorf("X-Load: %q", resp.Header.Get("X-Load"))
+	}
+	if resp, body := p.ask(t, post("r2", time.Millisecond)); resp.StatusCode != 200 || !strings.Contains(body, `"for":"r2"`) {
+		t.Errorf("the second: %d %s", resp.StatusCode, body)
+	}
+	// Half a request is no request.
+	q := dial(t, addr)
+	io.WriteString(q, post("r3", 0)[:60])
+	q.Close()
+	until(t, "the half request's record", func() bool { return len(b.records(t, trace.Part)) == 1 })
+	x.Drain()
+	resp, _ = p.ask(t, post("r4", time.Millisecond))
+	if resp.StatusCode != 503 || resp.Header.Get("X-Not-Run") != "1" {
+		t.Errorf("draining: %d %v", resp.StatusCode, resp.Header)
+	}
+	recv, reply := b.records(t, trace.Recv), b.records(t, trace.Reply)
+	if len(recv) != 3 || len(reply) != 3 || recv[0].ID != "r1" || recv[0].Node != "n1" || recv[0].T0 > recv[0].T || recv[0].Work != 2000 {
+		t.Fatalf("%+v\n%+v", recv, reply)
+	}
+	if reply[0].Sum != digest([]byte(body)) || reply[0].How != trace.Served || reply[0].Att != recv[0].Att {
+		t.Errorf("%+v", reply[0])
+	}
+	if reply[2].How != trace.Turned {
+		t.Errorf("%+v", reply[2])
+	}
+}
+
+func TestBoxRefusesOtherForms(t *testing.T) {
+	b := newBook()
+	_, addr := newBox(t, b, nil)
+	for _, text := range []string{
+		strings.Replace(post("r1", 0), `{"id":"r1"}`, `{"id":"r2"}`, 1),
+		strings.Replace(post("r1", 0), "X-Request-Id: r1\r\n", "", 1),
+		strings.Replace(post("r1", 0), "w=0", "w=x", 1),
+	} {
+		if resp, _ := dial(t, addr).ask(t, text); resp.StatusCode != 400 {
+			t.Errorf("%d for %q", resp.StatusCode, text)
+		}
+	}
+	for _, r := range b.records(t, trace.Reply) {
+		if r.How != trace.Refused || r.Why == "" {
+			t.Errorf("%+v", r)
+		}
+	}
+}
+
+func TestBoxDropsWhatIsCancelled(t *testing.T) {
+	b := newBook()
+	x, addr := newBox(t, b, nil)
+	p := dial(t, addr)
+	io.WriteString(p, post("r1", 50*time.Second))
+	until(t, "the request", func() bool { return x.Standing().Held == 1 })
+	p.Close()
+	until(t, "its end", func() bool { return x.Standing().Held == 0 })
+	until(t, "the record", func() bool { return len(b.records(t, trace.Drop)) == 1 })
+}
+
+func TestBoxTurnsAwayWhatIsTooMuch(t *testing.T) {
+	b := newBook()
+	x, addr := newBox(t, b, func(c *BoxConfig) { c.MaxConns = 4 })
+	for i := range 3 { // two run, one waits
+		io.WriteString(dial(t, addr), post(fmt.Sprint("r", i), 50*time.Second))
+		until(t, "the request", func() bool { return x.Standing().Held == i+1 })
+	}
+	if resp, _ := dial(t, addr).ask(t, post("r8", 0)); resp.StatusCode != 503 || resp.Header.Get("X-Not-Run") != "1" {
+		t.Errorf("no room: %d", resp.StatusCode)
+	}
+	resp, _ := dial(t, addr).ask(t, post("r9", 0))
+	if resp.StatusCode != 503 || resp.Header.Get("X-Not-Run") != "1" {
+		t.Errorf("too many connections: %d", resp.StatusCode)
+	}
+}
+
+func TestBoxTroubles(t *testing.T) {
+	b := newBook()
+	x, addr := newBox(t, b, nil)
+	x.Trouble(1, 0)
+	p := dial(t, addr)
+	io.WriteString(p, post("r1", time.Millisecond))
+	if _, err := p.in.ReadByte(); err == nil || err == io.EOF {
+		t.Errorf("a reset reads as %v", err)
+	}
+	x.Trouble(0, 1)
+	p = dial(t, addr)
+	io.WriteString(p, post("r2", time.Millisecond))
+	if _, err := p.in.ReadByte(); err != nil {
+		t.Errorf("nothing came of a spoilt answer: %v", err)
+	}
+	x.Trouble(0, 0)
+	p = dial(t, addr)
+	p.ask(t, post("r3", time.Millisecond))
+	x.Silence()
+	io.WriteString(p, post("r4", time.Millisecond))
+	x.Return()
+	if _, err := p.in.ReadByte(); err == nil {
+		t.Error("a connection outlived the silence")
+	}
+	if resp, _ := dial(t, addr).ask(t, post("r5", 0)); resp.StatusCode != 200 {
+		t.Errorf("after the silence: %d", resp.StatusCode)
+	}
+	p = dial(t, addr)
+	io.WriteString(p, post("r6", 50*time.Second))
+	until(t, "the request", func() bool { return x.Standing().Held == 1 })
+	x.Stop()
+	if _, err := p.in.ReadByte(); err == nil || err == io.EOF {
+		t.Errorf("a process that dies reads as %v", err)
+	}
+	if _, err := net.Dial("tcp", addr); err == nil {
+		t.Error("a process that is gone still accepts")
+	}
+	how := map[string]string{}
+	for _, r := range b.records(t, trace.Reply) {
+		how[r.ID] = r.How
+	}
+	want := map[string]string{"r1": trace.Reset, "r2": trace.Spoilt, "r3": trace.Served, "r5": trace.Served, "r6": trace.Reset}
+	if fmt.Sprint(how) != fmt.Sprint(want) {
+		t.Errorf("%v, want %v", how, want)
+	}
+}
+
+func TestBoxFallsOver(t *testing.T) {
+	b := newBook()
+	x, addr := newBox(t, b, func(c *BoxConfig) {
+		c.Spec.ColdFrom, c.Spec.Cold, c.Spec.Queue, c.Spec.Fall = 0.1, time.Hour, 1000, boxmodel.Fall{Factor: 2, For: time.Second}
+	})
+	for i := 0; !x.Standing().Fallen && i < 500; i++ {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			defer c.Close()
+			io.WriteString(c, post(fmt.Sprint("r", i), 500*time.Millisecond))
+		}
+		time.Sleep(time.Millisecond)
+	}
+	until(t, "the fall", func() bool { return x.Standing().Fallen })
+	until(t, "its record", func() bool {
+		for _, r := range b.records(t, trace.Box) {
+			if r.State == trace.Fallen {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func entry(id, state string) Entry {
+	return Entry{ID: id, Addr: "127.0.0.1:1", Zone: "a", State: state}
+}
+
+func fetch(t *testing.T, addr, query string) (Whole, int) {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + "/v1/endpoints" + query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var l Whole
+	if resp.StatusCode == 200 {
+		if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l, resp.StatusCode
+}
+
+func TestAgentWatches(t *testing.T) {
+	b := newBook()
+	a := NewAgent("n1", false, Clock{time.Now()}, b.w, []Entry{entry("b1", "Ready"), entry("b2", "Ready")})
+	s := ServeAgent(a, listen(t))
+	defer s.Close()
+	if l, _ := fetch(t, s.Addr, ""); !l.Full || len(l.Servers) != 2 || l.Version != 1 {
+		t.Errorf("%+v", l)
+	}
+	if l, _ := fetch(t, s.Addr, "?since=1&timeout_ms=5"); l.Full || len(l.Servers) != 0 || l.Version != 1 {
+		t.Errorf("a watch with nothing new: %+v", l)
+	}
+	got := make(chan Whole, 1)
+	go func() {
+		l, _ := fetch(t, s.Addr, "?since=1&timeout_ms=60000")
+		got <- l
+	}()
+	a.Apply(entry("b1", "Terminating"))
+	if l := <-got; l.Full || len(l.Servers) != 1 || l.Servers[0].State != "Terminating" || l.Version != 2 {
+		t.Errorf("%+v", l)
+	}
+	// While it is silent it hears nothing either; what came meanwhile is told when it speaks.
+	a.Hush()
+	a.Apply(entry("b1", "Gone"))
+	if n := len(b.records(t, trace.Told)); n != 3 {
+		t.Errorf("%d told", n)
+	}
+	go func() {
+		l, _ := fetch(t, s.Addr, "?since=2&timeout_ms=10")
+		got <- l
+	}()
+	a.Speak()
+	if l := <-got; l.Version != 3 || len(l.Servers) != 1 {
+		t.Errorf("%+v", l)
+	}
+	if l, _ := fetch(t, s.Addr, ""); len(l.Servers) != 1 {
+		t.Errorf("a whole list names what is gone: %+v", l)
+	}
+	told := b.records(t, trace.Told)
+	if len(told) != 4 || told[3].State != "Gone" || told[3].Node != "n1" {
+		t.Errorf("%+v", told)
+	}
+	a.Settle(time.Hour)
+	a.Apply(entry("b2", "Gone"))
+	if told := b.records(t, trace.Told); told[4].T < time.Hour.Microseconds() {
+		t.Errorf("told at %d, before the node has had its time", told[4].T)
+	}
+}
+
+func TestAgentThatIsAsked(t *testing.T) {
+	b := newBook()
+	a := NewAgent("n1", true, Clock{time.Now()}, b.w, []Entry{entry("b1", "Ready")})
+	s := ServeAgent(a, listen(t))
+	defer s.Close()
+	a.Apply(entry("b1", "Terminating"))
+	if n := len(b.records(t, trace.Told)); n != 1 {
+		t.Errorf("%d told before anybody asked", n)
+	}
+	fetch(t, s.Addr, "?since=1&timeout_ms=5")
+	until(t, "the record", func() bool { return len(b.records(t, trace.Told)) == 2 })
+	a.Hush()
+	if _, status := fetch(t, s.Addr, ""); status != 503 {
+		t.Errorf("while it is down: %d", status)
+	}
+}
+
+// clients starts the kit's clients against a node that a test plays.
+func clients(t *testing.T, b *book, settings string, handle func(c net.Conn, in *bufio.Reader)) *Clients {
+	t.Helper()
+	s, err := scenario.Parse("t.toml", []byte("length = \"1s\"\n[clients]\nbackoff = \"none\"\nimpatient = 0.0\nretries = 2\n"+settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := listen(t)
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer c.Close()
+				handle(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	dialer := func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	c := NewClients(plan.New(s, 1), []trace.Node{{Name: "n1", Site: "tacoma"}}, dialer, Clock{time.Now()}, b.w, 70*time.Millisecond)
+	c.Node(0, ln.Addr().String(), true)
+	t.Cleanup(func() {
+		c.Close()
+		ln.Close()
+		wg.Wait()
+	})
+	return c
+}
+
+// one plays one need and returns what became of it.
+func one(t *testing.T, b *book, c *Clients, class int) trace.Record {
+	t.Helper()
+	n := len(b.records(t, trace.Done))
+	c.need(context.Background(), plan.Need{At: c.clock.Now(), Class: class, Work: time.Millisecond, Seed: uint64(n + 1)})
+	return b.records(t, trace.Done)[n]
+}
+
+func say(c net.Conn, status int, headers, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+const quick = "[[class]]\nname = \"quote\"\neffect = \"unsafe\"\naim = \"100ms\"\ndeadline = \"300ms\"\n[[class]]\nname = \"view\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"9s\"\n"
+
+func TestClientsRetryOnlyWhatIsHarmless(t *testing.T) {
+	b := newBook()
+	var status atomic.Int64
+	var ids sync.Map
+	c := clients(t, b, quick, func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			if _, twice := ids.LoadOrStore(r.Header.Get("X-Request-Id"), true); twice {
+				t.Error("an id came twice")
+			}
+			say(c, int(status.Load()), "", "body")
+		}
+	})
+	for _, x := range []struct {
+		class, status int
+		how           string
+		tries         int
+	}{{0, 200, "served", 1}, {0, 503, "refused", 3}, {0, 500, "failed", 1}, {1, 500, "failed", 3}, {1, 429, "refused", 3}} {
+		status.Store(int64(x.status))
+		before := len(b.records(t, trace.Sent))
+		done := one(t, b, c, x.class)
+		sent := b.records(t, trace.Sent)[before:]
+		if done.How != x.how || len(sent) != x.tries {
+			t.Errorf("%+v: %s after %d tries", x, done.How, len(sent))
+		}
+		for i, s := range sent {
+			if s.Try != i || s.Of != sent[0].ID || s.Wait <= 0 {
+				t.Errorf("%+v", s)
+			}
+		}
+	}
+	got := b.records(t, trace.Got)
+	if got[0].Sum != digest([]byte("body")) || got[0].T0 > got[0].T {
+		t.Errorf("%+v", got[0])
+	}
+}
+
+// A request that crosses the close of a kept connection goes once more, under its id; one that was read does not pass
+// for that.
+func TestClientsSendOnceMoreOnACrossedClose(t *testing.T) {
+	b := newBook()
+	var n atomic.Int64
+	c := clients(t, b, quick, func(c net.Conn, in *bufio.Reader) {
+		http.ReadRequest(in)
+		say(c, 200, "", "body")
+		if n.Add(1) == 1 {
+			in.Peek(1)
+			c.(*net.TCPConn).SetLinger(0) // as the kernel does for a close on bytes that nobody read
+			return
+		}
+		if _, err := http.ReadRequest(in); err == nil {
+			return // read, and then closed
+		}
+	})
+	if one(t, b, c, 1).How != "served" || one(t, b, c, 1).How != "served" {
+		t.Fatal("not served")
+	}
+	sent, broke := b.records(t, trace.Sent), b.records(t, trace.Broke)
+	if len(sent) != 3 || sent[1].ID != sent[2].ID || !sent[1].Reused || !sent[2].Again || sent[2].Reused || len(broke) != 1 || broke[0].How == trace.Taken {
+		t.Fatalf("%+v\n%+v", sent, broke)
+	}
+	one(t, b, c, 1)
+	if broke := b.records(t, trace.Broke); len(broke) < 2 || broke[1].How != trace.Taken {
+		t.Errorf("a close after the request was read: %+v", broke)
+	}
+}
+
+func TestClientsSeeWhatNobodyAskedFor(t *testing.T) {
+	b := newBook()
+	c := clients(t, b, quick, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		say(c, 200, "", "body")
+		time.Sleep(5 * time.Millisecond)
+		say(c, 200, "", "more")
+		in.Peek(1)
+	})
+	one(t, b, c, 1)
+	until(t, "the record", func() bool { return len(b.records(t, trace.Extra)) == 1 })
+}
+
+func TestClientsLeaveWhenTheirTimeIsUp(t *testing.T) {
+	b := newBook()
+	left := make(chan struct{}, 1)
+	c := clients(t, b, quick, func(c net.Conn, in *bufio.Reader) {
+		http.ReadRequest(in)
+		io.Copy(io.Discard, in) // until the client leaves
+		left <- struct{}{}
+	})
+	if done := one(t, b, c, 0); done.How != "failed" {
+		t.Errorf("%+v", done)
+	}
+	<-left
+	gave := b.records(t, trace.GaveUp)
+	if len(gave) != 1 || gave[0].Why != "time" {
+		t.Fatalf("%+v", gave)
+	}
+	if sent := b.records(t, trace.Sent)[0]; gave[0].T < sent.T+sent.Wait+70_000 {
+		t.Errorf("left %d us after sending, with %d to wait: a late answer would pass for none", gave[0].T-sent.T, sent.Wait)
+	}
+	c.Node(0, "127.0.0.1:1", false)
+	if done := one(t, b, c, 0); done.How != "unreachable" {
+		t.Errorf("with no node: %+v", done)
+	}
+}
+
+func TestBadClientsTellErrorFromClose(t *testing.T) {
+	for _, x := range []struct {
+		name, how string
+		handle    func(c net.Conn, in *bufio.Reader)
+	}{
+		{"an error", "error", func(c net.Conn, in *bufio.Reader) { say(c, 400, "Connection: close\r\n", "bad") }},
+		{"a close", "closed", func(c net.Conn, in *bufio.Reader) {}},
+		{"served", "served", func(c net.Conn, in *bufio.Reader) { say(c, 200, "", "thanks") }},
+	} {
+		b := newBook()
+		c := clients(t, b, quick, x.handle)
+		for _, kind := range scenario.BadKinds {
+			c.bad(context.Background(), 1, kind)
+		}
+		bad := b.records(t, trace.Bad)
+		if len(bad) != len(scenario.BadKinds) {
+			t.Errorf("%s: %d records", x.name, len(bad))
+		}
+		for _, r := range bad {
+			if r.How != x.how && !(x.how == "error" && r.How == "closed") { // a reset may overtake the error
+				t.Errorf("%s: %s is seen as %s", x.name, r.Why, r.How)
+			}
+		}
+	}
+}
