--- a/cmd/craneglade/main_test.go
+++ b/cmd/craneglade/main_test.go
@@ -15,6 +15,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"craneglade/internal/kit/stand"
+	"craneglade/internal/kit/trace"
 )
 
 const settings = `{"balancers":1,"zone":"n","discovery":"push","grades":[{"name":"a","aim_s":20,"deadline_s":60,` +
@@ -59,7 +62,7 @@
 	}))
 	defer backend.Close()
 	discovery := newDiscovery(t, backend.Listener.Addr().String())
-	p := start(t, discovery.Listener.Addr().String(), "")
+	p := start(t, discovery.Addr, "")
 	p.ask(t, "r1")
 	p.leave(t)
 }
@@ -72,7 +75,7 @@
 	}))
 	defer backend.Close()
 	first, second := newDiscovery(t, backend.Listener.Addr().String()), newDiscovery(t, backend.Listener.Addr().String())
-	p := start(t, first.Listener.Addr().String(), "")
+	p := start(t, first.Addr, "")
 	first.wait(t)
 	replace := func(text string) {
 		t.Helper()
@@ -90,7 +93,7 @@
 		}
 	}
 	p.ask(t, "r1")
-	replace(config(second.Listener.Addr().String()))
+	replace(config(second.Addr))
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	second.wait(t)
 	p.ask(t, "r2")
@@ -99,29 +102,41 @@
 	p.leave(t)
 }
 
-// discovery is one that tells a single backend to whoever asks for all, and lets watches wait.
+// discovery is the kit's box list with a single backend, which tells when it is asked.
 type discovery struct {
-	*httptest.Server
+	*stand.AgentServer
 	asked chan struct{}
 }
 
 func newDiscovery(t *testing.T, backend string) *discovery {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	d := &discovery{asked: make(chan struct{}, 100)}
-	told := make(chan struct{}, 1)
-	told <- struct{}{}
-	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.asked <- struct{}{}
-		select {
-		case <-told:
-			fmt.Fprintf(w, `{"version":2,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"n","kind":"k","cell":0,`+
-				`"state":"Ready","weight":1,"started_ms":0}]}`, backend)
-		case <-r.Context().Done():
-		}
-	}))
+	agent := stand.NewAgent("n0", false, stand.Clock{Start: time.Now()}, trace.NewWriter(io.Discard, trace.Head{}),
+		[]stand.Entry{{ID: "s-1", Addr: backend, Zone: "n", Kind: "k", State: trace.Ready, Weight: 1}})
+	agent.Apply(stand.Entry{ID: "s-1", Addr: backend, Zone: "n", Kind: "k", State: trace.Ready, Weight: 1}) // version 2: news to the node
+	d.AgentServer = stand.ServeAgent(agent, &noted{ln, d.asked})
 	t.Cleanup(d.Close)
 	return d
 }
 
+// noted is a listener that tells of each connection.
+type noted struct {
+	net.Listener
+	asked chan<- struct{}
+}
+
+func (n *noted) Accept() (net.Conn, error) {
+	c, err := n.Listener.Accept()
+	if err == nil {
+		n.asked <- struct{}{}
+	}
+	return c, err
+}
+
 // wait returns once the discovery has been asked.
 func (d *discovery) wait(t *testing.T) {
 	t.Helper()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,39 +59,46 @@
 	hup := make(chan os.Signal, 1) // holds one: another during a reload makes for one more reading
 	signal.Notify(hup, syscall.SIGHUP)
 	a := &app{out, errOut, getenv}
-	fail := func(status int, err error) int {
-		fmt.Fprintln(errOut, "craneglade:", err)
-		return status
+	base, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	var err error
+	if len(args) == 0 {
+		err = serveCmd{}.Run(base, a, hup) // the daemon does without the parser, and the memory that it takes
+	} else {
+		err = parsed(base, a, args, hup)
 	}
+	var e exit
+	switch {
+	case err == nil:
+		return ExitKept
+	case !errors.As(err, &e):
+		e = exit{ExitBroken, err}
+	}
+	if e.err != nil {
+		fmt.Fprintln(errOut, "craneglade:", e.err)
+	}
+	return e.status
+}
+
+// parsed runs the command that args name.
+func parsed(ctx context.Context, a *app, args []string, hup <-chan os.Signal) error {
 	var cmds commands
 	ended := -1
-	parser, err := kong.New(&cmds, kong.Name("craneglade"), kong.Writers(out, errOut),
+	parser, err := kong.New(&cmds, kong.Name("craneglade"), kong.Writers(a.out, a.err),
 		kong.Description("An HTTP load balancer node, and the kit that rehearses it."),
 		kong.Vars{"version": version()}, kong.Exit(func(status int) { ended = status }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
-		return fail(ExitUsage, err)
+		return exit{ExitUsage, err}
 	}
-	ctx, err := parser.Parse(args)
+	cmd, err := parser.Parse(args)
 	if ended >= 0 { // --help or --version
-		return ended
+		return exit{status: ended}
 	}
 	if err != nil {
-		return fail(ExitUsage, err)
-	}
-	base, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	ctx.BindTo(base, (*context.Context)(nil))
-	err = ctx.Run(a, (<-chan os.Signal)(hup))
-	var e exit
-	switch {
-	case errors.As(err, &e) && e.err == nil:
-		return e.status
-	case errors.As(err, &e):
-		return fail(e.status, e.err)
-	case err != nil:
-		return fail(ExitBroken, err)
+		return exit{ExitUsage, err}
 	}
-	return ExitKept
+	cmd.BindTo(ctx, (*context.Context)(nil))
+	return cmd.Run(a, hup)
 }
 
 // version is that of the module, with the revision that it was built from where the tool chain tells.
