--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"craneglade/internal/admission"
 	"craneglade/policy"
 )
 
@@ -40,12 +41,12 @@
 // where there is none the new one's request is refused, and far past it new ones wait in the backlog.
 type clients struct {
 	node  *node
-	limit int
 	slots chan struct{}
 	wg    sync.WaitGroup // connections
 
-	mu    sync.Mutex
-	conns map[*clientConn]struct{}
+	mu      sync.Mutex
+	account *admission.Clients // decides who may stay
+	conns   map[*clientConn]struct{}
 }
 
 // clientConn is one of them.
@@ -56,12 +57,11 @@
 	in    *bufio.Reader
 	over  bool // there were too many already when it came
 
+	used bool // a request on it has been answered
+
 	// Guarded by clients.mu.
-	begun   time.Time // when the first byte of its first request was seen
-	busy    bool      // a request is being answered
-	used    bool      // one has been
-	since   time.Time // when it came or its last request was answered
-	closing bool      // it made room for another, or the node leaves
+	account admission.Conn
+	closing bool // it made room for another, or the node leaves
 }
 
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
@@ -75,7 +75,8 @@
 	if n.cfg.Sockets == 0 {
 		limit = 1 << 20
 	}
-	s := &clients{node: n, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{}}
+	s := &clients{node: n, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{},
+		account: admission.NewClients(admission.Limits{Open: limit, Asking: n.cfg.Sockets / 3, Silent: silentTime, Slow: readTime})}
 	failed := make(chan error, 1)
 	go func() { failed <- s.accept(ln) }()
 	select {
@@ -121,13 +122,14 @@
 			return err
 		}
 		c := &clientConn{Conn: conn, start: time.Now()}
-		c.since, c.cap.R = c.start, conn
+		c.cap.R, c.account.Owner = conn, c
 		c.in = bufio.NewReader(&c.cap)
 		s.mu.Lock()
-		if len(s.conns) >= s.limit {
+		if s.account.Full() {
 			c.over = !s.makeRoom()
 		}
 		s.conns[c] = struct{}{}
+		s.account.Add(s.now(), &c.account)
 		s.mu.Unlock()
 		s.wg.Add(1)
 		go func() {
@@ -135,45 +137,37 @@
 			s.talk(c)
 			c.Close()
 			s.mu.Lock()
-			delete(s.conns, c)
+			s.forget(c)
 			s.mu.Unlock()
 			<-s.slots
 		}()
 	}
 }
 
-// makeRoom closes a connection that carries no request, and of those that are alike the one that has stood for
-// longest: first one that has said nothing for a while, then one that a client keeps, then a new one. A request that
-// waits to be read, or is being read, spares a new one. s.mu is held.
+// now is the time for the account.
+func (s *clients) now() time.Duration { return time.Since(s.node.clock.start) }
+
+// makeRoom closes a connection that carries no request, if there is one. s.mu is held.
 func (s *clients) makeRoom() bool {
-	var spare *clientConn
-	best := 3
-	for c := range s.conns {
-		rank := 1
-		if !c.used {
-			if rank = 0; time.Since(c.start) < silentTime {
-				rank = 2
-			}
-		}
-		if c.busy || rank > best || rank == best && !c.since.Before(spare.since) {
-			continue
-		}
-		if c.used || time.Since(c.begun) > readTime && pending(c.Conn) == nothing {
-			spare, best = c, rank
-		}
-	}
+	spare := s.account.Spare(s.now(), func(c *admission.Conn) bool { return pending(c.Owner.(*clientConn).Conn) != nothing })
 	if spare != nil {
-		s.drop(spare)
+		s.drop(spare.Owner.(*clientConn))
 	}
 	return spare != nil
 }
 
+// forget takes a connection off those that count. s.mu is held.
+func (s *clients) forget(c *clientConn) {
+	delete(s.conns, c)
+	s.account.Close(&c.account)
+}
+
 // drop takes a connection off those that count and ends its reading, so that it closes. A request that has just been
 // read is still answered. s.mu is held.
 func (s *clients) drop(c *clientConn) {
 	if !c.closing {
 		c.closing = true
-		delete(s.conns, c)
+		s.forget(c)
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -187,6 +181,16 @@
 	}
 }
 
+// reading notes the first byte of a request, whose head is to come by a time.
+func (s *clients) reading(c *clientConn, end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account.Read(s.now(), &c.account)
+	if !c.closing {
+		c.SetReadDeadline(end)
+	}
+}
+
 // closeAll closes the connections that carry no request; with cut it breaks off the others too.
 func (s *clients) closeAll(cut bool) {
 	s.mu.Lock()
@@ -194,17 +198,38 @@
 	for c := range s.conns {
 		if cut {
 			c.Close()
-		} else if !c.busy {
+		} else if c.account.State() != admission.Busy {
 			s.drop(c)
 		}
 	}
 }
 
-// mark notes that a request has come or was answered, and tells whether the connection is to stay.
-func (s *clients) mark(c *clientConn, busy bool) bool {
+// begin notes that a request is to be answered, and tells whether its connection still counts.
+func (s *clients) begin(c *clientConn, r *request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.busy, c.used, c.since = busy, true, time.Now()
+	s.account.Begin(s.now(), &c.account, r.id == "")
+	return !c.closing
+}
+
+// leaves tells whether a connection's next answer is to be its last. Where clients' room for requests runs short, an
+// idle one is closed for it, or this one leaves.
+func (s *clients) leaves(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leave, drop := s.account.Answer(&c.account)
+	if drop != nil {
+		s.drop(drop.Owner.(*clientConn))
+	}
+	return leave
+}
+
+// rest notes that a connection waits for its next request, and tells whether it may.
+func (s *clients) rest(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.used = true
+	s.account.Idle(s.now(), &c.account)
 	return !c.closing
 }
 
@@ -226,12 +251,12 @@
 		if r == nil {
 			return
 		}
-		if !s.mark(c, true) && !s.node.leaving.Load() {
+		if !s.begin(c, r) && !s.node.leaving.Load() {
 			c.over = true
 		}
 		a, ok := s.answer(c, r)
-		last := r.in.Close || c.over || s.node.leaving.Load()
-		if !ok || c.write(r.in, a, last) != nil || last || !s.mark(c, false) {
+		last := r.in.Close || c.over || s.node.leaving.Load() || ok && s.leaves(c)
+		if !ok || c.write(r.in, a, last) != nil || last || !s.rest(c) {
 			return
 		}
 	}
@@ -252,12 +277,8 @@
 	r := &request{arrived: time.Now()}
 	if c.used {
 		end = r.arrived.Add(headTime)
-		s.deadline(c, end)
-	} else {
-		s.mu.Lock()
-		c.begun = r.arrived
-		s.mu.Unlock()
 	}
+	s.reading(c, end)
 	in, err := http.ReadRequest(c.in)
 	switch {
 	case err != nil && !time.Now().Before(end): // the parser may hide the time-out
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -835,6 +835,30 @@
 	}
 }
 
+// Clients that ask once and keep their connection for good used to hold all that clients may hold for requests, and no
+// other request reached the node. The longest idle are closed while a quarter of that room is left.
+func TestKeptConnectionsLeaveRoomForRequests(t *testing.T) {
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 96 }, b.entry("s-1")) // clients hold 32 for requests
+	var all []*client
+	for i := range 30 {
+		c := r.dial(t)
+		if resp, _ := c.ask(view(fmt.Sprint("v-", i))); resp.StatusCode != 200 || resp.Close {
+			t.Fatalf("request %d: %d, close %v", i, resp.StatusCode, resp.Close)
+		}
+		all = append(all, c)
+	}
+	for i, c := range all {
+		if i < 6 { // 24 stay
+			if _, err := c.in.ReadByte(); err != io.EOF {
+				t.Errorf("connection %d: %v, want its end", i, err)
+			}
+		} else if resp, _ := c.ask(view(fmt.Sprint("w-", i))); resp.StatusCode != 200 {
+			t.Errorf("connection %d: %d", i, resp.StatusCode)
+		}
+	}
+}
+
 // Connections that say nothing come by hundreds. They make room for one another: one that a client has used, and
 // will use again, stays.
 func TestSilentConnectionsMakeRoomFirst(t *testing.T) {
