--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"craneglade/internal/admission"
 	"craneglade/internal/wire"
 	"craneglade/policy"
 )
@@ -35,6 +36,7 @@
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 
 	// Guarded by pool.mu.
+	ages    *admission.Ages
 	conns   []*backendConn // those with no owner, the latest last
 	retired bool           // no connection is kept any more
 }
@@ -68,7 +70,7 @@
 	}
 	b := a.backend
 	heard := b.heard.Load()
-	c, err := n.pool.get(ctx, b)
+	c, err := n.pool.get(ctx, b, n.effects[a.request.in.Header.Get("X-Class")] == policy.Unsafe)
 	switch {
 	case errors.Is(err, errSockets):
 		return result{outcome: policy.Moot} // not the backend's doing, and not to be held against it
@@ -96,6 +98,12 @@
 	if err == nil {
 		resp, body, err = c.read(a.request.in.Method)
 	}
+	switch {
+	case err == nil, errors.Is(err, errSpoilt):
+		n.pool.learn(c, true)
+	case context.Cause(ctx) == nil: // it ended by the backend's doing, before a byte
+		n.pool.learn(c, false)
+	}
 	// The answer stands, however its connection ends; but only a sound one is used again.
 	if giveUp() && err == nil && !resp.Close && len(resp.TransferEncoding) == 0 && c.in.Buffered() == 0 {
 		n.pool.put(c)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -961,6 +961,49 @@
 	}
 }
 
+// A box gives up connections that have rested for two seconds, where sixty are told. Requests that were written to such
+// ones ended as resets, half of all on some days, and a quote that met one failed. What may be repeated finds it out;
+// what may not goes on a new connection.
+func TestLearnsWhenABoxGivesUpConnections(t *testing.T) {
+	t.Parallel()
+	var stale atomic.Bool
+	b := newBox(t, nil)
+	var seen sync.Map
+	b.answer = func(c net.Conn, r *http.Request, nth int) bool {
+		_, again := seen.LoadOrStore(c, true)
+		return !(again && stale.Load()) && served(c, r, nth)
+	}
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	rest := func() {
+		r.pool.mu.Lock()
+		defer r.pool.mu.Unlock()
+		for e := r.pool.rest.Front(); e != nil; e = e.Next() {
+			e.Value.(*backendConn).since = time.Now().Add(-2 * time.Second)
+		}
+	}
+	stale.Store(true)
+	for i := range 4 {
+		c.ask(view(fmt.Sprint("v-", i)))
+		rest()
+		if resp, _ := c.ask(quote(fmt.Sprint("q-", i))); resp.StatusCode != 200 {
+			t.Errorf("quote %d: %d", i, resp.StatusCode)
+		}
+		rest()
+		c.ask(view(fmt.Sprint("w-", i))) // finds out
+	}
+	before := len(b.requests())
+	for i := range 5 {
+		rest()
+		if resp, _ := c.ask(view(fmt.Sprint("x-", i))); resp.StatusCode != 200 {
+			t.Errorf("view %d: %d", i, resp.StatusCode)
+		}
+	}
+	if n := len(b.requests()) - before; n != 5 {
+		t.Errorf("five requests took %d attempts: old connections are still tried", n)
+	}
+}
+
 // A list that comes empty by mistake costs neither the backends' connections nor what is known of them.
 func TestEmptyListIsOutlived(t *testing.T) {
 	t.Parallel()
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"craneglade/internal/admission"
 )
 
 // restTime is how long a connection rests after an answer: what a backend writes behind one must be there before
@@ -25,8 +27,11 @@
 	dialer net.Dialer
 	limit  int
 	idle   time.Duration // a connection that stood for this long is closed
+	told   time.Duration // for how long boxes keep them, as the settings have it
+	start  time.Time
 
 	mu    sync.Mutex
+	ages  *admission.Ages // for how long boxes keep connections, from all of them together
 	open  int
 	rest  lists.List // of *backendConn: those with no owner, the longest idle first
 	sweep *time.Timer
@@ -40,6 +45,8 @@
 	p.dialer = net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	// A request written to a connection that the backend has just closed ends as a reset: retire it before.
 	p.idle = cfg.Settings.ConnIdle * 9 / 10
+	p.told, p.start = cfg.Settings.ConnIdle, time.Now()
+	p.ages = admission.NewAges(p.told, nil)
 	return p
 }
 
@@ -49,42 +56,80 @@
 	cap     io.LimitedReader // between the socket and in: no answer goes on without end
 	in      *bufio.Reader
 	backend *backend
+	rested  time.Duration  // for how long it had when it was taken; 0 for one that has carried nothing yet
 	since   time.Time      // when it came to rest,
 	place   *lists.Element // and where; nil while it has an owner. Guarded by pool.mu
 }
 
-// get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close.
-func (p *pool) get(ctx context.Context, b *backend) (*backendConn, error) {
+// get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close. What must
+// not be sent twice goes only on a connection that the box is sure to have kept.
+func (p *pool) get(ctx context.Context, b *backend, once bool) (*backendConn, error) {
 	for {
-		c := p.take(b)
+		c := p.take(b, once)
 		if c == nil {
 			return p.dial(ctx, b)
 		}
 		if wait := restTime - time.Since(c.since); wait > 0 {
 			sleep(ctx, wait)
 		}
-		if pending(c.Conn) == nothing {
+		w := pending(c.Conn)
+		if w == nothing {
 			return c, nil
 		}
+		if w == ended {
+			p.learn(c, false)
+		}
 		p.close(c) // the backend has closed it, or sent what nobody asked for
 	}
 }
 
-// take returns the latest used of b's connections that have rested, else the one that has rested for longest.
-func (p *pool) take(b *backend) *backendConn {
+// known is what is known of how long b keeps connections. p.mu is held.
+func (p *pool) known(b *backend) *admission.Ages {
+	if b.ages == nil {
+		b.ages = admission.NewAges(p.told, p.ages)
+	}
+	return b.ages
+}
+
+// learn notes whether a connection that had rested held when it was used again.
+func (p *pool) learn(c *backendConn, held bool) {
+	if c.rested == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if held {
+		p.known(c.backend).Held(time.Since(p.start), c.rested)
+	} else {
+		p.known(c.backend).Broke(time.Since(p.start), c.rested)
+	}
+}
+
+// take returns the latest used of b's connections that have rested, else the one that has rested for longest; none where
+// it has rested for longer than b is known to keep one, or, for what must not be sent twice, is sure to.
+func (p *pool) take(b *backend, once bool) *backendConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now, known := time.Now(), p.known(b)
+	for longest := known.Longest(); len(b.conns) > 0 && now.Sub(b.conns[0].since) > longest; {
+		p.discard(b.conns[0])
+	}
 	if len(b.conns) == 0 {
 		return nil
 	}
-	c, now := b.conns[0], time.Now()
+	c := b.conns[0]
 	for _, o := range slices.Backward(b.conns) {
 		if now.Sub(o.since) >= restTime {
 			c = o
 			break
 		}
 	}
+	rested := now.Sub(c.since)
+	if once && rested > known.Sure() {
+		return nil
+	}
 	p.remove(c)
+	c.rested = max(rested, 1)
 	return c
 }
 
