Bodies in tiers: a budget without I/O, and a spool that lets no disk hold a request

A save that needs a second attempt must be kept somewhere. The budget decides between memory, disk, once and turned away by class, size and totals; the spool writes and reads through a fixed number of workers under a deadline, sets room aside before a body is read, and leaves no named file. A door closes the disk after a failure and lets one body try again later. Tests inject ENOSPC before and in the middle, EROFS, EIO, short writes and a disk that hangs.

--- /dev/null
+++ b/internal/bodies/bodies_test.go
@@ -0,0 +1,348 @@
+package bodies
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestTiers(t *testing.T) {
+	b := NewBudget(Limits{Memory: 100, Disk: 200})
+	save := Class{Most: 150, Memory: 60, Disk: true, Once: true}
+	quote := Class{Most: 150, Memory: 60}
+	for i, c := range []struct {
+		class Class
+		size  int64
+		want  Tier
+	}{
+		{save, 60, Memory}, {save, 61, Disk}, // too large for memory
+		{save, 50, Disk},                                        // memory's total is nearly spent
+		{quote, 50, TooLarge},                                   // and a quote has no other tier
+		{quote, 40, Memory}, {save, 80, Disk}, {save, 10, Once}, // both are full
+		{save, 151, TooLarge}, {save, 0, Memory},
+	} {
+		got, err := b.Place(c.class, c.size)
+		if got != c.want || (err != nil) != (c.want == TooLarge) {
+			t.Errorf("%d: %d bytes go to %v (%v), want %v", i, c.size, got, err, c.want)
+		}
+	}
+	if b.Used(Memory) != 100 || b.Used(Disk) != 191 || b.Placed(Disk) != 3 || b.Placed(Once) != 1 {
+		t.Errorf("memory %d, disk %d", b.Used(Memory), b.Used(Disk))
+	}
+	b.Free(Disk, 61)
+	b.Shut(true)
+	if got, _ := b.Place(save, 61); got != Once {
+		t.Errorf("with the disk shut: %v", got)
+	}
+	b.Shut(false)
+	if got, _ := b.Place(save, 61); got != Disk {
+		t.Errorf("open again: %v", got)
+	}
+	if got, _ := b.Fall(save, 61); got != Once || b.Used(Disk) != 130 {
+		t.Errorf("a body that the disk did not take goes to %v; disk %d", got, b.Used(Disk))
+	}
+}
+
+// Whatever is placed, falls and is freed in whatever order: no total is overspent, nothing leaks, and each body has one
+// tier that its class allows.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Memory: int64(rapid.IntRange(0, 300).Draw(t, "memory")), Disk: int64(rapid.IntRange(0, 300).Draw(t, "disk"))}
+		b := NewBudget(l)
+		type held struct {
+			tier Tier
+			size int64
+			c    Class
+		}
+		var all []held
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				c := Class{Most: int64(rapid.IntRange(0, 200).Draw(t, "most")), Memory: int64(rapid.IntRange(0, 100).Draw(t, "each")),
+					Disk: rapid.Bool().Draw(t, "may disk"), Once: rapid.Bool().Draw(t, "may once")}
+				size := int64(rapid.IntRange(0, 200).Draw(t, "size"))
+				tier, err := b.Place(c, size)
+				if (tier == TooLarge) != (err != nil) || size > c.Most && tier != TooLarge || tier == Disk && !c.Disk || tier == Once && !c.Once || tier == Memory && size > c.Memory {
+					t.Fatalf("%+v, %d bytes: %v, %v", c, size, tier, err)
+				}
+				if err == nil {
+					all = append(all, held{tier, size, c})
+				}
+			case 2:
+				if len(all) > 0 {
+					i := rapid.IntRange(0, len(all)-1).Draw(t, "which")
+					b.Free(all[i].tier, all[i].size)
+					all = append(all[:i], all[i+1:]...)
+				}
+			case 3:
+				b.Shut(rapid.Bool().Draw(t, "shut"))
+				for i := range all {
+					if all[i].tier == Disk {
+						tier, err := b.Fall(all[i].c, all[i].size)
+						if tier == Disk {
+							t.Fatal("it falls to where it fell from")
+						}
+						all[i].tier = tier
+						if err != nil {
+							all = append(all[:i], all[i+1:]...)
+						}
+						break
+					}
+				}
+			}
+			var memory, disk int64
+			for _, h := range all {
+				switch h.tier {
+				case Memory:
+					memory += h.size
+				case Disk:
+					disk += h.size
+				}
+			}
+			if b.Used(Memory) != memory || b.Used(Disk) != disk || memory > l.Memory || disk > l.Disk {
+				t.Fatalf("accounts for %d and %d, holds %d and %d of %+v", b.Used(Memory), b.Used(Disk), memory, disk, l)
+			}
+		}
+	})
+}
+
+// badFS fails as a test says.
+type badFS struct {
+	mu                  sync.Mutex
+	create, write, read error
+	short               bool
+	hang                chan struct{} // calls wait for its close
+	open                int
+	files               []*badFile
+}
+
+type badFile struct {
+	fs   *badFS
+	data []byte
+}
+
+func (f *badFS) wait() {
+	f.mu.Lock()
+	h := f.hang
+	f.mu.Unlock()
+	if h != nil {
+		<-h
+	}
+}
+
+func (f *badFS) Create(size int64) (File, error) {
+	f.wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.create != nil {
+		return nil, f.create
+	}
+	f.open++
+	x := &badFile{fs: f}
+	f.files = append(f.files, x)
+	return x, nil
+}
+
+func (x *badFile) WriteAt(p []byte, off int64) (int, error) {
+	x.fs.wait()
+	x.fs.mu.Lock()
+	defer x.fs.mu.Unlock()
+	if x.fs.write != nil {
+		return len(p) / 2, x.fs.write
+	}
+	if x.fs.short {
+		return len(p) - 1, nil
+	}
+	x.data = append(x.data[:off], p...)
+	return len(p), nil
+}
+
+func (x *badFile) ReadAt(p []byte, off int64) (int, error) {
+	x.fs.wait()
+	x.fs.mu.Lock()
+	defer x.fs.mu.Unlock()
+	if x.fs.read != nil {
+		return 0, x.fs.read
+	}
+	return bytes.NewReader(x.data).ReadAt(p, off)
+}
+
+func (x *badFile) Close() error {
+	x.fs.mu.Lock()
+	defer x.fs.mu.Unlock()
+	x.fs.open--
+	return nil
+}
+
+func (f *badFS) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func spool(t *testing.T, f FS, workers int) *Spool {
+	s := NewSpool(f, workers)
+	t.Cleanup(func() {
+		s.Close()
+		s.Wait()
+	})
+	return s
+}
+
+func keep(s *Spool, ctx context.Context, body []byte) (*Kept, error) {
+	k, err := s.Begin(ctx, int64(len(body)))
+	if err != nil {
+		return nil, err
+	}
+	for len(body) > 0 {
+		n := min(len(body), 1000)
+		if err := k.Append(ctx, body[:n]); err != nil {
+			k.Close()
+			return nil, err
+		}
+		body = body[n:]
+	}
+	return k, nil
+}
+
+func TestKeepsAndReadsBack(t *testing.T) {
+	dir := t.TempDir()
+	files, err := NewDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := spool(t, files, 2)
+	body := bytes.Repeat([]byte("a window, "), 20000)
+	k, err := keep(s, context.Background(), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left, _ := os.ReadDir(dir); len(left) != 0 {
+		t.Errorf("the file has a name: %v", left)
+	}
+	if info, err := k.file.(*os.File).Stat(); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("%v, %v", info.Mode(), err)
+	}
+	got := make([]byte, len(body))
+	if err := k.ReadAt(context.Background(), got, 0); err != nil || !bytes.Equal(got, body) {
+		t.Errorf("%v", err)
+	}
+	if err := k.ReadAt(context.Background(), got[:10], int64(len(body))-5); err != io.ErrUnexpectedEOF {
+		t.Errorf("past the end: %v", err)
+	}
+	k.Close()
+	if _, err := NewDir(dir + "/none"); err == nil {
+		t.Error("a folder that is not there was taken")
+	}
+}
+
+func TestDiskFaults(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name  string
+		fault func(f *badFS)
+		want  error
+	}{
+		{"no room to begin with", func(f *badFS) { f.create = syscall.ENOSPC }, syscall.ENOSPC},
+		{"read-only", func(f *badFS) { f.create = syscall.EROFS }, syscall.EROFS},
+		{"the folder is gone", func(f *badFS) { f.create = os.ErrNotExist }, os.ErrNotExist},
+		{"no room in the middle", func(f *badFS) { f.write = syscall.ENOSPC }, syscall.ENOSPC},
+		{"a short write", func(f *badFS) { f.short = true }, io.ErrShortWrite},
+	} {
+		f := &badFS{}
+		s := NewSpool(f, 2)
+		c.fault(f)
+		if _, err := keep(s, ctx, make([]byte, 5000)); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		s.Close()
+		s.Wait()
+		if f.open != 0 {
+			t.Errorf("%s: %d files left open", c.name, f.open)
+		}
+	}
+	f := &badFS{}
+	s := spool(t, f, 2)
+	k, err := keep(s, ctx, make([]byte, 5000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	f.set(func() { f.read = syscall.EIO })
+	if err := k.ReadAt(ctx, make([]byte, 5000), 0); !errors.Is(err, syscall.EIO) {
+		t.Errorf("EIO on reading back: %v", err)
+	}
+	f.set(func() { f.read = nil; f.files[0].data = f.files[0].data[:100] })
+	if err := k.ReadAt(ctx, make([]byte, 5000), 0); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a file that lost its end: %v", err)
+	}
+}
+
+// A disk that hangs holds its workers and nobody else: calls end with their context, and later ones at once with theirs.
+func TestAHangingDiskHoldsNobody(t *testing.T) {
+	f := &badFS{hang: make(chan struct{})}
+	s := NewSpool(f, 2)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 5 {
+		if _, err := s.Begin(gone, 10); !errors.Is(err, ErrSlow) {
+			t.Errorf("%v, want ErrSlow", err)
+		}
+	}
+	// Hold both workers for certain, then give up.
+	for range 2 {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() {
+			_, err := s.Begin(ctx, 10)
+			done <- err
+		}()
+		cancel()
+		if err := <-done; !errors.Is(err, ErrSlow) {
+			t.Errorf("%v, want ErrSlow", err)
+		}
+	}
+	close(f.hang)
+	s.Close()
+	if _, err := s.Begin(context.Background(), 10); err != nil && !errors.Is(err, ErrClosed) {
+		t.Errorf("after Close: %v", err)
+	}
+	s.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open > 1 { // at most what the last call, which nobody had given up, was given
+		t.Errorf("%d files that came too late stay open", f.open)
+	}
+}
+
+func TestDoor(t *testing.T) {
+	var d Door
+	at := time.Duration(0)
+	if !d.Open(at) || !d.Open(at) {
+		t.Error("closed at first")
+	}
+	wait := doorFirst
+	for range 12 {
+		d.Done(at, false)
+		if d.Open(at + wait - 1) {
+			t.Fatalf("open before %v", wait)
+		}
+		at += wait
+		if !d.Open(at) || d.Open(at) {
+			t.Fatal("one body, and one alone, tries again")
+		}
+		wait = min(2*wait, doorLast)
+	}
+	d.Done(at, true)
+	if !d.Open(at) || !d.Open(at) {
+		t.Error("closed after a success")
+	}
+}
--- /dev/null
+++ b/internal/bodies/budget.go
@@ -0,0 +1,103 @@
+// Package bodies keeps the bodies of requests for as long as an attempt may need them: in memory up to a size and a
+// total, then on disk up to a total of its own, then not at all. Which tier takes a body is decided here without I/O;
+// Spool does the disk's.
+//
+// What a tier means: a body in memory or on disk can be sent again. One that is not kept is streamed once, and its
+// request gets no second attempt once its first has begun to send, whatever its effect.
+package bodies
+
+import "fmt"
+
+// Tier is where a body is kept.
+type Tier uint8
+
+const (
+	Memory Tier = iota
+	Disk
+	Once     // not kept: streamed to one attempt
+	TooLarge // more than its class allows
+	tiers
+)
+
+func (t Tier) String() string {
+	return [...]string{"memory", "disk", "once", "too large"}[t]
+}
+
+// Class is what the settings allow the bodies of one class of requests. Sizes are in bytes.
+type Class struct {
+	Most   int64 // a larger one is turned away
+	Memory int64 // a larger one is not kept in memory
+	Disk   bool  // may be kept on disk
+	Once   bool  // may be streamed without being kept; where it may not, it waits for no tier and is turned away
+}
+
+// Limits are the totals of the tiers, in bytes; 0 closes a tier.
+type Limits struct {
+	Memory int64
+	Disk   int64
+}
+
+// Budget accounts for the bodies that are held. It is not safe for concurrent use.
+type Budget struct {
+	limits Limits
+	used   [tiers]int64
+	count  [tiers]int64 // placed so far
+	shut   bool         // the disk does not work now
+}
+
+// NewBudget returns the account of a node that holds none.
+func NewBudget(l Limits) *Budget { return &Budget{limits: l} }
+
+// Place takes room for a body and tells where. What Place has put in Memory or on Disk is given back with Free.
+func (b *Budget) Place(c Class, size int64) (Tier, error) {
+	t := b.tier(c, size)
+	b.count[t]++
+	switch t {
+	case TooLarge:
+		if size > c.Most {
+			return t, fmt.Errorf("a body of %d bytes, and %d are the most", size, c.Most)
+		}
+		return t, fmt.Errorf("no room for a body of %d bytes", size)
+	case Memory, Disk:
+		b.used[t] += size
+	}
+	return t, nil
+}
+
+func (b *Budget) tier(c Class, size int64) Tier {
+	switch {
+	case size > c.Most:
+		return TooLarge
+	case size <= c.Memory && b.used[Memory]+size <= b.limits.Memory:
+		return Memory
+	case c.Disk && !b.shut && b.used[Disk]+size <= b.limits.Disk:
+		return Disk
+	case c.Once:
+		return Once
+	}
+	return TooLarge
+}
+
+// Fall moves a body that could not be written to disk to the next tier. It gives back what Place took.
+func (b *Budget) Fall(c Class, size int64) (Tier, error) {
+	b.Free(Disk, size)
+	shut := b.shut
+	b.shut = true // for this one decision
+	t, err := b.Place(c, size)
+	b.shut = shut
+	return t, err
+}
+
+// Free gives back the room of a body.
+func (b *Budget) Free(t Tier, size int64) {
+	if t == Memory || t == Disk {
+		b.used[t] -= size
+	}
+}
+
+// Shut closes the disk's tier, or opens it again.
+func (b *Budget) Shut(shut bool) { b.shut = shut }
+
+// Used is what a tier holds, in bytes, and Placed how many bodies it was given so far.
+func (b *Budget) Used(t Tier) int64   { return b.used[t] }
+func (b *Budget) Placed(t Tier) int64 { return b.count[t] }
--- a/internal/kit/plan/plan.go
+++ b/internal/kit/plan/plan.go
@@ -71,6 +71,7 @@
 	Work      time.Duration
 	Over      bool // past its tenant's share
 	Honours   bool // waits as Retry-After says
+	Once      bool // asks on a connection of its own, and keeps that
 	Impatient time.Duration
 	Seed      uint64
 }
@@ -83,6 +84,7 @@
 	Initial  int
 	Steps    []Step // in the order of their times
 	levels   []level
+	greedy   []level // requests a second that the first tenant adds
 	peak     float64
 	bursts   []float64
 }
@@ -274,6 +276,9 @@
 		case "surge":
 			announce("traffic times %.1f for %v", e.By, e.For)
 			p.levels = append(p.levels, level{at, end, func(time.Duration) float64 { return e.By }})
+		case "greedy":
+			announce("the first tenant asks for %.0f more a second, for %v", e.Rate, e.For)
+			p.greedy = append(p.greedy, level{at, end, func(time.Duration) float64 { return e.Rate }})
 		case "bad-clients":
 			announce("%.0f bad clients a second for %v", e.Rate, e.For)
 			kinds := e.Kinds
@@ -308,6 +313,17 @@
 			r *= l.by(t)
 		}
 	}
+	return r + p.Greed(t)
+}
+
+// Greed is the part of Rate that the first tenant adds.
+func (p *Plan) Greed(t time.Duration) float64 {
+	r := 0.0
+	for _, l := range p.greedy {
+		if t >= l.from && t < l.to {
+			r += l.by(t)
+		}
+	}
 	return r
 }
 
@@ -380,6 +396,10 @@
 		n.credits[i] = min(q, n.credits[i]+q*(n.t-n.at).Seconds())
 	}
 	n.at = n.t
+	if g := n.p.Greed(n.t); g > 0 && n.rng.Float64()*n.p.Rate(n.t) < g {
+		d.Tenant = 0
+	}
+	d.Once = n.rng.Float64() < s.Clients.Once
 	if n.credits[d.Tenant] >= 1 {
 		n.credits[d.Tenant]--
 	} else {
--- a/internal/kit/report/report.go
+++ b/internal/kit/report/report.go
@@ -124,6 +124,7 @@
 	Closed int    `json:"closed"`
 	None   int    `json:"neither"`
 	Served int    `json:"served"`
+	Asked  int    `json:"answered"` // health checks
 }
 
 // Group is all that broke one rule in the same way at one box, or without a box at one node.
@@ -271,6 +272,8 @@
 			b.Closed++
 		case "served":
 			b.Served++
+		case "answered":
+			b.Asked++
 		default:
 			b.None++
 		}
@@ -583,6 +586,10 @@
 			n.PeakMB, n.PeakFiles)
 	}
 	for _, x := range r.Bad {
+		if x.Asked > 0 {
+			fmt.Fprintf(&b, "  %s: %d answered, %d not\n", x.Kind, x.Asked, x.Closed+x.None+x.Error)
+			continue
+		}
 		fmt.Fprintf(&b, "  bad clients, %s: %d got an error, %d a close, %d neither, %d were served\n", x.Kind, x.Error, x.Closed, x.None, x.Served)
 	}
 	v := r.Verdict
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -114,6 +114,8 @@
 	TryShare  float64  `toml:"try_share"` // a try is given up after this part of the class's deadline
 	Impatient float64  `toml:"impatient"` // part that leaves long before its time is up
 	Notice    Duration `toml:"front_notice"`
+	Once      float64  `toml:"ask_once"`    // part that asks on a connection of its own, and then keeps it for good
+	Conns     int      `toml:"connections"` // that all clients together hold to a node for requests; 0 for any number
 }
 
 // Rules are the figures of the four rules.
@@ -245,6 +247,7 @@
 	"list-outage": {[]string{"for"}, []string{"for"}, "the box list says nothing"},
 	"list-stale":  {[]string{"for", "by"}, []string{"for", "by"}, "the box list runs further behind, by so many seconds"},
 	"bad-clients": {[]string{"for", "rate", "kinds"}, []string{"for", "rate"}, "clients that send what is no request"},
+	"greedy":      {[]string{"for", "rate"}, []string{"for", "rate"}, "the first tenant asks for so much more a second"},
 	"surge":       {[]string{"for", "by"}, []string{"for", "by"}, "traffic times by"},
 }
 
@@ -252,6 +255,10 @@
 var BadKinds = []string{"garbage", "endless-head", "negative-length", "huge-length", "both-lengths", "no-id", "no-class",
 	"bad-deadline", "half", "silent", "open-id"}
 
+// HealthCheck is a further kind, which is not bad: it asks for the node's readiness on a connection of its own and keeps
+// that. It plays only where an event names it.
+const HealthCheck = "health-check"
+
 //go:embed scenarios/*.toml
 var shipped embed.FS
 
@@ -443,6 +450,8 @@
 		{"clients.max_retry_after", s.Clients.MaxWait.S(), 0, 60, "s"},
 		{"clients.try_share", s.Clients.TryShare, 0.05, 1, ""},
 		{"clients.impatient", s.Clients.Impatient, 0, 1, ""},
+		{"clients.ask_once", s.Clients.Once, 0, 1, ""},
+		{"clients.connections", float64(s.Clients.Conns), 0, 1 << 20, ""},
 		{"clients.front_notice", s.Clients.Notice.S(), 0, 30, "s"},
 		{"rules.drain_grace", s.Rules.DrainGrace.S(), 0.1, 60, "s"},
 		{"rules.fall_factor", s.Rules.FallFactor, 0, 100, ""},
@@ -634,8 +643,8 @@
 			return s.problem(p+"rate", "%v is outside 0 to 1000 a second", e.Rate)
 		}
 		for _, k := range e.Kinds {
-			if !slices.Contains(BadKinds, k) {
-				return s.problem(p+"kinds", "%q is none of %s", k, strings.Join(BadKinds, ", "))
+			if known := append(slices.Clone(BadKinds), HealthCheck); !slices.Contains(known, k) {
+				return s.problem(p+"kinds", "%q is none of %s", k, strings.Join(known, ", "))
 			}
 		}
 		if e.Do == "deploy" {
--- a/internal/kit/stand/bad.go
+++ b/internal/kit/stand/bad.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
+	"craneglade/internal/kit/scenario"
 	"craneglade/internal/kit/trace"
 )
 
@@ -54,6 +56,8 @@
 		return head + id + "X-Deadline: soon\r\nContent-Length: 0\r\n\r\n", false
 	case "half":
 		return head + id + wait + "Content-Length: 50\r\n\r\nhalf of it", false
+	case scenario.HealthCheck:
+		return "GET /ready HTTP/1.1\r\nHost: backend.local\r\n\r\n", false
 	case "open-id":
 		return head + "X-Request-Id: " + stolen + "\r\n" + wait + "Content-Length: 0\r\n\r\n", false
 	}
@@ -107,6 +111,12 @@
 		}
 	}
 	switch {
+	case kind == scenario.HealthCheck:
+		how = strconv.Itoa(status)
+		if status == 200 || status == 503 {
+			how = "answered"
+		}
+		io.Copy(io.Discard, in) // it keeps its connection for as long as it may
 	case status == 200:
 		how = "served"
 	case status >= 400:
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -29,6 +29,8 @@
 	badTime     = 3 * time.Second       // within which a bad client is owed an error or a close
 )
 
+var errNoConnection = errors.New("clients hold as many connections to this node as they can")
+
 // Clients are all clients of a rehearsal, with the front that deals their connections out among the nodes.
 type Clients struct {
 	plan  *plan.Plan
@@ -37,6 +39,7 @@
 	out   *trace.Writer
 	slack time.Duration
 	begin time.Duration
+	most  int // connections to a node
 	wg    sync.WaitGroup
 	conns atomic.Int64
 	Count Counts
@@ -59,13 +62,15 @@
 	addr  string
 	alive bool
 	idle  []*clientConn
-	all   map[*clientConn]struct{}
-	ids   []string // of open requests, the latest last: what a bad client steals
+
+	dialing int
+	all     map[*clientConn]struct{}
+	ids     []string // of open requests, the latest last: what a bad client steals
 }
 
 // NewClients returns the clients of a plan. slack is how much later than its client's deadline an answer still counts.
 func NewClients(p *plan.Plan, nodes []trace.Node, dial Dial, clock Clock, out *trace.Writer, slack time.Duration) *Clients {
-	c := &Clients{plan: p, dial: dial, clock: clock, out: out, slack: slack, rng: rand.New(rand.NewPCG(p.Seed, 4))}
+	c := &Clients{plan: p, dial: dial, clock: clock, out: out, slack: slack, most: p.Scenario.Clients.Conns, rng: rand.New(rand.NewPCG(p.Seed, 4))}
 	for _, n := range nodes {
 		c.nodes = append(c.nodes, &front{Node: n, all: map[*clientConn]struct{}{}})
 	}
@@ -277,7 +282,7 @@
 		if f == nil {
 			return result{how: "unreachable"}
 		}
-		conn, reused, err := c.connect(ctx, f, again)
+		conn, reused, err := c.connect(ctx, f, again || t.need.Once)
 		if err != nil {
 			return result{how: "unreachable"}
 		}
@@ -349,7 +354,9 @@
 		return result{how: "failed"}, reused && e.bytes == 0
 	}
 	if e.why == "keep" {
-		c.keep(conn)
+		if !t.need.Once { // else it stays open, and nobody uses it
+			c.keep(conn)
+		}
 	} else {
 		c.drop(conn)
 	}
@@ -431,8 +438,19 @@
 			return k, true, nil
 		}
 	}
-	addr := f.addr
+	addr, full := f.addr, c.most > 0 && len(f.all)+f.dialing >= c.most
+	if !full {
+		f.dialing++
+	}
 	c.mu.Unlock()
+	if full {
+		return nil, false, errNoConnection
+	}
+	defer func() {
+		c.mu.Lock()
+		f.dialing--
+		c.mu.Unlock()
+	}()
 	ctx, cancel := context.WithTimeout(ctx, connectTime)
 	defer cancel()
 	conn, err := c.dial(ctx, addr)
