--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -45,6 +45,8 @@
 		{[]string{"rehearse", "kill", "--show"}, 0, `do = "term"`, ""},
 		{[]string{"rehearse", "calm", "--plan", "--seed", "3"}, 0, "need {N:0 At:", ""},
 		{[]string{"check", "opening"}, 0, "opening: good", ""},
+		{[]string{"check", "--settings", file(t, "own.toml", "[bodies]\nmemory = \"8MiB\"\n")}, 0, "own.toml: good", ""},
+		{[]string{"check", "--settings", file(t, "own.toml", "[bodies]\nmemory = 8\n")}, 2, "", "own.toml:2: "},
 		{nil, 2, "", "craneglade: GW_CONFIG: not set\n"},
 		{[]string{"serve"}, 2, "", "craneglade: GW_CONFIG: not set\n"},
 		{[]string{"frobnicate"}, 2, "", "frobnicate"},
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,16 +7,27 @@
 	"os"
 
 	"craneglade/internal/node"
+	"craneglade/internal/settings"
 )
 
-type serveCmd struct{}
+type serveCmd struct {
+	Config string `placeholder:"FILE" type:"path" help:"Settings of our own (deploy/craneglade.toml): what the platform does not set."`
+}
 
 // Run is the daemon. SIGHUP makes it read its configuration again; it ends once ctx does and all is answered.
-func (serveCmd) Run(ctx context.Context, a *app, hup <-chan os.Signal) error {
+func (c serveCmd) Run(ctx context.Context, a *app, hup <-chan os.Signal) error {
 	cfg, err := node.Load(a.getenv)
 	if err != nil {
 		return exit{ExitUsage, err}
 	}
+	if c.Config != "" {
+		if cfg.Own, err = settings.Load(c.Config); err != nil {
+			return exit{ExitUsage, err}
+		}
+		if err := cfg.CheckOwn(); err != nil {
+			return usage("%s: %w", c.Config, err)
+		}
+	}
 	log := slog.New(slog.NewTextHandler(a.err, nil)).With("node", cfg.Name)
 	reload := make(chan node.Config)
 	done := make(chan struct{})
@@ -54,7 +65,9 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"A scenario (.toml, or the name of a shipped one) or a node's configuration (.json)."`
+	File string `arg:"" help:"A scenario (.toml, or the name of a shipped one), a node's configuration (.json), or, with --settings, a file of our own settings."`
+
+	Settings bool `help:"The file holds settings of our own, as serve --config reads them."`
 }
 
 // Run checks a file.
@@ -69,6 +82,10 @@
 		if err != nil {
 			return usage("%s: %w", c.File, err)
 		}
+	} else if c.Settings {
+		if _, err := settings.Load(c.File); err != nil {
+			return exit{ExitUsage, err}
+		}
 	} else if _, err := load(c.File); err != nil {
 		return err
 	}
--- a/internal/kit/scenario/default.go
+++ b/internal/kit/scenario/default.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"reflect"
 	"time"
+
+	"craneglade/internal/tomlfile"
 )
 
 const ms = Duration(time.Millisecond)
@@ -47,30 +49,30 @@
 func (s *Scenario) fill() {
 	def := Default()
 	kinds, classes, tenants, sites := s.Kinds, s.Classes, s.Tenants, s.Sites // those that the file has
-	merge(reflect.ValueOf(s).Elem(), reflect.ValueOf(def).Elem(), "", s.where)
+	merge(reflect.ValueOf(s).Elem(), reflect.ValueOf(def).Elem(), "", s.keys)
 	for i := range kinds {
 		d := def.Kinds[0]
 		d.Slots = max(s.Kinds[i].Cores, 1)
 		if s.Kinds[i].Cores == 0 {
 			d.Slots = d.Cores
 		}
-		mergeEntry(&s.Kinds[i], &d, indexed("kind", i), s.where)
+		mergeEntry(&s.Kinds[i], &d, indexed("kind", i), s.keys)
 	}
 	for i := range classes {
 		d := def.Classes[0]
 		if s.Classes[i].Effect != "" && s.Classes[i].Effect != "keyed" {
 			d.Group, d.Window = "all", 0
 		}
-		mergeEntry(&s.Classes[i], &d, indexed("class", i), s.where)
+		mergeEntry(&s.Classes[i], &d, indexed("class", i), s.keys)
 		if s.Classes[i].Effect != "keyed" {
 			s.Classes[i].Group, s.Classes[i].Window = "all", 0
 		}
 	}
 	for i := range tenants {
-		mergeEntry(&s.Tenants[i], &Tenant{Share: 1, Usage: 1}, indexed("tenant", i), s.where)
+		mergeEntry(&s.Tenants[i], &Tenant{Share: 1, Usage: 1}, indexed("tenant", i), s.keys)
 	}
 	for i := range sites {
-		mergeEntry(&s.Sites[i], &Site{Share: 1}, indexed("site", i), s.where)
+		mergeEntry(&s.Sites[i], &Site{Share: 1}, indexed("site", i), s.keys)
 	}
 	for i := range s.Events {
 		d := Event{}
@@ -82,18 +84,18 @@
 		case "kill", "term":
 			d = Event{Node: 1}
 		}
-		mergeEntry(&s.Events[i], &d, indexed("event", i), s.where)
+		mergeEntry(&s.Events[i], &d, indexed("event", i), s.keys)
 	}
 }
 
 func indexed(table string, i int) string { return fmt.Sprintf("%s[%d]", table, i) }
 
-func mergeEntry[T any](v, def *T, prefix string, where map[string]int) {
-	merge(reflect.ValueOf(v).Elem(), reflect.ValueOf(def).Elem(), prefix, where)
+func mergeEntry[T any](v, def *T, prefix string, keys *tomlfile.Keys) {
+	merge(reflect.ValueOf(v).Elem(), reflect.ValueOf(def).Elem(), prefix, keys)
 }
 
 // merge copies def's fields over those of v that the file does not name. A zero that is written down stays.
-func merge(v, def reflect.Value, prefix string, where map[string]int) {
+func merge(v, def reflect.Value, prefix string, keys *tomlfile.Keys) {
 	t := v.Type()
 	for i := range t.NumField() {
 		name := t.Field(i).Tag.Get("toml")
@@ -107,37 +109,15 @@
 		f := v.Field(i)
 		switch {
 		case f.Kind() == reflect.Struct:
-			merge(f, def.Field(i), key, where)
+			merge(f, def.Field(i), key, keys)
 		case f.Kind() == reflect.Slice:
 			if f.Len() == 0 {
 				f.Set(def.Field(i))
 			}
 		default:
-			if _, ok := where[key]; !ok {
+			if !keys.Has(key) {
 				f.Set(def.Field(i))
 			}
 		}
 	}
 }
-
-// knownKeys are all the keys that files may hold, for suggestions.
-var knownKeys = keysOf(reflect.TypeFor[Scenario](), nil)
-
-func keysOf(t reflect.Type, keys []string) []string {
-	for i := range t.NumField() {
-		name := t.Field(i).Tag.Get("toml")
-		if name == "" {
-			continue
-		}
-		keys = append(keys, name)
-		switch f := t.Field(i).Type; f.Kind() {
-		case reflect.Struct:
-			keys = keysOf(f, keys)
-		case reflect.Slice:
-			if f.Elem().Kind() == reflect.Struct {
-				keys = keysOf(f.Elem(), keys)
-			}
-		}
-	}
-	return keys
-}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -18,30 +18,11 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
+	"craneglade/internal/tomlfile"
 )
 
-// Duration is a time span written as Go writes them: "30s", "1m30s", "250ms", "1.5ms".
-type Duration time.Duration
-
-// UnmarshalText reads a duration; an error tells the form.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf(`%q is no time: write a number and a unit, such as "30s" or "250ms"`, text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// D is the duration as the time package's.
-func (d Duration) D() time.Duration { return time.Duration(d) }
-
-// S is the duration in seconds.
-func (d Duration) S() float64 { return time.Duration(d).Seconds() }
-
-func (d Duration) String() string { return time.Duration(d).String() }
+// Duration is a time span as files write it.
+type Duration = tomlfile.Duration
 
 // Scenario is one rehearsal.
 type Scenario struct {
@@ -66,8 +47,7 @@
 	Tenants []Tenant `toml:"tenant"`
 	Events  []Event  `toml:"event"`
 
-	where map[string]int // line by key path
-	file  string
+	keys *tomlfile.Keys // that the file names
 }
 
 // Nodes are the load balancers under rehearsal.
@@ -302,26 +282,10 @@
 
 // Parse reads and checks a scenario; file is its name for errors.
 func Parse(file string, text []byte) (*Scenario, error) {
-	s := &Scenario{file: file, where: lines(text)}
-	dec := toml.NewDecoder(strings.NewReader(string(text)))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			e := strict.Errors[0]
-			row, _ := e.Position()
-			key := strings.Join(e.Key(), ".")
-			return nil, fmt.Errorf("%s:%d: %s: no such key%s", file, row, key, near(key))
-		}
-		var de *toml.DecodeError
-		if errors.As(err, &de) {
-			row, _ := de.Position()
-			if key := strings.Join(de.Key(), "."); key != "" {
-				return nil, fmt.Errorf("%s:%d: %s: %s", file, row, key, strings.TrimPrefix(de.Error(), "toml: "))
-			}
-			return nil, fmt.Errorf("%s:%d: %s", file, row, strings.TrimPrefix(de.Error(), "toml: "))
-		}
-		return nil, fmt.Errorf("%s: %w", file, err)
+	s := &Scenario{}
+	var err error
+	if s.keys, err = tomlfile.Decode(file, text, s); err != nil {
+		return nil, err
 	}
 	s.fill()
 	if err := s.check(); err != nil {
@@ -330,94 +294,6 @@
 	return s, nil
 }
 
-// lines maps each key path to its line; entries of arrays of tables are numbered: event[1].at.
-func lines(text []byte) map[string]int {
-	where, count := map[string]int{}, map[string]int{}
-	var p unstable.Parser
-	p.Reset(text)
-	prefix := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			if line == 0 {
-				line = p.Shape(it.Node().Raw).Start.Line
-			}
-			parts = append(parts, string(it.Node().Data))
-		}
-		key := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			prefix = key
-		case unstable.ArrayTable:
-			prefix = fmt.Sprintf("%s[%d]", key, count[key])
-			count[key]++
-		case unstable.KeyValue:
-			if prefix != "" {
-				key = prefix + "." + key
-			}
-		default:
-			continue
-		}
-		if e.Kind != unstable.KeyValue {
-			key = prefix
-		}
-		where[key] = line
-	}
-	return where
-}
-
-// near names the known key that is closest to an unknown one.
-func near(key string) string {
-	last := key[strings.LastIndexByte(key, '.')+1:]
-	best, dist := "", 3
-	for _, k := range knownKeys {
-		if d := distance(last, k); d < dist {
-			best, dist = k, d
-		}
-	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf("; did you mean %s?", best)
-}
-
-// distance is the edit distance of two short words.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for i := range row {
-		row[i] = i
-	}
-	for i := range len(a) {
-		last := row[0]
-		row[0] = i + 1
-		for k := range len(b) {
-			cost := last
-			if a[i] != b[k] {
-				cost++
-			}
-			last = row[k+1]
-			row[k+1] = min(cost, row[k+1]+1, row[k]+1)
-		}
-	}
-	return row[len(b)]
-}
-
-// problem is an error at a key; the line is that of the key, else of the table that it would stand in.
-func (s *Scenario) problem(key, format string, args ...any) error {
-	line, ok := s.where[key]
-	for k := key; !ok && k != ""; {
-		if i := strings.LastIndexByte(k, '.'); i >= 0 {
-			k = k[:i]
-		} else {
-			k = ""
-		}
-		line, ok = s.where[k]
-	}
-	return fmt.Errorf("%s:%d: %s: %s", s.file, max(line, 1), key, fmt.Sprintf(format, args...))
-}
-
 // check reports the first thing that makes no sense.
 func (s *Scenario) check() error {
 	type bound struct {
@@ -499,7 +375,7 @@
 	}
 	for _, b := range bounds {
 		if !(b.v >= b.min && b.v <= b.max) {
-			return s.problem(b.key, "%v%s is outside %v to %v%s", trim(b.v), b.unit, trim(b.min), trim(b.max), b.unit)
+			return s.keys.Problem(b.key, "%v%s is outside %v to %v%s", trim(b.v), b.unit, trim(b.min), trim(b.max), b.unit)
 		}
 	}
 	words := []struct {
@@ -528,12 +404,12 @@
 			of     []string
 		}{fmt.Sprintf("class[%d].group", i), c.Group, []string{"all", "site", "cell"}})
 		if c.Effect == "keyed" && c.Window <= 0 {
-			return s.problem(fmt.Sprintf("class[%d].window", i), "a keyed class needs the time for which repeats are dropped")
+			return s.keys.Problem(fmt.Sprintf("class[%d].window", i), "a keyed class needs the time for which repeats are dropped")
 		}
 	}
 	for _, w := range words {
 		if !slices.Contains(w.of, w.v) {
-			return s.problem(w.key, "%q is none of %s", w.v, strings.Join(w.of, ", "))
+			return s.keys.Problem(w.key, "%q is none of %s", w.v, strings.Join(w.of, ", "))
 		}
 	}
 	if err := s.names(); err != nil {
@@ -553,16 +429,16 @@
 		for i, n := range names {
 			key := fmt.Sprintf("%s[%d].name", table, i)
 			if n == "" || strings.ContainsFunc(n, func(r rune) bool { return r <= ' ' || r > '~' || r == '"' }) {
-				return s.problem(key, "%q is no name: use letters, digits and dashes", n)
+				return s.keys.Problem(key, "%q is no name: use letters, digits and dashes", n)
 			}
 			if slices.Index(names, n) != i {
-				return s.problem(key, "%q is there twice", n)
+				return s.keys.Problem(key, "%q is there twice", n)
 			}
 		}
 	}
 	for i, f := range s.Fleet {
 		if s.Kind(f.Kind) == nil {
-			return s.problem(fmt.Sprintf("fleet[%d].kind", i), "%q is no kind of machine: there are %s", f.Kind,
+			return s.keys.Problem(fmt.Sprintf("fleet[%d].kind", i), "%q is no kind of machine: there are %s", f.Kind,
 				strings.Join(names(s.Kinds, func(x Kind) string { return x.Name }), ", "))
 		}
 	}
@@ -601,50 +477,50 @@
 		p := fmt.Sprintf("event[%d].", i)
 		act, ok := Actions[e.Do]
 		if !ok {
-			return s.problem(p+"do", "%q is none of %s", e.Do, strings.Join(sortedKeys(Actions), ", "))
+			return s.keys.Problem(p+"do", "%q is none of %s", e.Do, strings.Join(sortedKeys(Actions), ", "))
 		}
 		given := map[string]bool{"over": e.Over != 0, "part": e.Part != 0, "batch": e.Batch != 0, "drain": e.Drain != 0, "by": e.By != 0,
 			"traffic_follows": e.Follow != 0, "boxes": e.Boxes != 0, "node": e.Node != 0, "down": e.Down != 0, "rate": e.Rate != 0,
 			"kinds": len(e.Kinds) > 0, "same_address": e.Reuse, "for": e.For != 0}
 		for _, k := range sortedKeys(given) {
 			if given[k] && !slices.Contains(act.Keys, k) {
-				return s.problem(p+k, "%s does not read it: it reads %s", e.Do, strings.Join(act.Keys, ", "))
+				return s.keys.Problem(p+k, "%s does not read it: it reads %s", e.Do, strings.Join(act.Keys, ", "))
 			}
 			if !given[k] && slices.Contains(act.Need, k) {
-				return s.problem(p+k, "%s needs it", e.Do)
+				return s.keys.Problem(p+k, "%s needs it", e.Do)
 			}
 		}
 		switch {
 		case e.At < 0 || e.At > s.Length:
-			return s.problem(p+"at", "%v is outside the length of %v", e.At, s.Length)
+			return s.keys.Problem(p+"at", "%v is outside the length of %v", e.At, s.Length)
 		case e.Over < 0 || e.For < 0 || e.Drain < 0 || e.Down < 0:
-			return s.problem(p+"at", "a time is negative")
+			return s.keys.Problem(p+"at", "a time is negative")
 		case e.At+e.Over > s.Length:
-			return s.problem(p+"over", "it ends at %v, after the length of %v", e.At+e.Over, s.Length)
+			return s.keys.Problem(p+"over", "it ends at %v, after the length of %v", e.At+e.Over, s.Length)
 		case e.Part < 0 || e.Part > 1:
-			return s.problem(p+"part", "%v is outside 0 to 1", e.Part)
+			return s.keys.Problem(p+"part", "%v is outside 0 to 1", e.Part)
 		case e.Batch < 0 || e.Batch > 1:
-			return s.problem(p+"batch", "%v is outside 0 to 1", e.Batch)
+			return s.keys.Problem(p+"batch", "%v is outside 0 to 1", e.Batch)
 		case e.Do == "grow" && !(e.By > 1 && e.By <= 10):
-			return s.problem(p+"by", "%v is outside 1 to 10: the fleet grows by that factor", e.By)
+			return s.keys.Problem(p+"by", "%v is outside 1 to 10: the fleet grows by that factor", e.By)
 		case e.Do == "slow" && !(e.By > 1 && e.By <= 100):
-			return s.problem(p+"by", "%v is outside 1 to 100: boxes are slower by that factor", e.By)
+			return s.keys.Problem(p+"by", "%v is outside 1 to 100: boxes are slower by that factor", e.By)
 		case e.Do == "surge" && !(e.By > 0 && e.By <= 100):
-			return s.problem(p+"by", "%v is outside 0 to 100: traffic is times that", e.By)
+			return s.keys.Problem(p+"by", "%v is outside 0 to 100: traffic is times that", e.By)
 		case e.Do == "list-stale" && !(e.By > 0 && e.By <= 60):
-			return s.problem(p+"by", "%v is outside 0 to 60 s", e.By)
+			return s.keys.Problem(p+"by", "%v is outside 0 to 60 s", e.By)
 		case e.Follow < 0 || e.Follow > 1:
-			return s.problem(p+"traffic_follows", "%v is outside 0 to 1", e.Follow)
+			return s.keys.Problem(p+"traffic_follows", "%v is outside 0 to 1", e.Follow)
 		case e.Node < 0 || e.Node > s.Nodes.Count:
-			return s.problem(p+"node", "%d is none: nodes are numbered 1 to %d", e.Node, s.Nodes.Count)
+			return s.keys.Problem(p+"node", "%d is none: nodes are numbered 1 to %d", e.Node, s.Nodes.Count)
 		case e.Boxes < 0 || e.Boxes > s.Boxes():
-			return s.problem(p+"boxes", "%d is more than the fleet has: %d", e.Boxes, s.Boxes())
+			return s.keys.Problem(p+"boxes", "%d is more than the fleet has: %d", e.Boxes, s.Boxes())
 		case e.Rate < 0 || e.Rate > 1000:
-			return s.problem(p+"rate", "%v is outside 0 to 1000 a second", e.Rate)
+			return s.keys.Problem(p+"rate", "%v is outside 0 to 1000 a second", e.Rate)
 		}
 		for _, k := range e.Kinds {
 			if known := append(slices.Clone(BadKinds), HealthCheck); !slices.Contains(known, k) {
-				return s.problem(p+"kinds", "%q is none of %s", k, strings.Join(known, ", "))
+				return s.keys.Problem(p+"kinds", "%q is none of %s", k, strings.Join(known, ", "))
 			}
 		}
 		if e.Do == "deploy" {
@@ -661,12 +537,12 @@
 	n := s.Boxes()
 	replace := int(math.Round(e.Part * float64(n)))
 	if replace < 1 {
-		return s.problem(p+"part", "%v of %d boxes is none", e.Part, n)
+		return s.keys.Problem(p+"part", "%v of %d boxes is none", e.Part, n)
 	}
 	batch := max(1, int(math.Round(cmpOr(e.Batch, 0.15)*float64(n))))
 	rounds := (replace + batch - 1) / batch
 	if least := time.Duration(rounds-1) * 500 * time.Millisecond; e.Over.D() < least {
-		return s.problem(p+"over", "%d boxes in batches of %d take %d rounds, %v at the least: give it longer or a larger batch",
+		return s.keys.Problem(p+"over", "%d boxes in batches of %d take %d rounds, %v at the least: give it longer or a larger batch",
 			replace, batch, rounds, least)
 	}
 	return nil
--- a/internal/kit/scenario/scenario_test.go
+++ b/internal/kit/scenario/scenario_test.go
@@ -30,7 +30,8 @@
 	for _, c := range []struct{ text, want string }{
 		{"lenght = \"30s\"", `f.toml:1: lenght: no such key; did you mean length?`},
 		{"length = \"30s\"\n[traffic]\nrte = 5", `f.toml:3: traffic.rte: no such key; did you mean rate?`},
-		{"length = 30", `f.toml:1: `},
+		{"length = 30", `f.toml:1: length: a number without a unit: write text, such as "30s" or "250ms"`},
+		{"[[event]]\ndo = \"kill\"\nat = 1.5\ndown = \"1s\"", `f.toml:3: event[0].at: a number without a unit`},
 		{"length = \"30\"", `f.toml:1: length: "30" is no time: write a number and a unit`},
 		{"length = \"30 seconds\"", `write a number and a unit, such as "30s"`},
 		{"[traffic]\nrate = -5", `f.toml:2: traffic.rate: -5 a second is outside 0.1 to 20000 a second`},
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"craneglade/internal/admission"
+	"craneglade/internal/bodies"
 	"craneglade/internal/wire"
 	"craneglade/policy"
 )
@@ -91,8 +92,25 @@
 		n.pool.put(c)
 		return result{outcome: policy.Canceled}
 	}
+	if p := a.request.body; p != nil && p.tier == bodies.Once && !p.begun.CompareAndSwap(false, true) {
+		n.pool.put(c)
+		return result{outcome: policy.Moot} // it is not kept, and an earlier attempt has begun to send it
+	}
 	giveUp := context.AfterFunc(ctx, func() { c.Close() })
 	sent, err := c.Write(text)
+	whole := sent == len(text)
+	if p := a.request.body; err == nil && p != nil && p.memory == nil {
+		err = p.send(ctx, c)
+		whole = err == nil
+		if errors.Is(err, errBody) || errors.Is(err, errClient) {
+			n.pool.close(c) // the backend has only a part
+			n.log.Warn("a body was not sent", "request", a.request.id, "err", err)
+			if errors.Is(err, errClient) {
+				n.cutOff(a.request, err)
+			}
+			return result{outcome: policy.Moot}
+		}
+	}
 	var resp *http.Response
 	var body []byte
 	if err == nil {
@@ -118,7 +136,7 @@
 		switch cause := context.Cause(ctx); {
 		case cause != nil && !errors.Is(cause, errTimeout):
 			return result{outcome: policy.Canceled}
-		case sent < len(text):
+		case !whole:
 			outcome = policy.ConnectFailed // its last byte was never written
 		case cause != nil:
 			outcome = policy.TimedOut
@@ -138,9 +156,11 @@
 func (a *attempt) text() ([]byte, error) {
 	in := a.request.in
 	req := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: http.Header{"User-Agent": nil},
-		ContentLength: int64(len(a.request.body))}
-	if len(a.request.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(a.request.body))
+		Body: http.NoBody}
+	var body []byte // what goes out with the head
+	if p := a.request.body; p != nil && p.memory != nil {
+		body = p.memory
+		req.ContentLength, req.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
 	}
 	for _, name := range once {
 		if v, ok := in.Header[name]; ok {
@@ -149,9 +169,13 @@
 	}
 	req.Header.Set("X-Deadline", strconv.FormatInt(a.wait.Microseconds(), 10)+"u")
 	var b bytes.Buffer
-	b.Grow(1024 + len(a.request.body))
-	err := req.Write(&b)
-	return b.Bytes(), err
+	b.Grow(1024 + len(body))
+	if err := req.Write(&b); err != nil || body != nil || a.request.body == nil {
+		return b.Bytes(), err
+	}
+	// The body follows: only its length goes with the head. No header stands before this one but Host, and none holds a
+	// line's end.
+	return bytes.Replace(b.Bytes(), []byte("\r\nContent-Length: 0\r\n"), fmt.Appendf(nil, "\r\nContent-Length: %d\r\n", in.ContentLength), 1), nil
 }
 
 // errSpoilt is an answer that can't be the backend's answer to the request. The request may have run.
--- /dev/null
+++ b/internal/node/bodies_test.go
@@ -0,0 +1,382 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"craneglade/internal/bodies"
+	"craneglade/internal/settings"
+	"craneglade/internal/tomlfile"
+)
+
+// disk is a file system in memory that fails as a test says.
+type disk struct {
+	mu                  sync.Mutex
+	create, write, read error
+	writes              int // that still go well before write counts; -1 for any number
+	hang                chan struct{}
+	open                int
+}
+
+type diskFile struct {
+	d    *disk
+	data []byte
+}
+
+func (d *disk) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+}
+
+func (d *disk) wait() {
+	d.mu.Lock()
+	h := d.hang
+	d.mu.Unlock()
+	if h != nil {
+		<-h
+	}
+}
+
+func (d *disk) Create(int64) (bodies.File, error) {
+	d.wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.create != nil {
+		return nil, d.create
+	}
+	d.open++
+	return &diskFile{d: d}, nil
+}
+
+func (f *diskFile) WriteAt(p []byte, off int64) (int, error) {
+	f.d.wait()
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.d.write != nil {
+		if f.d.writes == 0 {
+			return 0, f.d.write
+		}
+		f.d.writes--
+	}
+	f.data = append(f.data[:off], p...)
+	return len(p), nil
+}
+
+func (f *diskFile) ReadAt(p []byte, off int64) (int, error) {
+	f.d.wait()
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.d.read != nil {
+		return 0, f.d.read
+	}
+	return copy(p, f.data[off:]), nil
+}
+
+func (f *diskFile) Close() error {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	f.d.open--
+	return nil
+}
+
+// tieredRig is a node whose saves of up to 1 MiB are kept in memory up to 100 KiB each, else on a disk of 2 MiB, else
+// sent once. Quotes may be on disk, but are never streamed.
+func tieredRig(t *testing.T, d *disk, b *box, change func(*Config)) *rig {
+	t.Helper()
+	own := &settings.File{Bodies: settings.Bodies{Memory: 300 << 10, Classes: []settings.Class{
+		{Name: "save", Most: 1 << 20, Memory: 100 << 10, Disk: true, Once: true},
+		{Name: "quote", Most: 1 << 20, Memory: 100 << 10, Disk: true}}}}
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) {
+		c.Own = own
+		if change != nil {
+			change(c)
+		}
+	}, b.entry("s-1"))
+	if d != nil {
+		r.bodies.mu.Lock()
+		r.bodies.useDisk(d, settings.Disk{Workers: 4, Deadline: tomlfile.Duration(50 * time.Millisecond)})
+		r.bodies.budget = bodies.NewBudget(bodies.Limits{Memory: 300 << 10, Disk: 2 << 20})
+		r.bodies.mu.Unlock()
+	}
+	return r
+}
+
+// tiers is how many bodies each tier was given.
+func (r *rig) tiers() [3]int64 {
+	r.bodies.mu.Lock()
+	defer r.bodies.mu.Unlock()
+	b := r.bodies.budget
+	return [3]int64{b.Placed(bodies.Memory), b.Placed(bodies.Disk), b.Placed(bodies.Once)}
+}
+
+// empty waits until no body is held any more.
+func (r *rig) empty(t *testing.T, d *disk) {
+	t.Helper()
+	wait(t, "the room of all bodies", func() bool {
+		r.bodies.mu.Lock()
+		defer r.bodies.mu.Unlock()
+		return r.bodies.budget.Used(bodies.Memory) == 0 && r.bodies.budget.Used(bodies.Disk) == 0
+	})
+	wait(t, "the close of all files", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.open == 0
+	})
+}
+
+func big(id string, size int) call {
+	c := save(id)
+	c.body = strings.Repeat("frame "+id+" ", size/(7+len(id))+1)[:size]
+	return c
+}
+
+// echo answers with the length and the end of what came, so that a body that was mixed up shows.
+func echo(c net.Conn, r *http.Request, _ int) bool {
+	body, _ := io.ReadAll(r.Body)
+	return reply(c, 200, "", fmt.Sprintf("%s %d %x", r.Header.Get("X-Request-Id"), len(body), sum(string(body))))
+}
+
+func sum(s string) uint32 {
+	h := uint32(2166136261)
+	for i := range len(s) {
+		h = (h ^ uint32(s[i])) * 16777619
+	}
+	return h
+}
+
+func (c call) echoed() string { return fmt.Sprintf("%s %d %x", c.id, len(c.body), sum(c.body)) }
+
+func TestEachTierCarriesItsBodies(t *testing.T) {
+	t.Parallel()
+	d := &disk{}
+	b := newBox(t, echo)
+	r := tieredRig(t, d, b, nil)
+	c := r.dial(t)
+	for i, x := range []struct {
+		size int
+		want [3]int64
+	}{{50 << 10, [3]int64{1, 0, 0}}, {200 << 10, [3]int64{1, 1, 0}}, {1 << 20, [3]int64{1, 2, 0}}} {
+		q := big(fmt.Sprint("r", i), x.size)
+		if resp, body := c.ask(q); resp.StatusCode != 200 || body != q.echoed() || r.tiers() != x.want {
+			t.Errorf("%d bytes: %d %.60q, tiers %v", x.size, resp.StatusCode, body, r.tiers())
+		}
+	}
+	// No room on disk for another: streamed, and the connection is free for the next request.
+	d.set(func() { d.create = syscall.ENOSPC })
+	for i := range 3 {
+		q := big(fmt.Sprint("s", i), 300<<10)
+		if resp, body := c.ask(q); resp.StatusCode != 200 || body != q.echoed() {
+			t.Errorf("streamed: %d %.60q", resp.StatusCode, body)
+		}
+	}
+	if r.tiers()[2] != 3 {
+		t.Errorf("tiers %v", r.tiers())
+	}
+	if resp, _ := r.dial(t).ask(big("t", 1<<20+1)); resp.StatusCode != 413 {
+		t.Errorf("over the most: %d", resp.StatusCode)
+	}
+	q := big("u", 200<<10)
+	q.class, q.key = "quote", ""
+	if resp, _ := r.dial(t).ask(q); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("a quote with no tier left: %d", resp.StatusCode)
+	}
+	r.empty(t, d)
+}
+
+// What is kept goes again; what was streamed does not, whatever its class, and still gets its one answer.
+func TestSecondAttempts(t *testing.T) {
+	t.Parallel()
+	d := &disk{}
+	var lose atomic.Bool
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		if lose.CompareAndSwap(true, false) {
+			return false // reset: it may have run
+		}
+		return echo(c, r, nth)
+	})
+	other := newBox(t, echo)
+	r := tieredRig(t, d, b, nil)
+	r.mu.Lock()
+	r.takeList(&list{Version: 2, Full: true, Servers: []listed{b.entry("s-1"), other.entry("s-2")}}, 1)
+	r.mu.Unlock()
+	attempts := func() int { return len(b.requests()) + len(other.requests()) }
+	for _, x := range []struct {
+		name     string
+		size     int
+		disk     error
+		status   int
+		attempts int
+	}{{"memory", 50 << 10, nil, 200, 2}, {"disk", 200 << 10, nil, 200, 2}, {"once", 200 << 10, syscall.ENOSPC, 500, 1}} {
+		d.set(func() { d.create = x.disk })
+		for i := 0; ; i++ { // until the box that loses it is the one that is tried
+			before := attempts()
+			lose.Store(true)
+			q := big(fmt.Sprintf("%s-%d", x.name, i), x.size)
+			resp, body := r.dial(t).ask(q)
+			if lose.Load() {
+				if resp.StatusCode != 200 {
+					t.Errorf("%s: %d where nothing was lost", x.name, resp.StatusCode)
+				}
+				continue
+			}
+			if resp.StatusCode != x.status || resp.StatusCode == 200 && body != q.echoed() || attempts()-before != x.attempts {
+				t.Errorf("%s: %d %.60q after %d attempts", x.name, resp.StatusCode, body, attempts()-before)
+			}
+			break
+		}
+	}
+	r.empty(t, d)
+}
+
+func TestDiskFailsUnderABody(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		name   string
+		fault  func(d *disk)
+		status int
+	}{
+		{"no room in the middle", func(d *disk) { d.write, d.writes = syscall.ENOSPC, 3 }, 200},
+		{"an error in the middle, and what was written can't be read", func(d *disk) { d.write, d.writes, d.read = syscall.EIO, 3, syscall.EIO }, 503},
+		{"EIO on reading back", func(d *disk) { d.read = syscall.EIO }, 503},
+		{"read-only", func(d *disk) { d.create = syscall.EROFS }, 200},
+		{"it hangs", func(d *disk) { d.hang = make(chan struct{}) }, 200},
+	} {
+		d := &disk{}
+		b := newBox(t, echo)
+		r := tieredRig(t, d, b, nil)
+		d.set(func() { x.fault(d) })
+		q := big("r1", 400<<10)
+		resp, body := r.dial(t).ask(q)
+		if resp.StatusCode != x.status || x.status == 200 && body != q.echoed() || x.status == 503 && len(b.requests()) > 0 {
+			t.Errorf("%s: %d %.60q, %d attempts", x.name, resp.StatusCode, body, len(b.requests()))
+		}
+		d.set(func() {
+			if d.hang != nil {
+				close(d.hang)
+				d.hang = nil
+			}
+		})
+		r.empty(t, d)
+	}
+}
+
+// The tier is closed after a failure, known to be, and tried again later by one body.
+func TestDiskIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	d := &disk{create: syscall.ENOSPC}
+	r := tieredRig(t, d, newBox(t, echo), nil)
+	c := r.dial(t)
+	c.ask(big("r0", 200<<10))
+	d.set(func() { d.create = nil })
+	wait(t, "bodies on disk", func() bool {
+		q := big(fmt.Sprint("r", time.Now().UnixNano()), 200<<10)
+		if resp, body := c.ask(q); resp.StatusCode != 200 || body != q.echoed() {
+			t.Fatalf("%d %.60q", resp.StatusCode, body)
+		}
+		return r.tiers()[1] >= 4 // of which two were tried in vain
+	})
+}
+
+// All tiers full at once, with a disk that fails now and then: every request gets exactly one final answer, all room is
+// given back, and no total was overspent meanwhile.
+func TestAllTiersFullAtOnce(t *testing.T) {
+	t.Parallel()
+	d := &disk{}
+	hold := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		<-hold
+		return echo(c, r, nth)
+	})
+	r := tieredRig(t, d, b, nil)
+	var wg sync.WaitGroup
+	var served, refused, other atomic.Int64
+	for i := range 60 {
+		q := big(fmt.Sprint("r", i), []int{80 << 10, 200 << 10, 700 << 10}[i%3])
+		c := r.dial(t)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := io.WriteString(c, q.text()); err != nil {
+				other.Add(1)
+				return
+			}
+			resp, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				other.Add(1)
+				return
+			}
+			body, _ := io.ReadAll(resp.Body)
+			switch {
+			case resp.StatusCode == 200 && string(body) == q.echoed():
+				served.Add(1)
+			case resp.StatusCode == 503:
+				refused.Add(1)
+			default:
+				other.Add(1)
+			}
+			if resp.StatusCode == 200 { // nothing may follow
+				c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+				if n, _ := c.in.Read(make([]byte, 1)); n > 0 {
+					t.Errorf("%s: something follows its answer", q.id)
+				}
+			}
+		}()
+		if i == 30 {
+			d.set(func() { d.create = syscall.EIO })
+		}
+	}
+	wait(t, "full tiers", func() bool { n := r.tiers(); return n[0] >= 3 && n[1] >= 2 && n[0]+n[1]+n[2] >= 55 })
+	r.bodies.mu.Lock()
+	memory, onDisk := r.bodies.budget.Used(bodies.Memory), r.bodies.budget.Used(bodies.Disk)
+	r.bodies.mu.Unlock()
+	if memory > 300<<10 || onDisk > 2<<20 {
+		t.Errorf("%d bytes in memory and %d on disk", memory, onDisk)
+	}
+	close(hold)
+	wg.Wait()
+	if served.Load()+refused.Load() != 60 || other.Load() != 0 || served.Load() < 20 {
+		t.Errorf("%d served, %d refused, %d neither", served.Load(), refused.Load(), other.Load())
+	}
+	r.empty(t, d)
+}
+
+// A client that stops in the middle of a body that is streamed costs the backend nothing and is told so.
+func TestClientStopsInAStreamedBody(t *testing.T) {
+	t.Parallel()
+	d := &disk{create: syscall.ENOSPC}
+	b := newBox(t, echo)
+	r := tieredRig(t, d, b, nil)
+	q := big("r1", 300<<10)
+	c := r.dial(t)
+	c.send(q.text()[:100<<10])
+	c.Conn.(*net.TCPConn).CloseWrite()
+	if resp, _ := c.answer(); resp.StatusCode != 400 {
+		t.Errorf("half a body: %d", resp.StatusCode)
+	}
+	if len(b.requests()) != 0 {
+		t.Error("half a request reached the box whole")
+	}
+	r.empty(t, d)
+}
+
+// Without a file of our own nothing larger than the protocol's bodies is taken.
+func TestUsualBodies(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newRegistry(t), settingsJSON, nil, newBox(t, echo).entry("s-1"))
+	q := big("r1", maxBody)
+	if resp, body := r.dial(t).ask(q); resp.StatusCode != 200 || body != q.echoed() {
+		t.Errorf("%d", resp.StatusCode)
+	}
+	if resp, _ := r.dial(t).ask(big("r2", maxBody+1)); resp.StatusCode != 413 {
+		t.Errorf("%d", resp.StatusCode)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -236,8 +235,9 @@
 // rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
 // it can't be told from the rest of that request.
 type rejection struct {
-	status int
-	text   string
+	status     int
+	text       string
+	retryAfter time.Duration
 }
 
 // talk answers one request after the other.
@@ -255,7 +255,7 @@
 			c.over = true
 		}
 		a, ok := s.answer(c, r)
-		last := r.in.Close || c.over || s.node.leaving.Load() || ok && s.leaves(c)
+		last := r.in.Close || c.over || s.node.leaving.Load() || !r.body.isDrained() || ok && s.leaves(c)
 		if !ok || c.write(r.in, a, last) != nil || last || !s.rest(c) {
 			return
 		}
@@ -282,11 +282,11 @@
 	in, err := http.ReadRequest(c.in)
 	switch {
 	case err != nil && !time.Now().Before(end): // the parser may hide the time-out
-		return nil, &rejection{http.StatusRequestTimeout, "the head did not come in time"}
+		return nil, &rejection{status: http.StatusRequestTimeout, text: "the head did not come in time"}
 	case err != nil && c.cap.N <= 0:
-		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
+		return nil, &rejection{status: http.StatusRequestHeaderFieldsTooLarge, text: "the head is too large"}
 	case err != nil:
-		return nil, &rejection{http.StatusBadRequest, err.Error()}
+		return nil, &rejection{status: http.StatusBadRequest, text: err.Error()}
 	}
 	r.in = in
 	if no := s.node.check(r); no != nil {
@@ -297,13 +297,18 @@
 			c.SetWriteDeadline(end.Add(bodyTime))
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
 		}
-		s.deadline(c, end.Add(bodyTime))
+		by := end.Add(bodyTime)
+		if in.ContentLength > maxBody { // takes longer, but not longer than anybody waits for the answer
+			by = by.Add(time.Duration(in.ContentLength) * time.Second / bodyRate)
+			if up := r.arrived.Add(r.patience); up.Before(by) {
+				by = up
+			}
+		}
+		s.deadline(c, by)
 		c.cap.N = in.ContentLength
-		r.body = make([]byte, in.ContentLength)
-		if _, err := io.ReadFull(in.Body, r.body); errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, &rejection{http.StatusRequestTimeout, "the body did not come in time"}
-		} else if err != nil { // cut short: what came is not what the client meant
-			return nil, &rejection{http.StatusBadRequest, "body: " + err.Error()}
+		var no *rejection
+		if r.body, no = s.node.bodies.read(s.node.ctx, in.Header.Get("X-Class"), in); no != nil {
+			return nil, no
 		}
 	}
 	return r, nil
@@ -316,7 +321,7 @@
 func (n *node) check(r *request) *rejection {
 	in := r.in
 	no := func(status int, format string, args ...any) *rejection {
-		return &rejection{status, fmt.Sprintf(format, args...)}
+		return &rejection{status: status, text: fmt.Sprintf(format, args...)}
 	}
 	bad := http.StatusBadRequest
 	switch expect := in.Header.Get("Expect"); {
@@ -331,8 +336,6 @@
 		return no(http.StatusExpectationFailed, "Expect: %q is not known", expect)
 	case in.Method != http.MethodGet && in.Method != http.MethodPost:
 		return no(http.StatusMethodNotAllowed, "a request is a GET or a POST")
-	case in.ContentLength > maxBody:
-		return no(http.StatusRequestEntityTooLarge, "Content-Length: over %d", maxBody)
 	case in.Method == http.MethodGet && in.ContentLength != 0:
 		return no(bad, "Content-Length: a GET has no body")
 	case in.Method == http.MethodPost && in.Header.Get("Content-Length") == "":
@@ -377,10 +380,12 @@
 		return answer{status: n.readiness()}, true
 	}
 	if c.over { // nothing was sent: refusing is harmless, whatever the class
+		r.body.free()
 		return answer{status: http.StatusServiceUnavailable, body: []byte("too many connections\n"), retryAfter: 250 * time.Millisecond}, true
 	}
 	if !n.begin(r) {
-		c.reject(&rejection{http.StatusConflict, "X-Request-Id: a request with this id is open"})
+		r.body.free()
+		c.reject(&rejection{status: http.StatusConflict, text: "X-Request-Id: a request with this id is open"})
 		return answer{}, false
 	}
 	select {
@@ -388,6 +393,13 @@
 		return a, true
 	default:
 	}
+	if !r.body.isDrained() { // an attempt reads the client's connection
+		select {
+		case a := <-r.done:
+			return a, true
+		case <-r.body.drained:
+		}
+	}
 	c.SetReadDeadline(time.Time{}) // no bound on waiting, also where the connection is to close behind this answer
 	c.cap.N = maxHead
 	left := make(chan bool, 1)
@@ -420,7 +432,7 @@
 
 // reject answers what is no request.
 func (c *clientConn) reject(no *rejection) {
-	if c.write(nil, answer{status: no.status, body: []byte(no.text + "\n")}, true) != nil {
+	if c.write(nil, answer{status: no.status, body: []byte(no.text + "\n"), retryAfter: no.retryAfter}, true) != nil {
 		return
 	}
 	// Closing resets a connection on which something is unread, and with it what the client has not read.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,8 +7,11 @@
 	"hash/fnv"
 	"net"
 	"os"
+	"slices"
 
+	"craneglade/internal/settings"
 	"craneglade/internal/wire"
+	"craneglade/policy"
 )
 
 // Config is what a node is told at its start.
@@ -22,6 +25,7 @@
 	Sockets   int  // descriptors that the process may hold
 	Known     list // the backends as this node last had them
 	Settings  wire.Settings
+	Own       *settings.File // this program's own; nil where there is none
 }
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
@@ -104,3 +108,13 @@
 	cfg.Seed = h.Sum64()
 	return cfg, nil
 }
+
+// CheckOwn holds the program's own settings against the platform's.
+func (cfg *Config) CheckOwn() error {
+	for i, c := range cfg.Own.Bodies.Classes {
+		if !slices.ContainsFunc(cfg.Settings.Policy.Classes, func(k policy.Class) bool { return k.Name == c.Name }) {
+			return fmt.Errorf("bodies.class[%d].name: the service has no class %q", i, c.Name)
+		}
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	log     *slog.Logger
 	clock   clock
 	pool    *pool
+	bodies  *bodyStore
 	effects map[string]policy.Effect // of the classes that there are
 	leaving atomic.Bool              // SIGTERM has come
 
@@ -66,7 +67,7 @@
 	patience time.Duration // how long its client waits
 	until    time.Duration
 	in       *http.Request
-	body     []byte
+	body     *payload // nil for none
 	attempts []*attempt
 	open     int
 	answered bool
@@ -126,6 +127,10 @@
 		n.effects[c.Name] = c.Effect
 	}
 	n.pool = newPool(cfg)
+	if n.bodies, err = newBodyStore(cfg, n.clock); err != nil {
+		cancel()
+		return nil, nil, fmt.Errorf("bodies: %w", err)
+	}
 	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
 	n.mu.Lock()
@@ -142,6 +147,7 @@
 		n.wg.Wait()
 		n.disc.http.CloseIdleConnections()
 		n.pool.stop()
+		n.bodies.stop()
 	}, nil
 }
 
@@ -176,6 +182,19 @@
 	n.forget(r)
 }
 
+// cutOff answers a request whose client did not send all of its body, which no attempt has sent whole.
+func (n *node) cutOff(r *request, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.answered {
+		return
+	}
+	r.answered = true
+	no := cutShort(err)
+	r.done <- answer{status: no.status, body: []byte(no.text + "\n")}
+	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvGone, ID: r.id})
+}
+
 // ended hands in an attempt's outcome, and passes on the answer of one that was served.
 func (n *node) ended(a *attempt, res result) {
 	n.mu.Lock()
@@ -205,6 +224,7 @@
 func (n *node) forget(r *request) {
 	if r.answered && r.open == 0 {
 		delete(n.requests, r.id)
+		r.body.free()
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -558,7 +558,7 @@
 	r.mu.Unlock()
 	for _, q := range []call{view("v"), save("s")} {
 		in, _ := http.NewRequest(q.method, "http://x/api", nil)
-		a := &attempt{request: &request{in: in, body: []byte(q.body)}, backend: be, wait: patience}
+		a := &attempt{request: &request{in: in, body: &payload{memory: []byte(q.body)}}, backend: be, wait: patience}
 		be.stop.Store(time.Now().Add(-time.Millisecond).UnixNano())
 		if res := r.run(context.Background(), a); res.outcome != policy.Moot {
 			t.Errorf("%s: outcome %d, want it never sent", q.method, res.outcome)
@@ -903,7 +903,7 @@
 	r.mu.Unlock()
 	run := func(wait time.Duration) result {
 		in, _ := http.NewRequest("POST", "http://x/api", nil)
-		a := &attempt{request: &request{in: in, body: []byte("a door")}, backend: be, wait: wait}
+		a := &attempt{request: &request{in: in, body: &payload{memory: []byte("a door")}}, backend: be, wait: wait}
 		return r.run(context.Background(), a)
 	}
 	var wg sync.WaitGroup
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,51 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestFiles(t *testing.T) {
+	dir := t.TempDir()
+	f, err := Parse("own.toml", fmt.Appendf(nil, `
+[bodies]
+memory = "8MiB"
+[bodies.disk]
+folder = %q
+total = "1GiB"
+[[bodies.class]]
+name = "save-config"
+most = "4MiB"
+disk = true
+`, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c := f.Bodies.Classes[0]; f.Bodies.Memory != 8<<20 || f.Bodies.Disk.Total != 1<<30 || c.Most != 4<<20 || c.Memory != 64<<10 || !c.Disk ||
+		f.Bodies.Disk.Workers != 4 || f.Bodies.Disk.Deadline.D() != 20*time.Millisecond {
+		t.Errorf("%+v", f.Bodies)
+	}
+	disk := fmt.Sprintf("[bodies.disk]\nfolder = %q\ntotal = \"1MiB\"\n", dir)
+	for _, c := range []struct{ text, want string }{
+		{"[bodies]\nmemry = \"8MiB\"", "own.toml:2: bodies.memry: no such key; did you mean memory?"},
+		{"[bodies]\nmemory = \"8MB\"", `own.toml:2: bodies.memory: "8MB" is no size: write a whole number and a unit, such as "64KiB"`},
+		{"[bodies]\nmemory = \"-1MiB\"", "is no size"},
+		{"[bodies.disk]\ntotal = \"1MiB\"", "own.toml:2: bodies.disk.total: it needs bodies.disk.folder"},
+		{"[bodies.disk]\nfolder = \"/\"", "own.toml:2: bodies.disk.folder: it needs bodies.disk.total"},
+		{"[bodies.disk]\nfolder = \"/no/such\"\ntotal = \"1MiB\"", "own.toml:2: bodies.disk.folder: stat /no/such"},
+		{disk + "workers = 0", "own.toml:4: bodies.disk.workers: 0 is outside 1 to 64"},
+		{disk + "deadline = \"1us\"", "own.toml:4: bodies.disk.deadline: 1µs is outside 1ms to 10s"},
+		{"[[bodies.class]]\nname = \"a\"\n[[bodies.class]]\nname = \"a\"", `own.toml:4: bodies.class[1].name: "a" is empty or there twice`},
+		{"[[bodies.class]]\nname = \"a\"\nmemory = \"65KiB\"", "own.toml:3: bodies.class[0].memory: it is over most"},
+		{"[[bodies.class]]\nname = \"a\"\ndisk = true", "own.toml:3: bodies.class[0].disk: it needs bodies.disk.folder"},
+		{"[[bodies.class]]\nname = \"a\"\nmost = \"1MiB\"", "own.toml:3: bodies.class[0].most: bodies over memory have no tier: allow disk or once"},
+		{"[[bodies.class]]\nname = \"a\"\nmost = \"2GiB\"\nonce = true", "own.toml:3: bodies.class[0].most: it is over 1GiB"},
+	} {
+		_, err := Parse("own.toml", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
+		}
+	}
+}
