A number without a unit is refused with its line and key, also a fraction

The reader of our own files looked for such numbers only after decoding, where a fraction had failed already with neither line nor key.

--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -72,6 +72,15 @@
 
 // Decode reads text into v, a pointer to a struct, and returns the keys that it names. file is for errors.
 func Decode(file string, text []byte, v any) (*Keys, error) {
+	k := &Keys{file: file}
+	var bare []string
+	k.where, bare = lines(text)
+	units := unitsOf(reflect.TypeOf(v).Elem(), "", map[string]string{})
+	for _, key := range bare {
+		if form := units[strings.Join(strings.FieldsFunc(key, inIndex()), "")]; form != "" {
+			return nil, k.Problem(key, "a number without a unit: write %s", form)
+		}
+	}
 	dec := toml.NewDecoder(strings.NewReader(string(text)))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
@@ -93,15 +102,6 @@
 		}
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
-	k := &Keys{file: file}
-	var bare []string
-	k.where, bare = lines(text)
-	units := unitsOf(reflect.TypeOf(v).Elem(), "", map[string]string{})
-	for _, key := range bare {
-		if form := units[strings.Join(strings.FieldsFunc(key, inIndex()), "")]; form != "" {
-			return nil, k.Problem(key, "a number without a unit: write %s", form)
-		}
-	}
 	return k, nil
 }
 
