Answers beyond memory are streamed, and a break is visible to the client

An answer of up to the size that deploy/craneglade.toml allows goes on while it comes; without that file 64 KiB stay the most. Neither side may pause for longer than 2 s, a broken one ends short of its length, and a whole one leaves both connections sound. Tests over loopback: whole, cut in the middle, over the most, and a client that never reads.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -114,7 +114,7 @@
 	var resp *http.Response
 	var body []byte
 	if err == nil {
-		resp, body, err = c.read(a.request.in.Method)
+		resp, body, err = c.read(a.request.in.Method, n.bodies.answer)
 	}
 	switch {
 	case err == nil, errors.Is(err, errSpoilt):
@@ -122,6 +122,10 @@
 	case context.Cause(ctx) == nil: // it ended by the backend's doing, before a byte
 		n.pool.learn(c, false)
 	}
+	if err == nil && resp.ContentLength > maxBody {
+		b.heard.Add(1)
+		return n.flow(ctx, a, c, resp, giveUp)
+	}
 	// The answer stands, however its connection ends; but only a sound one is used again.
 	if giveUp() && err == nil && !resp.Close && len(resp.TransferEncoding) == 0 && c.in.Buffered() == 0 {
 		n.pool.put(c)
@@ -181,8 +185,9 @@
 // errSpoilt is an answer that can't be the backend's answer to the request. The request may have run.
 var errSpoilt = errors.New("a spoilt answer")
 
-// read reads one answer whole, before any of it goes on: one that breaks can still be tried again.
-func (c *backendConn) read(method string) (*http.Response, []byte, error) {
+// read reads one answer whole, before any of it goes on: one that breaks can still be tried again. Of one that is larger
+// than the usual, up to most, it reads the head.
+func (c *backendConn) read(method string, most int64) (*http.Response, []byte, error) {
 	c.cap.N = maxHead + maxBody
 	for {
 		if _, err := c.in.Peek(1); err != nil {
@@ -204,6 +209,10 @@
 			}
 			continue
 		}
+		if resp.StatusCode == http.StatusOK && resp.ContentLength > maxBody && resp.ContentLength <= most {
+			c.cap.N += resp.ContentLength
+			return resp, nil, nil
+		}
 		if resp.ContentLength > maxBody {
 			return nil, nil, fmt.Errorf("%w: %d bytes", errSpoilt, resp.ContentLength)
 		}
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -14,6 +14,7 @@
 
 	"craneglade/internal/bodies"
 	"craneglade/internal/settings"
+	"craneglade/policy"
 )
 
 const (
@@ -27,6 +28,7 @@
 	usual    bodies.Class
 	spool    *bodies.Spool // nil without a disk
 	deadline time.Duration
+	answer   int64 // the largest body of an answer; beyond the usual size it is streamed
 	clock    clock
 
 	mu     sync.Mutex
@@ -35,7 +37,8 @@
 }
 
 func newBodyStore(cfg Config, clock clock) (*bodyStore, error) {
-	s := &bodyStore{classes: map[string]bodies.Class{}, usual: bodies.Class{Most: maxBody, Memory: maxBody}, clock: clock}
+	s := &bodyStore{classes: map[string]bodies.Class{}, usual: bodies.Class{Most: maxBody, Memory: maxBody}, answer: maxBody,
+		clock: clock}
 	limits := bodies.Limits{Memory: 1 << 40}
 	if cfg.MemoryMB > 0 {
 		limits.Memory = int64(cfg.MemoryMB) << 20 / 4
@@ -44,6 +47,7 @@
 		if own.Bodies.Memory > 0 {
 			limits.Memory = int64(own.Bodies.Memory)
 		}
+		s.answer = max(s.answer, int64(own.Bodies.Answer))
 		for _, c := range own.Bodies.Classes {
 			s.classes[c.Name] = bodies.Class{Most: int64(c.Most), Memory: int64(c.Memory), Disk: c.Disk, Once: c.Once}
 		}
@@ -288,3 +292,83 @@
 		return false
 	}
 }
+
+// flowing is the body of an answer that goes on while it comes.
+type flowing struct {
+	body  io.Reader
+	from  net.Conn
+	size  int64
+	err   error      // of reading from the backend
+	ended chan error // holds one: how it ended
+}
+
+// Read reads from the backend, which may not pause for longer than a client may.
+func (f *flowing) Read(p []byte) (int, error) {
+	f.from.SetReadDeadline(time.Now().Add(writeTime))
+	n, err := f.body.Read(p)
+	if err != nil && err != io.EOF {
+		f.err = err
+	}
+	return n, err
+}
+
+// end tells the attempt how its answer's way to the client ended.
+func (f *flowing) end(err error) {
+	switch {
+	case f.err != nil:
+		err = f.err
+	case err != nil:
+		err = fmt.Errorf("%w: %w", errClient, err)
+	}
+	f.ended <- err
+}
+
+// paced is a client that may not pause for longer than writeTime.
+type paced struct{ net.Conn }
+
+func (p paced) Write(b []byte) (int, error) {
+	p.SetWriteDeadline(time.Now().Add(writeTime))
+	return p.Conn.Write(b)
+}
+
+// flow passes on an answer that is too large to be held. Once it has begun the request has its final answer; where that
+// breaks off, the client sees it by its length.
+func (n *node) flow(ctx context.Context, a *attempt, c *backendConn, resp *http.Response, giveUp func() bool) result {
+	res := n.judge(a.backend, resp, nil)
+	f := &flowing{body: resp.Body, from: c.Conn, size: resp.ContentLength, ended: make(chan error, 1)}
+	res.answer.flow = f
+	err := errCanceled
+	if n.deliver(a.request, res.answer) {
+		select {
+		case err = <-f.ended:
+		case <-ctx.Done():
+			err = context.Cause(ctx)
+		}
+	}
+	if giveUp() && err == nil && !resp.Close && c.in.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil {
+		n.pool.put(c)
+	} else {
+		n.pool.close(c)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, errClient), errors.Is(err, errCanceled):
+		res.outcome = policy.Canceled
+	default:
+		n.log.Debug("an answer broke off on its way", "backend", a.backend.id, "err", err)
+		res.outcome = policy.Reset
+	}
+	return res
+}
+
+// deliver gives a request an answer that is still coming, unless it has one.
+func (n *node) deliver(r *request, a answer) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.answered {
+		return false
+	}
+	r.answered = true
+	r.done <- a
+	return true
+}
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -103,7 +103,7 @@
 	}, b.entry("s-1"))
 	if d != nil {
 		r.bodies.mu.Lock()
-		r.bodies.useDisk(d, settings.Disk{Workers: 4, Deadline: tomlfile.Duration(50 * time.Millisecond)})
+		r.bodies.useDisk(d, settings.Disk{Workers: 4, Deadline: tomlfile.Duration(patience)}) // no machine is so slow
 		r.bodies.budget = bodies.NewBudget(bodies.Limits{Memory: 300 << 10, Disk: 2 << 20})
 		r.bodies.mu.Unlock()
 	}
@@ -253,7 +253,12 @@
 		d := &disk{}
 		b := newBox(t, echo)
 		r := tieredRig(t, d, b, nil)
-		d.set(func() { x.fault(d) })
+		d.set(func() {
+			x.fault(d)
+			if d.hang != nil {
+				r.bodies.deadline = 20 * time.Millisecond
+			}
+		})
 		q := big("r1", 400<<10)
 		resp, body := r.dial(t).ask(q)
 		if resp.StatusCode != x.status || x.status == 200 && body != q.echoed() || x.status == 503 && len(b.requests()) > 0 {
@@ -380,3 +385,56 @@
 		t.Errorf("%d", resp.StatusCode)
 	}
 }
+
+// Answers beyond memory are streamed: whole to a client that reads, cut visibly where the box breaks off, and no longer
+// than writeTime to one that does not read.
+func TestLargeAnswers(t *testing.T) {
+	t.Parallel()
+	large := strings.Repeat("a large price list ", 50000)
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		switch {
+		case strings.HasPrefix(r.Header.Get("X-Request-Id"), "cut"):
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large), large[:len(large)/2])
+			return false
+		case strings.HasPrefix(r.Header.Get("X-Request-Id"), "over"):
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 2<<20)
+			return true
+		}
+		return reply(c, 200, "", large)
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) {
+		c.Own = &settings.File{Bodies: settings.Bodies{Answer: 1 << 20}}
+	}, b.entry("s-1"))
+	c := r.dial(t)
+	for i := range 3 {
+		if resp, body := c.ask(view(fmt.Sprint("r", i))); resp.StatusCode != 200 || body != large {
+			t.Errorf("%d, %d bytes of %d", resp.StatusCode, len(body), len(large))
+		}
+	}
+	if n := b.connections(); n != 1 {
+		t.Errorf("%d connections to the box: a whole answer leaves its connection sound", n)
+	}
+	if resp, _ := r.dial(t).ask(quote("over")); resp.StatusCode != 500 {
+		t.Errorf("over the most: %d", resp.StatusCode)
+	}
+	c = r.dial(t)
+	c.send(quote("cut").text())
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(resp.Body); err != io.ErrUnexpectedEOF || len(got) >= len(large) {
+		t.Errorf("a broken answer reads as %d bytes, %v", len(got), err)
+	}
+	// One that never reads: its connection ends, and with it the request.
+	c = r.dial(t)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4096)
+	for i := range 2 {
+		c.send(view(fmt.Sprint("deaf", i)).text())
+	}
+	wait(t, "the end of its request", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.requests) == 0
+	})
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -415,6 +415,13 @@
 	case gone := <-left:
 		if gone {
 			n.gone(r)
+			select {
+			case a := <-r.done:
+				if a.flow != nil { // it began to come at this moment
+					a.flow.end(errCanceled)
+				}
+			default:
+			}
 			return answer{}, false
 		}
 		return <-r.done, true // the next request is here already, and waits
@@ -454,6 +461,16 @@
 	}
 	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: in, Close: last,
 		ContentLength: int64(len(a.body)), Body: io.NopCloser(bytes.NewReader(a.body))}
+	if f := a.flow; f != nil {
+		resp.ContentLength, resp.Body = f.size, io.NopCloser(f)
+		out := bufio.NewWriterSize(paced{c.Conn}, chunkSize)
+		err := resp.Write(out)
+		if err == nil {
+			err = out.Flush()
+		}
+		f.end(err)
+		return err
+	}
 	var b bytes.Buffer
 	b.Grow(512 + len(a.body))
 	if err := resp.Write(&b); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	status     int
 	header     http.Header // of a served request: what the backend sent
 	body       []byte
+	flow       *flowing // in place of body, for one that is still coming
 	retryAfter time.Duration
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 // Bodies say how long bodies are kept for a second attempt, and how large they may be.
 type Bodies struct {
 	Memory  tomlfile.Size `toml:"memory"` // all bodies in memory together
+	Answer  tomlfile.Size `toml:"answer"` // the largest body of an answer; over 64 KiB it is streamed, and may break off
 	Disk    Disk          `toml:"disk"`
 	Classes []Class       `toml:"class"`
 }
@@ -76,6 +77,8 @@
 		return nil, keys.Problem("bodies.disk.workers", "%d is outside 1 to 64", d.Workers)
 	case d.Deadline.D() < time.Millisecond || d.Deadline.D() > 10*time.Second:
 		return nil, keys.Problem("bodies.disk.deadline", "%v is outside 1ms to 10s", d.Deadline)
+	case f.Bodies.Answer > largest:
+		return nil, keys.Problem("bodies.answer", "it is over 1GiB")
 	case d.Folder == "" && d.Total > 0:
 		return nil, keys.Problem("bodies.disk.total", "it needs bodies.disk.folder")
 	case d.Folder != "" && d.Total == 0:
