--- a/internal/cli/rehearse.go
+++ b/internal/cli/rehearse.go
@@ -92,7 +92,7 @@
 		if dir, err = os.MkdirTemp("", "craneglade-"); err != nil {
 			return err
 		}
-		defer func() { run.Remove(dir) }()
+		defer os.RemoveAll(dir) // made here, by MkdirTemp
 	} else if err := os.MkdirAll(dir, 0o755); err != nil {
 		return exit{ExitUsage, err}
 	}
--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -46,6 +46,7 @@
 	names []string // of the violations that it may show as
 	// Of the daemon's: one line of a source file, and what stands there instead.
 	file, old, new string
+	day            string // under testdata; proof.toml where none is named
 }
 
 var proxyFaults = []fault{
@@ -90,6 +91,15 @@
 	{name: "a reset ends the node", names: []string{judge.NodeCrashed}, file: "internal/node/backends.go",
 		old: `		outcome := policy.Reset // unless shown otherwise it may have run`,
 		new: `		outcome := policy.Reset; ` + logged + `"-"); panic("planted")`},
+	{name: "a reset under a streamed body counts as never run", names: []string{judge.FalseRefusal}, file: "internal/node/backends.go", day: "limits.toml",
+		old: `		outcome := policy.Reset // unless shown otherwise it may have run`,
+		new: `		outcome := policy.Reset; if p := a.request.body; p != nil && p.drained != nil { outcome = policy.ConnectFailed; ` + logged + `a.request.id) }`},
+	{name: "a body read back with a wrong byte", names: []string{judge.Unasked}, file: "internal/node/backends.go", day: "limits.toml",
+		old: `		err = p.send(ctx, c)`,
+		new: `		if p.kept != nil { ` + logged + `a.request.id); c.Conn = &plantedFlip{Conn: c.Conn} }; err = p.send(ctx, c)`},
+	{name: "no room for a body, and no word of it", names: []string{judge.CutOff}, file: "internal/node/clients.go", day: "limits.toml",
+		old: `		if r.body, no = s.node.bodies.read(s.node.ctx, in.Header.Get("X-Class"), in); no != nil {`,
+		new: `		if r.body, no = s.node.bodies.read(s.node.ctx, in.Header.Get("X-Class"), in); no != nil && no.status == 503 { s.node.log.Info("planted", "id", r.id); return nil, nil } else if no != nil {`},
 	{name: "an answer for the request before", names: []string{judge.WrongAnswer}, file: "internal/node/node.go",
 		old: `		r.done <- res.answer`,
 		new: `		r.done <- n.planted(r.id, res.answer)`},
@@ -103,6 +113,23 @@
 	b.do(Action{Kind: ActLog, Text: "planted " + id})
 	return true
 }
+`,
+	"internal/node/backends.go": `package node
+
+import "net"
+
+type plantedFlip struct {
+	net.Conn
+	done bool
+}
+
+func (f *plantedFlip) Write(p []byte) (int, error) {
+	if !f.done && len(p) > 8 {
+		p[8] ^= 1
+		f.done = true
+	}
+	return f.Conn.Write(p)
+}
 `,
 	"internal/node/node.go": `package node
 
@@ -154,7 +181,7 @@
 	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), f.old+"\n", f.new+"\n", 1)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if h := helpers[f.file]; h != "" && strings.Contains(f.new, ".planted(") {
+	if h := helpers[f.file]; h != "" && (strings.Contains(f.new, ".planted(") || strings.Contains(f.new, "plantedFlip")) {
 		helper := filepath.Join(dir, "helper.go")
 		if err := os.WriteFile(helper, []byte(h), 0o600); err != nil {
 			t.Fatal(err)
@@ -359,13 +386,20 @@
 			if seed == 1 {
 				broken(t, f, bin)
 			}
-			p := rehearse(t, craneglade, day, seed, nil, bin, "serve")
+			on := day
+			if f.day != "" {
+				on = filepath.Join(filepath.Dir(day), f.day)
+			}
+			p := rehearse(t, craneglade, on, seed, nil, bin, "serve")
 			return blamed(t, f, p), p.runs
 		})
 	}
-	for name, node := range map[string][]string{"the sound proxy": {proxy}, "the sound daemon": nil} {
-		sow(name, func(t *testing.T, seed int) (time.Duration, int) {
-			p := rehearse(t, craneglade, day, seed, nil, node...)
+	for _, x := range []struct {
+		name, day string
+		node      []string
+	}{{"the sound proxy", "proof.toml", []string{proxy}}, {"the sound daemon", "proof.toml", nil}, {"the sound daemon, large bodies", "limits.toml", nil}} {
+		sow(x.name, func(t *testing.T, seed int) (time.Duration, int) {
+			p := rehearse(t, craneglade, filepath.Join(filepath.Dir(day), x.day), seed, nil, x.node...)
 			unblamed(t, p)
 			return 0, p.runs
 		})
--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,7 +74,16 @@
 		n.mu.Unlock()
 		return err
 	}
-	cmd := exec.Command(n.r.opt.Command[0], n.r.opt.Command[1:]...)
+	args := n.r.opt.Command[1:]
+	if own := n.r.plan.Scenario.Nodes.Own; own != "" {
+		file, err := n.own(own)
+		if err != nil {
+			n.mu.Unlock()
+			return err
+		}
+		args = append(slices.Clone(args), "--config", file)
+	}
+	cmd := exec.Command(n.r.opt.Command[0], args...)
 	cmd.Env = append(append(os.Environ(), n.r.opt.Env...), "GW_NAME="+n.Name, "GW_LISTEN="+n.addr, "GW_DISCOVERY="+n.agentAt.Addr, "GW_CONFIG="+path)
 	n.tail = &tail{}
 	log, err := os.OpenFile(filepath.Join(n.r.dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -137,6 +147,15 @@
 	return path, os.Rename(path+".new", path)
 }
 
+// own writes the node's own settings, and makes the folder that they name.
+func (n *node) own(text string) (string, error) {
+	dir, path := filepath.Join(n.r.dir, n.Name), filepath.Join(n.r.dir, n.Name+".toml")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	return path, os.WriteFile(path, []byte(strings.ReplaceAll(text, "{dir}", dir)), 0o600)
+}
+
 func (n *node) note(state, text string) {
 	n.r.out.Add(&trace.Record{Kind: trace.Proc, T: n.r.clock().Now().Microseconds(), Node: n.Name, State: state, Text: text})
 }
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -10,8 +10,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
-	"path/filepath"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -532,19 +530,3 @@
 		r.errs = append(r.errs, fmt.Errorf("trace: %w", err))
 	}
 }
-
-// Remove takes away what a rehearsal has left in its folder.
-func Remove(dir string) error {
-	for _, pattern := range []string{"*.json", "*.json.new", "*.log"} {
-		files, err := filepath.Glob(filepath.Join(dir, pattern))
-		if err != nil {
-			return err
-		}
-		for _, f := range files {
-			if err := os.Remove(f); err != nil {
-				return err
-			}
-		}
-	}
-	return os.Remove(dir)
-}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"craneglade/internal/settings"
 	"craneglade/internal/tomlfile"
 )
 
@@ -56,6 +57,7 @@
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
 	Sockets  int     `toml:"sockets"` // descriptors a node may hold
+	Own      string  `toml:"own"`     // settings of the node's own, as serve --config reads them; {dir} is a folder of its own
 }
 
 // Traffic is the load. Rates are first tries a second, over all sites.
@@ -361,7 +363,7 @@
 		bounds = append(bounds, bound{p + "share", c.Share, 0.0001, 1e6, ""}, bound{p + "work", c.Work.S(), 1e-6, 60, "s"},
 			bound{p + "spread", c.Spread, 0, 5, ""}, bound{p + "attempt_noise", c.Noise, 0, 2, ""},
 			bound{p + "aim", c.Aim.S(), 0.001, 600, "s"}, bound{p + "deadline", c.Deadline.S(), c.Aim.S(), 600, "s"},
-			bound{p + "worth", c.Worth, 0, 1e6, ""}, bound{p + "bytes", float64(c.Bytes), 0, 64 << 10, ""})
+			bound{p + "worth", c.Worth, 0, 1e6, ""}, bound{p + "bytes", float64(c.Bytes), 0, 16 << 20, ""})
 	}
 	for i, t := range s.Tenants {
 		p := fmt.Sprintf("tenant[%d].", i)
@@ -415,6 +417,9 @@
 	if err := s.names(); err != nil {
 		return err
 	}
+	if _, err := settings.Parse("nodes.own", []byte(strings.ReplaceAll(s.Nodes.Own, "{dir}", os.TempDir()))); err != nil {
+		return s.keys.Problem("nodes.own", "%v", err)
+	}
 	return s.events()
 }
 
--- a/internal/kit/scenario/scenario_test.go
+++ b/internal/kit/scenario/scenario_test.go
@@ -50,6 +50,7 @@
 		{"[[event]]\ndo = \"deploy\"\nat = \"20s\"\nover = \"20s\"\npart = 0.9", `f.toml:4: event[0].over: it ends at 40s, after the length of 30s`},
 		{"[[event]]\ndo = \"vanish\"\nat = \"1s\"\nfor = \"2s\"\nboxes = 40", `f.toml:5: event[0].boxes: 40 is more than the fleet has: 11`},
 		{"[[event]]\ndo = \"bad-clients\"\nat = \"1s\"\nfor = \"2s\"\nrate = 5\nkinds = [\"rude\"]", `f.toml:6: event[0].kinds: "rude" is none of garbage`},
+		{"[nodes]\ncount = 3\nown = \"[bodies]\\nmemry = 3\"", `f.toml:3: nodes.own: nodes.own:2: bodies.memry: no such key; did you mean memory?`},
 		{"title = \"x\"\n[nodes\ncount = 3", `f.toml:2: `},
 	} {
 		_, err := Parse("f.toml", []byte(c.text))
--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -23,6 +23,9 @@
 	capEvery  = 100 * time.Millisecond
 )
 
+// maxBody is the largest body of a request that a box reads, in bytes.
+const maxBody = 32 << 20
+
 // BoxConfig is what a box is.
 type BoxConfig struct {
 	ID, Site, Kind string
@@ -453,7 +456,7 @@
 	r, err := http.ReadRequest(in)
 	var body []byte
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(r.Body, 80<<10))
+		body, err = io.ReadAll(io.LimitReader(r.Body, maxBody))
 	}
 	rec := trace.Record{Kind: trace.Recv, T: b.clock.us(), T0: first, Box: b.cfg.ID, Node: c.node.Name}
 	if err != nil {
