Notice how long requests waited in the kernel: off their time, and shed the cheapest when far behind

The time between a request's coming to the machine and its reading was unknown; 10 ms were set aside for it. Linux tells it for each socket (tcpi_last_data_recv): it now counts against the client's time, and a mean wait over 60 ms makes the node refuse the cheapest class first, all at 300 ms, with Retry-After and before anything is done.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,9 +44,10 @@
 	slots chan struct{}
 	wg    sync.WaitGroup // connections
 
-	mu      sync.Mutex
-	account *admission.Clients // decides who may stay
-	conns   map[*clientConn]struct{}
+	mu       sync.Mutex
+	account  *admission.Clients // decides who may stay
+	pressure admission.Pressure
+	conns    map[*clientConn]struct{}
 }
 
 // clientConn is one of them.
@@ -155,6 +157,18 @@
 	return spare != nil
 }
 
+// sheds notes how long a request had waited to be read, and tells whether the node is so far behind that it should refuse
+// it at once.
+func (s *clients) sheds(late time.Duration, r *request) bool {
+	rank, classes := s.node.rank(r.in.Header.Get("X-Class"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.pressure.Seen(now, late)
+	part := s.pressure.Shed(now, rank, classes)
+	return part > 0 && rand.Float64() < part
+}
+
 // forget takes a connection off those that count. s.mu is held.
 func (s *clients) forget(c *clientConn) {
 	delete(s.conns, c)
@@ -271,6 +285,7 @@
 	} else {
 		s.deadline(c, end)
 	}
+	behind := c.in.Buffered() > 0 // it came while the one before was answered
 	if _, err := c.in.Peek(1); err != nil {
 		return nil, nil
 	}
@@ -278,6 +293,12 @@
 	if c.used {
 		end = r.arrived.Add(headTime)
 	}
+	// Its client's time has run since it came to this machine, not since it was read here.
+	late := time.Duration(0)
+	if !behind {
+		late = waited(c.Conn)
+	}
+	r.arrived = r.arrived.Add(-late)
 	s.reading(c, end)
 	in, err := http.ReadRequest(c.in)
 	switch {
@@ -292,6 +313,7 @@
 	if no := s.node.check(r); no != nil {
 		return nil, no
 	}
+	r.shed = r.id != "" && s.sheds(late, r)
 	if in.ContentLength > 0 {
 		if in.Header.Get("Expect") != "" {
 			c.SetWriteDeadline(end.Add(bodyTime))
@@ -379,9 +401,9 @@
 	if r.id == "" {
 		return answer{status: n.readiness()}, true
 	}
-	if c.over { // nothing was sent: refusing is harmless, whatever the class
+	if c.over || r.shed { // nothing was sent: refusing is harmless, whatever the class
 		r.body.free()
-		return answer{status: http.StatusServiceUnavailable, body: []byte("too many connections\n"), retryAfter: 250 * time.Millisecond}, true
+		return answer{status: http.StatusServiceUnavailable, body: []byte("too much at once\n"), retryAfter: 250 * time.Millisecond}, true
 	}
 	if !n.begin(r) {
 		r.body.free()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	attempts []*attempt
 	open     int
 	answered bool
+	shed     bool        // the node is so far behind that it refuses it
 	done     chan answer // holds the one final answer; never blocks
 }
 
@@ -152,6 +153,23 @@
 	}, nil
 }
 
+// rank is a class's place among all by worth, the cheapest being 0, and the number of classes.
+func (n *node) rank(class string) (rank, classes int) {
+	all := n.cfg.Settings.Policy.Classes
+	worth := 0.0
+	for _, c := range all {
+		if c.Name == class {
+			worth = c.Worth
+		}
+	}
+	for _, c := range all {
+		if c.Worth < worth {
+			rank++
+		}
+	}
+	return rank, len(all)
+}
+
 // begin takes a request and hands it to the policy, unless one with its id is open. The final answer comes on the
 // request's channel.
 func (n *node) begin(r *request) bool {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"craneglade/internal/admission"
 	"craneglade/policy"
 )
 
@@ -1004,6 +1005,44 @@
 	}
 }
 
+// What a request has waited for in the kernel counts against its time, and a node that is far behind refuses the cheapest
+// class, harmlessly, before anything is done for it.
+func TestBehindInTheKernel(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	s, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	io.WriteString(c, "x")
+	wait(t, "the wait in the kernel", func() bool { return waited(s) >= 60*time.Millisecond })
+	io.WriteString(c, "y")
+	wait(t, "a shorter one after more bytes", func() bool { return waited(s) < 60*time.Millisecond })
+
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	conns := &clients{node: r.node, account: admission.NewClients(admission.Limits{})}
+	for i := range 400 { // waits between where the cheapest class is refused and where the next is: views are worth 1, quotes 2, saves 10
+		in := &http.Request{Header: http.Header{"X-Class": {"save"}}}
+		if conns.sheds(145*time.Millisecond, &request{in: in}) {
+			t.Fatalf("the dearest class is refused at request %d", i)
+		}
+	}
+	if !conns.sheds(145*time.Millisecond, &request{in: &http.Request{Header: http.Header{"X-Class": {"view"}}}}) {
+		t.Error("the cheapest class is not refused")
+	}
+}
+
 // A list that comes empty by mistake costs neither the backends' connections nor what is known of them.
 func TestEmptyListIsOutlived(t *testing.T) {
 	t.Parallel()
