--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,7 @@
 	opt     Options
 	plan    *plan.Plan
 	dir     string
+	host    string // of all listeners
 	out     *trace.Writer
 	start   time.Time
 	clients *stand.Clients
@@ -99,17 +101,31 @@
 
 func (r *Rehearsal) clock() stand.Clock { return stand.Clock{Start: r.start} }
 
+// listen listens on an address, or on a port from the kernel. Each rehearsal has a loopback address of its own, where the
+// system has more than one: the port of a box that has gone must not become another rehearsal's, whose boxes a node that
+// is not told yet would then reach.
 func (r *Rehearsal) listen(addr string) (net.Listener, error) {
-	if addr == "" {
-		addr = "127.0.0.1:0"
+	if addr != "" {
+		return net.Listen("tcp", addr)
 	}
-	return net.Listen("tcp", addr)
+	return net.Listen("tcp", net.JoinHostPort(r.host, "0"))
+}
+
+// someHost draws an address of 127.0.0.0/8 (RFC 1122, 3.2.1.3). Some systems have only the usual one.
+func someHost() string {
+	host := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))}).String()
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "127.0.0.1"
+	}
+	ln.Close()
+	return host
 }
 
 // Play plays the rehearsal to its end. An error means that it could not be played; a node that crashes is in the trace.
 func Play(ctx context.Context, opt Options) (*Cost, error) {
 	quit, stop := context.WithCancel(ctx)
-	r := &Rehearsal{opt: opt, plan: opt.Plan, dir: opt.Dir, start: time.Now(), quit: quit, boxes: map[string]*boxSeat{},
+	r := &Rehearsal{opt: opt, plan: opt.Plan, dir: opt.Dir, host: someHost(), start: time.Now(), quit: quit, boxes: map[string]*boxSeat{},
 		rng: rand.New(rand.NewPCG(opt.Plan.Seed, 6))}
 	s := r.plan.Scenario
 	var nodes []trace.Node
