--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -72,14 +72,10 @@
 		if wait := restTime - time.Since(c.since); wait > 0 {
 			sleep(ctx, wait)
 		}
-		w := pending(c.Conn)
-		if w == nothing {
+		if pending(c.Conn) == nothing {
 			return c, nil
 		}
-		if w == ended {
-			p.learn(c, false)
-		}
-		p.close(c) // the backend has closed it, or sent what nobody asked for
+		p.close(c) // the backend has closed it, or sent what nobody asked for: seen in time, and no harm
 	}
 }
 
