--- a/internal/kit/boxmodel/boxmodel.go
+++ b/internal/kit/boxmodel/boxmodel.go
@@ -111,7 +111,6 @@
 	down    bool
 	warm    bool
 	done    float64 // work done since the start
-	offered float64
 
 	run   []*job
 	queue []*job
@@ -202,7 +201,6 @@
 		b.end(j.ID, Lost)
 		return
 	}
-	b.offered += j.Work + j.Extra
 	if b.budget != nil && !b.warm {
 		if b.budget.Send(now, j.Work+j.Extra, true) != nil {
 			b.changes = append(b.changes, Changed{now, FellOver})
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -380,31 +380,20 @@
 			return s.keys.Problem(b.key, "%v%s is outside %v to %v%s", trim(b.v), b.unit, trim(b.min), trim(b.max), b.unit)
 		}
 	}
-	words := []struct {
+	type word struct {
 		key, v string
 		of     []string
-	}{
+	}
+	words := []word{
 		{"traffic.shape", s.Traffic.Shape, []string{"steady", "ramp", "wave", "bursty"}},
 		{"list.mode", s.List.Mode, []string{"push", "ask"}},
 		{"clients.backoff", s.Clients.Backoff, []string{"none", "fixed", "exponential"}},
 	}
 	for i, k := range s.Kinds {
-		words = append(words, struct {
-			key, v string
-			of     []string
-		}{fmt.Sprintf("kind[%d].warm_by", i), k.WarmBy, []string{"time", "requests"}}, struct {
-			key, v string
-			of     []string
-		}{fmt.Sprintf("kind[%d].cancel", i), k.Cancel, []string{"none", "queued", "all"}})
+		words = append(words, word{fmt.Sprintf("kind[%d].warm_by", i), k.WarmBy, []string{"time", "requests"}}, word{fmt.Sprintf("kind[%d].cancel", i), k.Cancel, []string{"none", "queued", "all"}})
 	}
 	for i, c := range s.Classes {
-		words = append(words, struct {
-			key, v string
-			of     []string
-		}{fmt.Sprintf("class[%d].effect", i), c.Effect, []string{"safe", "keyed", "unsafe"}}, struct {
-			key, v string
-			of     []string
-		}{fmt.Sprintf("class[%d].group", i), c.Group, []string{"all", "site", "cell"}})
+		words = append(words, word{fmt.Sprintf("class[%d].effect", i), c.Effect, []string{"safe", "keyed", "unsafe"}}, word{fmt.Sprintf("class[%d].group", i), c.Group, []string{"all", "site", "cell"}})
 		if c.Effect == "keyed" && c.Window <= 0 {
 			return s.keys.Problem(fmt.Sprintf("class[%d].window", i), "a keyed class needs the time for which repeats are dropped")
 		}
--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -108,9 +108,6 @@
 		State: state, Cores: b.model.Capacity(), Full: b.model.Full()})
 }
 
-// Warm tells whether the box started warm.
-func (b *Box) Warm() bool { return b.cfg.Spec.ColdFrom >= 1 }
-
 // Serve takes connections of one node from ln, and closes it when the box stops.
 func (b *Box) Serve(ln net.Listener, node trace.Node) {
 	b.mu.Lock()
