--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -112,7 +111,7 @@
 		switch {
 		case !n.meant:
 			text := n.tail.last()
-			n.note(trace.Crashed, strings.TrimSpace(fmt.Sprintf("%v: %s", cmp(err), text)))
+			n.note(trace.Crashed, strings.TrimSpace(fmt.Sprintf("%v: %s", exitText(err), text)))
 			n.r.clients.Node(n.index, n.addr, false)
 		default:
 			n.note(trace.Exited, "")
@@ -127,7 +126,8 @@
 	return nil
 }
 
-func cmp(err error) string {
+// exitText is how a process ended.
+func exitText(err error) string {
 	if err == nil {
 		return "exit status 0"
 	}
@@ -299,7 +299,7 @@
 		t.text = append(t.text[:0], t.text[n-tailSize:]...)
 	}
 	_, err := t.also.Write(p)
-	return len(p), errors.Join(err)
+	return len(p), err
 }
 
 // last is the last line that says something.
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -324,7 +324,7 @@
 		leave = timer.C
 	}
 	end := rec
-	why := "time"
+	why := ""
 	var e ending
 	select {
 	case e = <-t.ended:
@@ -335,11 +335,11 @@
 	case <-ctx.Done():
 		why = "over"
 	}
-	if e == (ending{}) {
+	if why != "" {
 		if conn.finish(t) {
 			end.Kind, end.T, end.Why = trace.GaveUp, c.clock.us(), why
 			c.out.Add(&end)
-			c.drop(conn)
+			conn.Close()
 			if why == "time" {
 				return result{how: "failed"}, false
 			}
@@ -348,7 +348,7 @@
 		e = <-t.ended // it came at this moment
 	}
 	if e.status == 0 {
-		c.drop(conn)
+		conn.Close()
 		if err != nil && e.why == "" {
 			e.why = err.Error()
 		}
@@ -359,7 +359,7 @@
 			c.keep(conn)
 		}
 	} else {
-		c.drop(conn)
+		conn.Close()
 	}
 	switch e.status {
 	case 200:
@@ -481,8 +481,6 @@
 	}
 }
 
-func (c *Clients) drop(k *clientConn) { k.Close() }
-
 func (k *clientConn) begin(t *sending) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -501,12 +499,12 @@
 }
 
 // take takes the open request, if there is one.
-func (k *clientConn) take() (*sending, string) {
+func (k *clientConn) take() *sending {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := k.open
 	k.open = nil
-	return t, k.last
+	return t
 }
 
 func (k *clientConn) read() {
@@ -550,7 +548,7 @@
 		if resp.StatusCode < 200 { // informational: the answer follows
 			continue
 		}
-		t, _ := k.take()
+		t := k.take()
 		if t == nil {
 			return // its client has left at this moment
 		}
