Kit: settings, client retries and load reports stand apart from sockets

Need: a laboratory without sockets has to mean the same by a scenario as a rehearsal does.

What a node and a judge are told of a plan moved to internal/kit/deployment; when a client tries again and for how long it waits to plan.Again and plan.Patience; the noisy, late load reports of a box to boxmodel.Reports. The stand-ins call them.

--- a/internal/kit/plan/plan.go
+++ b/internal/kit/plan/plan.go
@@ -409,6 +409,46 @@
 	return d, true
 }
 
+// Ends of one try, as its client sees them.
+const (
+	Served      = "served"
+	Refused     = "refused"     // 429 or 503
+	Failed      = "failed"      // any other answer, or none
+	Unreachable = "unreachable" // no connection to a node
+	Abandoned   = "left"        // its client lost patience
+)
+
+// Patience is how long a client waits for the answer to a try that it begins now; 0 where it begins none any more.
+// now is on the clock that Need.At is on.
+func (p *Plan) Patience(n *Need, now time.Duration) time.Duration {
+	deadline := p.Scenario.Classes[n.Class].Deadline.D()
+	wait := min(time.Duration(float64(deadline)*p.Scenario.Clients.TryShare), n.At+deadline-now)
+	if wait < 5*time.Millisecond {
+		return 0
+	}
+	return wait
+}
+
+// Again tells whether a client tries again after its try number try, from 0, ended so, and after which pause.
+// retryAfter is what a refusal asked for; 0 for nothing.
+func (p *Plan) Again(n *Need, try int, how string, retryAfter time.Duration) (pause time.Duration, again bool) {
+	c := &p.Scenario.Clients
+	if how == Served || how == Abandoned || try >= c.Retries ||
+		how == Failed && p.Scenario.Classes[n.Class].Effect != "safe" {
+		return 0, false
+	}
+	switch c.Backoff {
+	case "fixed":
+		pause = c.Wait.D()
+	case "exponential":
+		pause = c.Wait.D() << try
+	}
+	if n.Honours && retryAfter > 0 {
+		pause = min(retryAfter, c.MaxWait.D())
+	}
+	return pause, true
+}
+
 func pick(rng *rand.Rand, weights []float64) int {
 	sum := 0.0
 	for _, w := range weights {
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -17,19 +17,18 @@
 	"syscall"
 	"time"
 
+	"craneglade/internal/kit/deployment"
 	"craneglade/internal/kit/plan"
 	"craneglade/internal/kit/stand"
 	"craneglade/internal/kit/trace"
 )
 
 const (
-	answerSlack = 20 * time.Millisecond   // after a client's deadline
-	limitSlack  = 50 * time.Millisecond   // on every time limit, for what sockets cost
-	settleTime  = 4 * time.Second         // after SIGHUP what the list has to tell counts as told
-	leaveTime   = 1500 * time.Millisecond // a discovery that is left closes what is open after this
-	heartbeat   = 10 * time.Millisecond
-	lagFrom     = 5 * time.Millisecond // a heartbeat later than this is noted
-	useEvery    = time.Second
+	settleTime = 4 * time.Second         // after SIGHUP what the list has to tell counts as told
+	leaveTime  = 1500 * time.Millisecond // a discovery that is left closes what is open after this
+	heartbeat  = 10 * time.Millisecond
+	lagFrom    = 5 * time.Millisecond // a heartbeat later than this is noted
+	useEvery   = time.Second
 )
 
 // Options say what to play and with what.
@@ -134,10 +133,10 @@
 		r.nodes, nodes = append(r.nodes, n), append(nodes, n.Node)
 	}
 	r.queues = make([]listQueue, len(nodes))
-	r.out = trace.NewWriter(opt.Trace, head(r.plan, opt.Name, r.start.UTC().Format(time.RFC3339Nano), nodes))
+	r.out = trace.NewWriter(opt.Trace, deployment.Head(r.plan, opt.Name, r.start.UTC().Format(time.RFC3339Nano), nodes))
 	dialer := &net.Dialer{KeepAlive: -1}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
-	r.clients = stand.NewClients(r.plan, nodes, dial, r.clock(), r.out, answerSlack+limitSlack)
+	r.clients = stand.NewClients(r.plan, nodes, dial, r.clock(), r.out, deployment.AnswerSlack+deployment.LimitSlack)
 	cost, err := &Cost{}, r.raise(quit)
 	if err == nil {
 		cost, err = r.play(quit)
--- a/internal/kit/run/settings.go
+++ b/internal/kit/run/settings.go
@@ -4,70 +4,17 @@
 	"encoding/json"
 	"fmt"
 
+	"craneglade/internal/kit/deployment"
 	"craneglade/internal/kit/plan"
 	"craneglade/internal/kit/stand"
-	"craneglade/internal/kit/trace"
 )
 
 // config is a node's configuration file, as DEPLOY describes it.
 func config(p *plan.Plan, n *node, known stand.Whole) ([]byte, error) {
 	type m = map[string]any
 	s := p.Scenario
-	effects := map[string]string{"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
-	groups := map[string]string{"all": "all", "site": "zone", "cell": "cell"}
-	var grades, projects []m
-	for _, c := range s.Classes {
-		g := m{"name": c.Name, "aim_s": c.Aim.S(), "deadline_s": c.Deadline.S(), "gain": c.Worth, "late_worth": 0.0,
-			"effect": effects[c.Effect], "group": groups[c.Group], "streaming": false}
-		if c.Effect == "keyed" {
-			g["repeat_window_s"] = c.Window.S()
-		}
-		grades = append(grades, g)
-	}
-	share := 0.0
-	for _, t := range s.Tenants {
-		share += t.Share
-	}
-	for i, t := range s.Tenants {
-		projects = append(projects, m{"name": t.Name, "share": t.Share / share, "quota_per_s": p.Quota(i)})
-	}
-	cold, coldShare := 0.0, 1.0
-	for _, k := range s.Kinds {
-		cold, coldShare = max(cold, k.Cold.S()), min(coldShare, k.ColdFrom)
-	}
-	var zones []string
-	for _, x := range s.Sites {
-		zones = append(zones, x.Name)
-	}
-	settings := m{"balancers": s.Nodes.Count, "ordinal": n.index, "zone": n.Site, "zones": zones, "discovery": s.List.Mode,
-		"grades": grades, "projects": projects, "over_share_worth": s.Traffic.OverShare, "weights": "silent", "worth_by": "request",
-		"clients": m{"marks_retry": false},
-		"policy_limits": m{"cancel": true, "conn_idle_s": s.Conn.Idle.S(), "connect_timeout_s": s.Conn.Timeout.S(),
-			"max_attempts": s.Rules.Attempts, "max_open": 20000, "max_retry_after_s": s.Clients.MaxWait.S(), "parallel_tries": true,
-			"peers": false, "probes": false, "retry_after": true, "streams_per_conn": 1},
-		"report": m{"how": "piggyback", "names": []string{"concurrent", "depth"}},
-		"invariants": m{"answer_slack_s": answerSlack.Seconds(), "cold_s": cold, "cold_share": coldShare,
-			"drain_grace_s": s.Rules.DrainGrace.S(), "fall_s": s.Rules.FallFor.S(), "overload_factor": s.Rules.FallFactor,
-			"must_ask_in_s": 10.0}}
 	return json.MarshalIndent(m{"name": n.Name, "listen": n.addr, "discovery": n.agentAt.Addr,
 		"seed":   fmt.Sprintf("%016x", p.Seed+uint64(n.starts)<<32+uint64(n.index)),
 		"limits": m{"cores": s.Nodes.Cores, "memory_mb": s.Nodes.MemoryMB, "sockets": s.Nodes.Sockets},
-		"known":  known, "settings": settings}, "", " ")
-}
-
-// head is the trace's first line.
-func head(p *plan.Plan, name, started string, nodes []trace.Node) trace.Head {
-	s := p.Scenario
-	h := trace.Head{Scenario: name, Seed: p.Seed, Length: trace.US(s.Length.D()), Started: started, Nodes: nodes,
-		OverShare: s.Traffic.OverShare,
-		Rules: trace.Rules{AnswerSlack: trace.US(answerSlack), DrainGrace: trace.US(s.Rules.DrainGrace.D()),
-			FallFactor: s.Rules.FallFactor, FallFor: trace.US(s.Rules.FallFor.D()), Slack: trace.US(limitSlack)}}
-	for _, c := range s.Classes {
-		k := trace.Class{Name: c.Name, Effect: c.Effect, Aim: trace.US(c.Aim.D()), Worth: c.Worth}
-		if c.Effect == "keyed" {
-			k.Group, k.Window = c.Group, trace.US(c.Window.D())
-		}
-		h.Classes = append(h.Classes, k)
-	}
-	return h
+		"known":  known, "settings": deployment.Settings(p, n.index, n.Site)}, "", " ")
 }
--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -62,12 +62,7 @@
 	resets   float64
 	spoils   float64
 	slow     bool
-	reports  []report
-}
-
-type report struct {
-	at          time.Duration
-	held, queue int
+	reports  *boxmodel.Reports
 }
 
 // call is one request at this box.
@@ -93,6 +88,7 @@
 		rng: rand.New(rand.NewPCG(cfg.Seed, 3)), open: map[uint64]*call{}, conns: map[*boxConn]struct{}{}}
 	now := clock.Now()
 	b.model = boxmodel.New(cfg.Spec, cfg.Seed, now)
+	b.reports = boxmodel.NewReports(cfg.Report.Late, cfg.Noise, b.rng)
 	b.state(now, trace.Ready)
 	b.wg.Add(1)
 	go func() {
@@ -263,7 +259,7 @@
 		b.settle()
 		if now >= reports {
 			reports = now + b.cfg.Report.Every
-			b.note(now)
+			b.reports.Take(now, b.model)
 		}
 		if now >= loads {
 			loads = now + loadEvery
@@ -292,15 +288,6 @@
 	}
 }
 
-// note takes down what the next load reports will tell. b.mu is held.
-func (b *Box) note(now time.Duration) {
-	noisy := func(n int) int { return max(0, int(float64(n)*(1+b.cfg.Noise*b.rng.NormFloat64())+0.5)) }
-	b.reports = append(b.reports, report{now, noisy(b.model.Held()), noisy(b.model.Waiting())})
-	for len(b.reports) > 1 && b.reports[1].at <= now-b.cfg.Report.Late {
-		b.reports = b.reports[1:]
-	}
-}
-
 // settle carries out what the model has done. b.mu is held.
 func (b *Box) settle() {
 	results, changes := b.model.Take()
@@ -359,9 +346,8 @@
 
 // answer is an answer's text with the load report that is due. b.mu is held.
 func (b *Box) answer(status int, headers, body string) string {
-	if len(b.reports) > 0 && status != 400 && status != 404 {
-		r := b.reports[0]
-		headers += fmt.Sprintf("X-Load: {\"inflight\":%d,\"queue\":%d}\r\n", r.held, r.queue)
+	if held, queue, ok := b.reports.Due(); ok && status != 400 && status != 404 {
+		headers += fmt.Sprintf("X-Load: {\"inflight\":%d,\"queue\":%d}\r\n", held, queue)
 	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sContent-Length: %d\r\n\r\n%s", status,
 		http.StatusText(status), headers, len(body), body)
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -185,32 +185,16 @@
 	idem := fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
 	key := strconv.FormatUint(rng.Uint64()%100000, 36)
 	var res result
-	this, backoff := first, s.Clients.Wait.D()
+	this := first
 	for try := 0; ; try++ {
-		wait := min(time.Duration(float64(class.Deadline.D())*s.Clients.TryShare), end-c.clock.Now())
-		if wait < 5*time.Millisecond {
+		wait := c.plan.Patience(&n, c.clock.Now())
+		if wait == 0 {
 			break
 		}
 		t := &sending{need: &n, class: class, id: this, of: first, try: try, wait: wait, key: key, idem: idem, rec: rec}
 		res = c.attempt(ctx, t)
-		if res.how == "served" || res.how == "left" || try >= s.Clients.Retries || ctx.Err() != nil {
-			break
-		}
-		again := res.how == "refused" || res.how == "unreachable" || class.Effect == "safe"
-		if !again {
-			break
-		}
-		pause := time.Duration(0)
-		switch s.Clients.Backoff {
-		case "fixed":
-			pause = backoff
-		case "exponential":
-			pause = backoff << try
-		}
-		if n.Honours && res.retryAfter > 0 {
-			pause = min(res.retryAfter, s.Clients.MaxWait.D())
-		}
-		if c.clock.Now()+pause >= end {
+		pause, again := c.plan.Again(&n, try, res.how, res.retryAfter)
+		if !again || ctx.Err() != nil || c.clock.Now()+pause >= end {
 			break
 		}
 		if !sleep(ctx, pause) {
