A lost attempt is no crowd: it leaves the occupancy once later sends are answered

A debug log of what is believed of each box, once a second, beside every attempt, shows four boxes at a believed occupancy of 7 to 13 that report 1 to 3.6 held, none waiting, and answer in 45 ms. Up to a tenth of the requests sent to these never come back: a capture shows them acknowledged on a connection that had carried an answer 50 ms before, and nothing after. Each counted as held until its time-out (180 to 1077 ms), then as one more of the others' for a smoothing of 3 s, and as a service time of twice its wait, with which H fell.

Change: what was sent three service times before an answered send is off the occupancy and, when it times out, a failure of the backend and no latency.

Both tests fail without their part.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -11,6 +11,8 @@
 )
 
 type serveCmd struct {
+	LogLevel slog.Level `placeholder:"LEVEL" default:"info" help:"Least level that is logged: debug, info, warn or error. Debug tells once a second what is believed of each box."`
+
 	Config string `placeholder:"FILE" type:"path" help:"Settings of our own (deploy/craneglade.toml): what the platform does not set."`
 }
 
@@ -28,7 +30,7 @@
 			return usage("%s: %w", c.Config, err)
 		}
 	}
-	log := slog.New(slog.NewTextHandler(a.err, nil)).With("node", cfg.Name)
+	log := slog.New(slog.NewTextHandler(a.err, &slog.HandlerOptions{Level: c.LogLevel})).With("node", cfg.Name)
 	reload := make(chan node.Config)
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/internal/node/beliefs.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+)
+
+// beliefEvery is how often the debug log tells what is believed of the backends.
+const beliefEvery = time.Second
+
+// beliefs logs, while the log takes debug lines, what the policy believes of each backend: one line each, so that a
+// second of the log can be laid beside what was true in it. It returns when ctx ends.
+func (n *node) beliefs(ctx context.Context) {
+	tick := time.NewTicker(beliefEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		n.mu.Lock()
+		all := n.bal.Snapshot(n.clock.now())
+		ids := make([]string, len(all))
+		for i := range all {
+			if b := n.backends[all[i].ID]; b != nil {
+				ids[i] = b.id
+			}
+		}
+		n.mu.Unlock()
+		for i := range all {
+			n.log.LogAttrs(ctx, slog.LevelDebug, "belief", slog.String("backend", ids[i]), slog.Any("of", &all[i]))
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,10 @@
 		n.disc.watch() // the policy asks only where lists are not pushed
 	}
 	n.mu.Unlock()
+	if log.Enabled(ctx, slog.LevelDebug) {
+		log.Debug("settings", "policy", fmt.Sprintf("%+v", cfg.Settings.Policy))
+		n.wg.Go(func() { n.beliefs(ctx) })
+	}
 	return n, func() {
 		// Under the lock, which each wg.Add holds too: a timer may be about to start a watch. None does after this.
 		n.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,8 +20,6 @@
 const (
 	onset     = 0.90 // H as a part of R
 	abatement = 0.78 // L as a part of R
-	divert    = 0.80 // q: the part of all requests that a backend in overload diverts
-	aimPart   = 0.40 // H is at most what a backend clears in this part of the shortest aim
 	roomPart  = 0.80 // and at most this part of an occupancy that drew 'full', as reports tell of it too late
 	minH      = 1.6  // below this the noise of single requests would decide the modes
 	sharpness = 8    // the split's weights fall with this power of the expected delay
@@ -41,6 +39,7 @@
 	outTau    = 4.0  // but a backend that can't be reached, or answered nothing lately, is out
 	ejectFor  = 1.0  // for this long at first, doubled each time,
 	ejectMost = 8.0  // up to this
+	overtake  = 3.0  // service times by which a later send, once answered, tells that an earlier one is lost
 	crowdAt   = 5.0  // time in work beyond this multiple of the kind's best tells of a crowd, not of chance
 	coldPart  = 0.67 // of the multiple that brings a cold backend down: so much it is sent at most
 	retryPart = 0.2  // further attempts that each first one allows
@@ -50,11 +49,14 @@
 )
 
 // New returns the balancer of one node, or an error that names the setting that makes no sense.
-func New(set Settings, seed uint64) (*Balancer, error) {
+func New(set Settings, seed uint64) (*Balancer, error) { return NewTuned(set, seed, Tuned()) }
+
+// NewTuned is New with other figures than those in service, for the laboratory.
+func NewTuned(set Settings, seed uint64, tune Tuning) (*Balancer, error) {
 	if err := set.Validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
+	b := &Balancer{set: set, tune: tune, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
 		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1)}
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, &class{Class: c, least: c.Deadline.Seconds()})
@@ -170,7 +172,9 @@
 }
 
 func (b *Balancer) send(now float64, r *request, s *server) {
-	r.attempts = append(r.attempts, attempt{s, true, b.waiting(s, now) + 1})
+	a := &attempt{server: s, open: true, met: b.waiting(s, now) + 1, at: now}
+	r.attempts = append(r.attempts, a)
+	s.flying = append(s.flying, a)
 	r.open++
 	s.own++
 	until := r.until // ended at the aim, it would draw a client's retry that is worth nothing
@@ -202,10 +206,11 @@
 	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].open {
 		return
 	}
-	s := r.attempts[ev.Attempt].server
-	r.attempts[ev.Attempt].open = false
+	a := r.attempts[ev.Attempt]
+	s := a.server
+	a.open = false
 	r.open--
-	b.learn(now, s, r, ev)
+	b.learn(now, s, r, a, ev)
 	r.final = r.final || ev.Last
 	if r.final {
 		if r.open == 0 {
@@ -227,7 +232,7 @@
 // diverts draws whether a backend in overload diverts a request of a class. The share q of all requests is
 // diverted, lesser classes first; what passes falls as the occupancy exceeds H.
 func (b *Balancer) diverts(now float64, s *server, lesser bool) bool {
-	q := 1 - (1-divert)*min(1, b.high(s, b.limit(s))/max(b.waiting(s, now), 1))
+	q := 1 - (1-b.tune.Divert)*min(1, b.high(s, b.limit(s))/max(b.waiting(s, now), 1))
 	part := b.lessers / max(b.total, 1)
 	if lesser {
 		return b.rng.Float64()*part < q
@@ -246,9 +251,11 @@
 }
 
 // learn books what an outcome shows of its backend.
-func (b *Balancer) learn(now float64, s *server, r *request, ev *Event) {
+func (b *Balancer) learn(now float64, s *server, r *request, a *attempt, ev *Event) {
 	s.settle(now)
-	s.own = max(0, s.own-1)
+	if !a.stray {
+		s.own = max(0, s.own-1)
+	}
 	took := max(0, ev.Took.Seconds())
 	n := max(ev.Load.Queue, ev.Load.Held, 0)
 	if w := ev.Load.Work; ev.Load.Held < 0 && w > 0 && w < math.MaxInt32 && b.ramp(s, now) == 1 {
@@ -278,7 +285,8 @@
 			s.trial, s.ejections, s.ejected = false, 0, now
 			b.log("backend %d answers again", s.ID)
 		}
-		b.latency(s, r, ev.Attempt, took)
+		b.latency(s, r, a, took)
+		b.overtaken(s, a)
 	case Full:
 		// A draining or broken backend turns requests away with nothing waiting: that is no limit.
 		if n := b.waiting(s, now) + 1; n >= minH {
@@ -292,10 +300,14 @@
 			b.blame(now, s, outTau)
 		}
 	case TimedOut:
+		if a.stray { // it tells of a loss, not of a crowd
+			b.blame(now, s, badTau)
+			break
+		}
 		// The true latency is longer than was waited for; taking it as seen would make a slow backend look
 		// as good as the time-out.
-		b.latency(s, r, ev.Attempt, 2*took)
-		s.others++ // the backend may well run on with it; the next reports will tell
+		b.latency(s, r, a, 2*took)
+		s.ghosts++ // the backend may well run on with it, until the next reports tell
 		// A slow backend still answers some; one that answered nothing meanwhile is not slow but out.
 		if s.lastOK < now-max(took, silence) {
 			b.blame(now, s, outTau)
@@ -310,13 +322,29 @@
 
 // latency books an answer's time against the occupancy it met when it was sent. Taking the occupancy of the
 // moment it came back would make a backend that is filling up look fast, as its quick answers come first.
-func (b *Balancer) latency(s *server, r *request, i int, took float64) {
+func (b *Balancer) latency(s *server, r *request, a *attempt, took float64) {
 	s.latency += took
-	s.occupancy += r.attempts[i].met
+	s.occupancy += a.met
 	r.class.latency += took
 	r.class.answers++
 }
 
+// overtaken takes what is out at a backend for much longer than what was just answered off its occupancy.
+// Backends take requests in turn: what was sent several service times before one that has its answer does not
+// wait there, but was lost on the way, or is one of a few with far more work than most. Held until it times
+// out, it would make a backend that loses a tenth of its requests look crowded while it stands idle.
+func (b *Balancer) overtaken(s *server, by *attempt) {
+	before := by.at - overtake*b.service(s)
+	i := 0
+	for ; i < len(s.flying) && (!s.flying[i].open || s.flying[i].at < before); i++ {
+		if a := s.flying[i]; a.open {
+			a.stray = true
+			s.own = max(0, s.own-1)
+		}
+	}
+	s.flying = slices.Delete(s.flying, 0, i)
+}
+
 // blame counts a failed attempt. A broken backend can look best (fast errors, an empty queue), so one that
 // fails too often is ejected for a growing time and comes back by trickle. However many are ejected, the
 // rest are not pushed over: their modes refuse what they cannot take.
@@ -349,7 +377,9 @@
 
 // settle moves ownLag towards own, so that it tells what was in flight when the report was made.
 func (s *server) settle(now float64) {
-	s.ownLag += (s.own - s.ownLag) * (1 - math.Exp((s.ownAt-now)/lagTau))
+	f := math.Exp((s.ownAt - now) / lagTau)
+	s.ownLag += (s.own - s.ownLag) * (1 - f)
+	s.ghosts *= f
 	s.ownAt = now
 }
 
@@ -358,7 +388,7 @@
 // Fading towards nothing would make the least known backend look best.
 func (b *Balancer) waiting(s *server, now float64) float64 {
 	s.settle(now)
-	n := max(0, b.mean+(s.others-b.mean)*math.Exp((s.reportAt-now)/knowTau)+s.own)
+	n := max(0, b.mean+(s.others-b.mean)*math.Exp((s.reportAt-now)/knowTau)+s.own+s.ghosts)
 	if s.full > 0 {
 		n = max(n, s.full-(now-s.fullAt)/b.service(s)) // it cannot have cleared more than this
 	}
@@ -379,7 +409,7 @@
 // high is H. It never lets a backend hold more than it clears in a part of the shortest aim: an answer past
 // its aim is wasted work, however long the deadline.
 func (b *Balancer) high(s *server, r float64) float64 {
-	return max(min(onset*r, roomPart*s.room, aimPart*b.aim/b.service(s)), s.least())
+	return max(min(onset*r, roomPart*s.room, b.tune.AimPart*b.aim/b.service(s)), s.least())
 }
 
 // least is what H never falls below: as many requests as a backend was seen to have in work at once. Until
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -129,7 +129,7 @@
 	}
 	// A new report decides afresh.
 	s.own = 1
-	b.requests["x"] = &request{id: "x", class: &class{}, attempts: []attempt{{s, true, 1}}, open: 1, final: true}
+	b.requests["x"] = &request{id: "x", class: &class{}, attempts: []*attempt{{server: s, open: true, met: 1}}, open: 1, final: true}
 	outcome(b, t0+2*time.Second, Action{ID: "x", Server: 1}, Failed, Load{Known: true, Queue: 500})
 	if s.mode != discard {
 		t.Errorf("after a new report above R: mode %d, want discard", s.mode)
@@ -688,7 +688,7 @@
 		report := func(now time.Duration, id uint32, work float64) {
 			s := b.servers[id]
 			send := Action{ID: now.String()}
-			b.requests[send.ID] = &request{id: send.ID, class: b.classes[0], open: 1, attempts: []attempt{{s, true, 1}}}
+			b.requests[send.ID] = &request{id: send.ID, class: b.classes[0], open: 1, attempts: []*attempt{{server: s, open: true, met: 1}}}
 			outcome(b, now, send, OK, Load{Known: true, Held: -1, Work: work})
 			b.Handle(now, &Event{Kind: EvTimer, Token: "tick"}, nil)
 		}
@@ -1128,8 +1128,9 @@
 		}
 		return count
 	}
-	if at, twice := passed(8), passed(16); at < 700 || at > 900 || twice < 330 || twice > 470 {
-		t.Errorf("of 4000, %d pass at H and %d at twice that; want about 800 and 400", at, twice)
+	pass := 4000 * (1 - Tuned().Divert)
+	if at, twice := float64(passed(8)), float64(passed(16)); math.Abs(at-pass) > 100 || math.Abs(twice-pass/2) > 70 {
+		t.Errorf("of 4000, %v pass at H and %v at twice that; want about %.0f and %.0f", at, twice, pass, pass/2)
 	}
 }
 
@@ -1142,3 +1143,69 @@
 		t.Errorf("this node's part is %.2f, want %.2f", b.part, want)
 	}
 }
+
+// A backend that loses a tenth of its requests without a word has room. Counted as held until they timed out, and then
+// as slow ones, the lost kept it in overload while it stood idle, and requests were refused for that.
+func TestLostAttemptsAreNoCrowd(t *testing.T) {
+	b := node(t, settings(), Entry{ID: 1, Zone: "a"})
+	s := b.servers[1]
+	type out struct {
+		send Action
+		at   time.Duration
+		lost bool
+	}
+	var open []out
+	refused := 0
+	for i := range 1000 {
+		now := t0 + time.Duration(i)*10*time.Millisecond
+		keep := open[:0]
+		for _, o := range open {
+			ev := Event{Kind: EvOutcome, ID: o.send.ID, Server: 1, Attempt: o.send.Attempt, Took: now - o.at}
+			switch {
+			case o.lost && ev.Took >= o.send.Wait:
+				ev.Outcome = TimedOut
+			case !o.lost && ev.Took >= 30*time.Millisecond:
+				ev.Outcome, ev.Last, ev.Load = OK, true, Load{Known: true, Held: 3, Queue: 0}
+			default:
+				keep = append(keep, o)
+				continue
+			}
+			b.Handle(now, &ev, nil)
+		}
+		open = keep
+		if a := ask(b, now, fmt.Sprint("r", i), "once"); a.Kind == ActSend {
+			open = append(open, out{a, now, i%10 == 9})
+		} else {
+			refused++
+		}
+	}
+	now := (t0 + 10*time.Second).Seconds()
+	if n := b.waiting(s, now); n > 5 || s.mode != normal || refused > 0 {
+		t.Errorf("3 held in truth: %.1f believed, mode %d, %d refused", n, s.mode, refused)
+	}
+	if x := b.service(s); x > 0.04 {
+		t.Errorf("answers take 30 ms: service time believed %.3f s", x)
+	}
+}
+
+// What timed out may still be in work, but a report of a second later would show it.
+func TestTimedOutCountsUntilReportsTell(t *testing.T) {
+	b := node(t, settings(), Entry{ID: 1, Zone: "a"})
+	s := b.servers[1]
+	var sends []Action
+	for i := range 4 {
+		fix(s, t0, 1)
+		sends = append(sends, ask(b, t0, fmt.Sprint("r", i), "once"))
+	}
+	s.own = 4
+	for _, a := range sends {
+		outcome(b, t0+time.Second, a, TimedOut, Load{})
+	}
+	if n := b.waiting(s, t0.Seconds()+1); n < 4 {
+		t.Errorf("at the time-outs %.1f believed held, want the 4 that timed out among them", n)
+	}
+	s.others, s.reportAt = 1, t0.Seconds()+3
+	if n := b.waiting(s, t0.Seconds()+3); n > 1.5 {
+		t.Errorf("two seconds and a report of 1 later %.1f believed held", n)
+	}
+}
--- /dev/null
+++ b/policy/snapshot.go
@@ -0,0 +1,42 @@
+package policy
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Belief is what a node believes of one backend. Nothing in it is a decision.
+type Belief struct {
+	ID       uint32
+	Mode     string  // normal, overload or discard
+	Held     float64 // estimated occupancy: requests in work or waiting there, of all nodes
+	Own      float64 // this node's attempts in flight
+	H, R     float64 // the thresholds in force
+	Q        float64 // part of the requests drawn for it that it would divert now
+	Service  float64 // seconds for each request it holds
+	Bad      float64 // share of failures lately
+	Ejected  bool
+	Ramp     float64       // least part of its capacity that it has while cold; 1 for a warm one
+	ReportOf time.Duration // the report's age
+}
+
+// Snapshot tells what is believed of every listed backend, in the order of their ids. It changes no mode.
+func (b *Balancer) Snapshot(now time.Duration) []Belief {
+	t := max(now.Seconds(), b.now)
+	out := make([]Belief, 0, len(b.order))
+	for _, s := range b.order {
+		r := b.limit(s)
+		x := Belief{ID: s.ID, Mode: [...]string{"normal", "overload", "discard"}[s.mode], Held: b.waiting(s, t), Own: s.own, R: r, H: b.high(s, r),
+			Service: b.service(s), Bad: s.bad, Ejected: t < s.ejected || s.trial, Ramp: b.ramp(s, t), ReportOf: span(t - s.reportAt)}
+		out = append(out, x)
+	}
+	return out
+}
+
+// LogValue is the belief as one group of a log line.
+func (x *Belief) LogValue() slog.Value {
+	return slog.GroupValue(slog.String("mode", x.Mode), slog.Float64("held", x.Held), slog.Float64("own", x.Own),
+		slog.Float64("h", x.H), slog.Float64("r", x.R), slog.Float64("q", x.Q), slog.Float64("service_s", x.Service),
+		slog.Float64("bad", x.Bad), slog.Bool("ejected", x.Ejected), slog.Float64("ramp", x.Ramp),
+		slog.Duration("report_of", x.ReportOf))
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,8 @@
 	server *server
 	open   bool
 	met    float64 // occupancy plus one that it met
+	at     float64 // when it was sent
+	stray  bool    // lost, by what its backend answered since
 }
 
 type request struct {
@@ -37,7 +39,7 @@
 	lesser   bool    // diverted first
 	until    float64 // when the client gives up
 	aim      float64 // when its answer stops being worth anything
-	attempts []attempt
+	attempts []*attempt
 	open     int     // attempts without an outcome
 	final    bool    // the client has its answer; nothing more may be sent
 	mayRun   *server // backend of the first attempt that may have run
@@ -50,9 +52,11 @@
 	launched  float64
 	grace     float64 // not listed any more, but used until then: the list came empty
 	mode      mode
-	own       float64 // this node's attempts in flight
-	ownLag    float64 // the same, at about the time of the latest report
+	own       float64    // this node's attempts in flight
+	flying    []*attempt // out, in the order of the sends; those that have ended are taken off later
+	ownLag    float64    // the same, at about the time of the latest report
 	ownAt     float64
+	ghosts    float64 // attempts that timed out here lately: no report shows their end yet
 	others    float64 // occupancy by reports beyond this node's own, smoothed
 	reportAt  float64
 	full      float64 // occupancy when it last turned a request away
@@ -76,6 +80,7 @@
 // Balancer is the state of one node. It is not safe for concurrent use.
 type Balancer struct {
 	set      Settings
+	tune     Tuning
 	rng      *rand.Rand
 	aim      float64 // shortest told aim, infinite when none was told
 	half     float64 // half the shortest told deadline, infinite when none was told
