A laboratory: the decision module against the kit's boxes in virtual time, over seeds

Need: whether a threshold is right was decided by one play of one seed on real sockets, at half a minute each.

A play is a list of events: no sockets, goroutines or clock. It writes the records of a rehearsal's trace, so the kit's own judge and report read it; a module that is told wrongly is named by rules 2, 3 and 4. The charts of reports moved to internal/kit/chart.

A box that got nothing for three seconds a node is tried again by one request.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,7 @@
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 	Serve    serveCmd         `cmd:"" default:"1" help:"Run a load balancer node, as GW_CONFIG and the other GW_* variables say. This is what craneglade does without a command."`
 	Rehearse rehearseCmd      `cmd:"" help:"Play a scenario on this machine: nodes, boxes, a box list and clients; judge the four rules."`
+	Lab      labCmd           `cmd:"" help:"Play a scenario in virtual time, over seeds and settings of the decision module, and compare them."`
 	Judge    judgeCmd         `cmd:"" help:"Judge the trace of a rehearsal again."`
 	Check    checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
 }
@@ -86,7 +87,7 @@
 	ended := -1
 	parser, err := kong.New(&cmds, kong.Name("craneglade"), kong.Writers(a.out, a.err),
 		kong.Description("An HTTP load balancer node, and the kit that rehearses it."),
-		kong.Vars{"version": version()}, kong.Exit(func(status int) { ended = status }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+		kong.Vars{"version": version(), "figures": figureNames()}, kong.Exit(func(status int) { ended = status }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
 		return exit{ExitUsage, err}
 	}
--- /dev/null
+++ b/internal/kit/lab/sweep.go
@@ -0,0 +1,233 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime"
+	"sync"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"craneglade/internal/kit/judge"
+	"craneglade/internal/kit/plan"
+	"craneglade/internal/kit/report"
+	"craneglade/internal/kit/scenario"
+	"craneglade/internal/kit/trace"
+	"craneglade/policy"
+)
+
+// Setting is one tuning under a name.
+type Setting struct {
+	Name   string        `json:"name"`
+	Tuning policy.Tuning `json:"tuning"`
+}
+
+// Sweep says what to play: a scenario, over seeds, with each of several settings.
+type Sweep struct {
+	Name     string
+	Scenario *scenario.Scenario
+	Seeds    []uint64
+	Settings []Setting
+	Workers  int // plays at a time; 0: one for each processor
+}
+
+// Outcome is what one setting came to over the seeds of a sweep.
+type Outcome struct {
+	Setting  Setting  `json:"setting"`
+	Figure   Estimate `json:"figure"`        // as the service counts, before prices
+	Share    Estimate `json:"worth_in_time"` // worth answered within its aim over worth asked for
+	Windows  []Window `json:"windows"`
+	PerSeed  []Day    `json:"plays"`
+	Broken   int      `json:"plays_with_a_broken_rule"`
+	Refused  Estimate `json:"refused"`       // part of the needs that ended refused
+	Twice    Estimate `json:"refused_twice"` // of those with more than one try, the part whose second was refused too
+	Attempts Estimate `json:"attempts_for_each_request"`
+}
+
+// Window is the worth in time of the needs that arose in a part of the day.
+type Window struct {
+	Name  string   `json:"name"`
+	Share Estimate `json:"worth_in_time"`
+}
+
+// Day is one play's figures.
+type Day struct {
+	Seed    uint64    `json:"seed"`
+	Figure  float64   `json:"figure"`
+	Share   float64   `json:"worth_in_time"`
+	Windows []float64 `json:"windows"`
+	Broken  string    `json:"broken,omitempty"` // the first rule broken, and how
+	Served  []float64 `json:"served_a_second"`
+	Asked   []float64 `json:"asked_a_second"`
+	report  *report.Report
+	refused float64
+	twice   float64
+}
+
+// Estimate is a mean with its 95% confidence interval, from Student's t over the seeds.
+type Estimate struct {
+	Mean float64 `json:"mean"`
+	Half float64 `json:"half_width"` // of the interval; NaN is left out where there is one seed only
+	N    int     `json:"n"`
+}
+
+func (e Estimate) String() string { return fmt.Sprintf("%.3f ±%.3f", e.Mean, e.Half) }
+
+// NewEstimate is the estimate of a mean from a sample.
+func NewEstimate(v []float64) Estimate {
+	e := Estimate{N: len(v)}
+	if len(v) == 0 {
+		return e
+	}
+	mean, dev := stat.MeanStdDev(v, nil)
+	e.Mean = mean
+	if len(v) > 1 {
+		e.Half = distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(v) - 1)}.Quantile(0.975) * dev / math.Sqrt(float64(len(v)))
+	}
+	return e
+}
+
+// Paired is the estimate of the mean difference b - a of two outcomes over the same seeds.
+func Paired(a, b *Outcome, of func(*Day) float64) Estimate {
+	var d []float64
+	for i := range min(len(a.PerSeed), len(b.PerSeed)) {
+		d = append(d, of(&b.PerSeed[i])-of(&a.PerSeed[i]))
+	}
+	return NewEstimate(d)
+}
+
+// Run plays all of a sweep. done is called after each play, from one goroutine at a time; nil for never.
+func (s *Sweep) Run(ctx context.Context, done func(played, all int)) ([]Outcome, error) {
+	type job struct{ setting, seed int }
+	jobs := make(chan job)
+	plays := make([][]Day, len(s.Settings))
+	for i := range plays {
+		plays[i] = make([]Day, len(s.Seeds))
+	}
+	workers := s.Workers
+	if workers <= 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	played := 0
+	for range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := range jobs {
+				p, err := PlayOnce(s.Name, s.Scenario, s.Seeds[j.seed], s.Settings[j.setting].Tuning)
+				if err != nil {
+					cancel(fmt.Errorf("%s, seed %d: %w", s.Settings[j.setting].Name, s.Seeds[j.seed], err))
+					continue
+				}
+				mu.Lock()
+				plays[j.setting][j.seed] = *p
+				played++
+				if done != nil {
+					done(played, len(s.Settings)*len(s.Seeds))
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+feed:
+	for seed := range s.Seeds {
+		for setting := range s.Settings {
+			select {
+			case jobs <- job{setting, seed}:
+			case <-ctx.Done():
+				break feed
+			}
+		}
+	}
+	close(jobs)
+	wg.Wait()
+	if err := context.Cause(ctx); err != nil {
+		return nil, err
+	}
+	var out []Outcome
+	for i, set := range s.Settings {
+		out = append(out, outcome(set, plays[i]))
+	}
+	return out, nil
+}
+
+// PlayOnce plays one seed of a scenario and takes its figures.
+func PlayOnce(name string, s *scenario.Scenario, seed uint64, t policy.Tuning) (*Day, error) {
+	o := Options{Name: name, Plan: plan.New(s, seed), Tuning: t}
+	h := Head(&o)
+	c, j := report.New(h), judge.New(h)
+	line := 1
+	tries := map[string]int{} // of needs, by the first try's id: how many were refused
+	of := map[string]string{}
+	o.Record = func(r *trace.Record) {
+		line++
+		c.Add(*r)
+		j.Add(line, *r)
+		switch {
+		case r.Kind == trace.Sent:
+			of[r.ID] = r.Of
+		case r.Kind == trace.Got && r.Status == 503:
+			tries[of[r.ID]]++
+		}
+	}
+	if err := Play(o); err != nil {
+		return nil, err
+	}
+	rep := c.Finish(j.Finish())
+	p := &Day{Seed: seed, Figure: rep.Figure, Share: rep.Whole.Share, report: rep}
+	for _, w := range rep.Windows {
+		p.Windows = append(p.Windows, w.Share)
+	}
+	for _, x := range rep.PerS {
+		p.Asked = append(p.Asked, float64(x.Asked))
+		p.Served = append(p.Served, float64(x.InTime))
+	}
+	if v := rep.Verdict.Violations; len(v) > 0 {
+		p.Broken = rep.Line(v[0])
+	}
+	twice := 0
+	for _, n := range tries {
+		if n > 1 {
+			twice++
+		}
+	}
+	p.refused = float64(rep.Whole.Refused) / float64(max(1, rep.Whole.Asked))
+	p.twice = float64(twice) / float64(max(1, len(tries)))
+	return p, nil
+}
+
+func outcome(set Setting, plays []Day) Outcome {
+	o := Outcome{Setting: set, PerSeed: plays}
+	of := func(f func(*Day) float64) Estimate {
+		var v []float64
+		for i := range plays {
+			v = append(v, f(&plays[i]))
+		}
+		return NewEstimate(v)
+	}
+	o.Figure = of(func(p *Day) float64 { return p.Figure })
+	o.Share = of(func(p *Day) float64 { return p.Share })
+	o.Refused = of(func(p *Day) float64 { return p.refused })
+	o.Twice = of(func(p *Day) float64 { return p.twice })
+	o.Attempts = of(func(p *Day) float64 { return p.report.Attempts.Per })
+	for i := range plays[0].report.Windows {
+		o.Windows = append(o.Windows, Window{plays[0].report.Windows[i].Name, of(func(p *Day) float64 {
+			if i < len(p.Windows) {
+				return p.Windows[i]
+			}
+			return 0
+		})})
+	}
+	for i := range plays {
+		if plays[i].Broken != "" {
+			o.Broken++
+		}
+	}
+	return o
+}
--- a/internal/kit/plan/plan.go
+++ b/internal/kit/plan/plan.go
@@ -39,6 +39,7 @@
 	Silence  = "silence"  // it is cut off
 	Return   = "return"   // it is back
 	Reset    = "reset"    // part By of all requests are reset; 0 ends it
+	Lose     = "lose"     // Box loses part By of its requests: read, and neither run nor answered; 0 ends it
 	Spoil    = "spoil"    // part By of all answers are spoilt; 0 ends it
 	Kill     = "kill"     // Node is killed
 	Term     = "term"     // Node gets SIGTERM
@@ -248,6 +249,13 @@
 				step(Step{At: at, Do: Crash, Box: p.Boxes[i].ID})
 				step(Step{At: at + e.Down.D(), Do: Restart, Box: p.Boxes[i].ID})
 			}
+		case "lose":
+			n := cmp.Or(e.Boxes, len(p.Boxes))
+			announce("boxes lose %.0f%% of their requests for %v", 100*e.Part, e.For)
+			for _, i := range some(at, end, n) {
+				step(Step{At: at, Do: Lose, Box: p.Boxes[i].ID, By: e.Part})
+				step(Step{At: end, Do: Lose, Box: p.Boxes[i].ID})
+			}
 		case "reset", "spoil":
 			do := map[string]string{"reset": Reset, "spoil": Spoil}[e.Do]
 			announce("boxes %s %.0f%% for %v", e.Do, 100*e.Part, e.For)
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"craneglade/internal/kit/chart"
 	"craneglade/internal/kit/judge"
 )
 
@@ -55,85 +56,39 @@
 func (r *Report) sec(us int64) float64 { return float64(us-r.Begin) / 1e6 }
 
 const (
-	width, left, right = 1040.0, 56.0, 16.0
-	plotW              = width - left - right
+	left  = chart.Left
+	plotW = chart.PlotW
 )
 
-// svg is a drawing with time from left to right.
-type svg struct {
-	strings.Builder
-	height, end float64
-}
-
-func (r *Report) drawing(height float64, label string) *svg {
+// drawing is a chart as long as the run.
+func (r *Report) drawing(height float64, label string) *chart.Chart {
 	end := max(r.Seconds, float64(len(r.PerS)), 1)
 	for _, b := range r.Boxes {
 		if n := len(b.Spans); n > 0 {
 			end = max(end, b.Spans[n-1].To)
 		}
 	}
-	s := &svg{height: height, end: math.Ceil(end)}
-	s.f(`<svg viewBox="0 0 %.0f %.0f" role="img" aria-label="%s">`, width, height, label)
-	return s
-}
-
-func (s *svg) f(format string, args ...any) { fmt.Fprintf(&s.Builder, format, args...) }
-
-func (s *svg) x(t float64) float64 { return left + plotW*min(max(t, 0), s.end)/s.end }
-
-// axis draws the time axis at y, and light lines up to top.
-func (s *svg) axis(y, top float64) {
-	step := nice(s.end / 12)
-	for t := 0.0; t <= s.end+1e-9; t += step {
-		s.f(`<line class="grid" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><text class="tick" x="%.1f" y="%.1f" text-anchor="middle">%g s</text>`,
-			s.x(t), s.x(t), top, y, s.x(t), y+15, t)
-	}
-	s.f(`<line class="axis" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/>`, left, left+plotW, y, y)
-}
-
-// scale draws the left axis and returns the place of a value.
-func (s *svg) scale(bottom, top, high float64, unit string) func(float64) float64 {
-	y := func(v float64) float64 { return bottom - (bottom-top)*min(v, high)/high }
-	step := nice(high / 4)
-	for v := 0.0; v <= high+1e-9; v += step {
-		s.f(`<line class="grid" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><text class="tick" x="%.1f" y="%.1f" text-anchor="end">%g</text>`,
-			left, left+plotW, y(v), y(v), left-6, y(v)+4, v)
-	}
-	s.f(`<text class="tick" x="%.1f" y="%.1f">%s</text>`, 4.0, top-8, unit)
-	return y
-}
-
-func nice(v float64) float64 {
-	if v <= 0 {
-		return 1
-	}
-	p := math.Pow(10, math.Floor(math.Log10(v)))
-	for _, m := range []float64{1, 2, 5, 10} {
-		if m*p >= v {
-			return max(m*p, 1e-6)
-		}
-	}
-	return 10 * p
+	return chart.New(height, math.Ceil(end), label)
 }
 
 // marks draws the events as numbered lines and the violations as red ones.
-func (r *Report) marks(s *svg, top, bottom float64) {
+func (r *Report) marks(s *chart.Chart, top, bottom float64) {
 	last := -100.0
 	row := 0.0
 	for i, e := range r.Events {
-		x := s.x(e.At)
+		x := s.X(e.At)
 		if x-last < 16 {
 			row = math.Mod(row+1, 3)
 		} else {
 			row = 0
 		}
 		last = x
-		s.f(`<g><title>%.1f s: %s</title><line class="event" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><circle class="dot" cx="%.1f" cy="%.1f" r="7"/><text class="num" x="%.1f" y="%.1f" text-anchor="middle">%d</text></g>`,
+		s.F(`<g><title>%.1f s: %s</title><line class="event" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/><circle class="dot" cx="%.1f" cy="%.1f" r="7"/><text class="num" x="%.1f" y="%.1f" text-anchor="middle">%d</text></g>`,
 			e.At, template.HTMLEscapeString(e.Text), x, x, top, bottom, x, top+7+row*15, x, top+10.5+row*15, i+1)
 	}
 	for _, v := range r.Verdict.Violations {
-		x := s.x(r.sec(v.At))
-		s.f(`<g><title>%s</title><line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/></g>`, template.HTMLEscapeString(r.Line(v)), x, x, top, bottom)
+		x := s.X(r.sec(v.At))
+		s.F(`<g><title>%s</title><line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/></g>`, template.HTMLEscapeString(r.Line(v)), x, x, top, bottom)
 	}
 }
 
@@ -155,9 +110,9 @@
 	for _, p := range r.PerS {
 		high = max(high, float64(p.Asked))
 	}
-	s.axis(bottom, top)
-	y := s.scale(bottom, top, math.Ceil(high*1.05), "requests a second")
-	bar := plotW / s.end
+	s.Axis(bottom, top)
+	y := s.Scale(bottom, top, math.Ceil(high*1.05), "requests a second")
+	bar := plotW / s.End
 	for i, p := range r.PerS {
 		sum := 0.0
 		for _, k := range kinds {
@@ -165,17 +120,17 @@
 			if n == 0 {
 				continue
 			}
-			s.f(`<rect class="%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"><title>%d s: %d %s of %d</title></rect>`, k.class, s.x(float64(i))+0.5,
+			s.F(`<rect class="%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"><title>%d s: %d %s of %d</title></rect>`, k.class, s.X(float64(i))+0.5,
 				y(sum+n), max(bar-1, 0.5), y(sum)-y(sum+n), i, int(n), k.name, p.Asked)
 			sum += n
 		}
 	}
 	r.marks(s, top, bottom)
 	for i, k := range kinds {
-		s.f(`<rect class="%s" x="%.1f" y="8" width="12" height="12"/><text class="tick" x="%.1f" y="18">%s</text>`, k.class, left+240+float64(i)*130,
+		s.F(`<rect class="%s" x="%.1f" y="8" width="12" height="12"/><text class="tick" x="%.1f" y="18">%s</text>`, k.class, left+240+float64(i)*130,
 			left+257+float64(i)*130, k.name)
 	}
-	s.f(`</svg>`)
+	s.F(`</svg>`)
 	return s.String()
 }
 
@@ -187,25 +142,25 @@
 	for _, p := range r.PerS {
 		high = max(high, p.P95)
 	}
-	s.axis(bottom, top)
-	y := s.scale(bottom, top, math.Ceil(high*1.05), "ms")
+	s.Axis(bottom, top)
+	y := s.Scale(bottom, top, math.Ceil(high*1.05), "ms")
 	line := func(class string, of func(Second) float64) {
 		var at []string
 		for i, p := range r.PerS {
 			if v := of(p); v > 0 {
-				at = append(at, fmt.Sprintf("%.1f,%.1f", s.x(float64(i)+0.5), y(v)))
+				at = append(at, fmt.Sprintf("%.1f,%.1f", s.X(float64(i)+0.5), y(v)))
 			}
 		}
-		s.f(`<polyline class="%s" points="%s"/>`, class, strings.Join(at, " "))
+		s.F(`<polyline class="%s" points="%s"/>`, class, strings.Join(at, " "))
 	}
 	line("p95", func(p Second) float64 { return p.P95 })
 	line("p50", func(p Second) float64 { return p.P50 })
-	s.f(`<line class="p50" x1="%.0f" x2="%.0f" y1="14" y2="14"/><text class="tick" x="%.0f" y="18">median</text><line class="p95" x1="%.0f" x2="%.0f" y1="14" y2="14"/><text class="tick" x="%.0f" y="18">95th percentile</text>`,
+	s.F(`<line class="p50" x1="%.0f" x2="%.0f" y1="14" y2="14"/><text class="tick" x="%.0f" y="18">median</text><line class="p95" x1="%.0f" x2="%.0f" y1="14" y2="14"/><text class="tick" x="%.0f" y="18">95th percentile</text>`,
 		left+240, left+264, left+270, left+370, left+394, left+400)
 	for _, v := range r.Verdict.Violations {
-		s.f(`<line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/>`, s.x(r.sec(v.At)), s.x(r.sec(v.At)), top, bottom)
+		s.F(`<line class="broken" x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f"/>`, s.X(r.sec(v.At)), s.X(r.sec(v.At)), top, bottom)
 	}
-	s.f(`</svg>`)
+	s.F(`</svg>`)
 	return s.String()
 }
 
@@ -228,41 +183,41 @@
 		}
 	}
 	bottom := top + lane*float64(len(boxes)) + siteH*float64(sites)
-	s.axis(bottom, top)
+	s.Axis(bottom, top)
 	next, site := top, ""
 	for _, b := range boxes {
 		if b.Site != site {
 			site = b.Site
-			s.f(`<text class="site" x="4" y="%.1f">%s</text>`, next+13, template.HTMLEscapeString(site))
+			s.F(`<text class="site" x="4" y="%.1f">%s</text>`, next+13, template.HTMLEscapeString(site))
 			next += siteH
 		}
 		y := next
 		next += lane
-		s.f(`<text class="lane" x="%.1f" y="%.1f" text-anchor="end">%s</text><g><title>%s, %s, %s: %d attempts, %d served, %d turned away, %d failed, spoilt or reset</title>`,
+		s.F(`<text class="lane" x="%.1f" y="%.1f" text-anchor="end">%s</text><g><title>%s, %s, %s: %d attempts, %d served, %d turned away, %d failed, spoilt or reset</title>`,
 			left-4, y+16, strings.TrimPrefix(b.ID, "s-")[:min(8, len(b.ID)-2)], b.ID, b.Kind, b.Site, b.Got, b.Served, b.Turned, b.Broken)
 		for _, p := range b.Spans {
-			s.f(`<rect class="st-%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"/>`, p.State, s.x(p.From), y+2, max(s.x(p.To)-s.x(p.From), 0.5), lane-4)
+			s.F(`<rect class="st-%s" x="%.1f" y="%.1f" width="%.1f" height="%.1f"/>`, p.State, s.X(p.From), y+2, max(s.X(p.To)-s.X(p.From), 0.5), lane-4)
 		}
-		s.f(`</g>`)
+		s.F(`</g>`)
 		if len(b.Load) > 1 {
 			var at []string
 			for _, p := range b.Load {
-				at = append(at, fmt.Sprintf("%.1f,%.1f", s.x(p.At), y+lane-3-(lane-6)*float64(p.Held)/float64(most)))
+				at = append(at, fmt.Sprintf("%.1f,%.1f", s.X(p.At), y+lane-3-(lane-6)*float64(p.Held)/float64(most)))
 			}
-			s.f(`<polyline class="held" points="%s"/>`, strings.Join(at, " "))
+			s.F(`<polyline class="held" points="%s"/>`, strings.Join(at, " "))
 		}
 		for _, v := range r.Verdict.Violations {
 			if v.Box == b.ID {
-				s.f(`<circle class="hit" cx="%.1f" cy="%.1f" r="5"><title>%s</title></circle>`, s.x(r.sec(v.At)), y+lane/2, template.HTMLEscapeString(r.Line(v)))
+				s.F(`<circle class="hit" cx="%.1f" cy="%.1f" r="5"><title>%s</title></circle>`, s.X(r.sec(v.At)), y+lane/2, template.HTMLEscapeString(r.Line(v)))
 			}
 		}
 	}
 	x := left
 	for _, k := range []string{"normal", "cold", "slow", "Terminating", "silent", "fallen"} {
 		name := strings.ToLower(strings.Replace(k, "Terminating", "leaving", 1))
-		s.f(`<rect class="st-%s" x="%.1f" y="4" width="14" height="14"/><text class="tick" x="%.1f" y="15">%s</text>`, k, x, x+18, name)
+		s.F(`<rect class="st-%s" x="%.1f" y="4" width="14" height="14"/><text class="tick" x="%.1f" y="15">%s</text>`, k, x, x+18, name)
 		x += 90
 	}
-	s.f(`<line class="held" x1="%.1f" x2="%.1f" y1="11" y2="11"/><text class="tick" x="%.1f" y="15">requests held (full height: %d)</text></svg>`, x, x+24, x+30, most)
+	s.F(`<line class="held" x1="%.1f" x2="%.1f" y1="11" y2="11"/><text class="tick" x="%.1f" y="15">requests held (full height: %d)</text></svg>`, x, x+24, x+30, most)
 	return s.String()
 }
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -371,6 +371,8 @@
 		seat.box.Silence()
 	case plan.Return:
 		seat.box.Return()
+	case plan.Lose:
+		seat.box.Lose(s.By)
 	case plan.Reset, plan.Spoil:
 		r.mu.Lock()
 		if s.Do == plan.Reset {
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -222,6 +222,7 @@
 	"vanish":      {[]string{"boxes", "for"}, []string{"for"}, "cut boxes off: they say nothing and refuse nothing"},
 	"crash":       {[]string{"boxes", "down"}, []string{"down"}, "end boxes' processes; they start again, cold, under their names"},
 	"reset":       {[]string{"part", "for"}, []string{"part", "for"}, "boxes reset connections under part of the requests that they have read"},
+	"lose":        {[]string{"part", "for", "boxes"}, []string{"part", "for"}, "boxes lose part of the requests that they have read: neither run nor answered; without boxes, all of them do"},
 	"spoil":       {[]string{"part", "for"}, []string{"part", "for"}, "boxes spoil part of their answers"},
 	"kill":        {[]string{"node", "down"}, []string{"down"}, "kill a node and start it again"},
 	"term":        {[]string{"node", "down"}, []string{"down"}, "SIGTERM a node, and start it again"},
--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -61,6 +61,7 @@
 	silent   chan struct{} // closed when the box is back; nil while it is not silent
 	resets   float64
 	spoils   float64
+	loses    float64
 	slow     bool
 	reports  *boxmodel.Reports
 }
@@ -227,6 +228,13 @@
 	b.resets, b.spoils = resets, spoils
 }
 
+// Lose sets the part of the requests that the box reads and then forgets: they neither run nor get an answer.
+func (b *Box) Lose(part float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loses = part
+}
+
 // Standing is what there is to show of a box.
 type Standing struct {
 	Warm, Slow, Draining, Silent, Fallen bool
@@ -489,6 +497,9 @@
 		b.later(k, trace.Turned, b.answer(503, "X-Not-Run: 1\r\n", "turned away\n"))
 		return true
 	}
+	if b.loses > 0 && b.rng.Float64() < b.loses {
+		return true // until its node gives it up
+	}
 	if b.resets > 0 && b.rng.Float64() < b.resets {
 		k.dead = true
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,9 +39,9 @@
 	outTau    = 4.0  // but a backend that can't be reached, or answered nothing lately, is out
 	ejectFor  = 1.0  // for this long at first, doubled each time,
 	ejectMost = 8.0  // up to this
-	overtake  = 3.0  // service times by which a later send, once answered, tells that an earlier one is lost
 	crowdAt   = 5.0  // time in work beyond this multiple of the kind's best tells of a crowd, not of chance
 	coldPart  = 0.67 // of the multiple that brings a cold backend down: so much it is sent at most
+	qMost     = 0.95 // q is never more
 	retryPart = 0.2  // further attempts that each first one allows
 	retryBank = 10.0 // and how many may be saved up
 	askAgain  = 1.0  // after a lost list a node asks again within about this
@@ -175,6 +175,7 @@
 	a := &attempt{server: s, open: true, met: b.waiting(s, now) + 1, at: now}
 	r.attempts = append(r.attempts, a)
 	s.flying = append(s.flying, a)
+	s.sentAt = now
 	r.open++
 	s.own++
 	until := r.until // ended at the aim, it would draw a client's retry that is worth nothing
@@ -230,9 +231,10 @@
 }
 
 // diverts draws whether a backend in overload diverts a request of a class. The share q of all requests is
-// diverted, lesser classes first; what passes falls as the occupancy exceeds H.
+// diverted, lesser classes first. A fixed q lets too much pass a backend that fills on, or closes one that
+// stands a little above H to nearly all; so q grows from Divert at H to qMost at 1 + Ramp times H.
 func (b *Balancer) diverts(now float64, s *server, lesser bool) bool {
-	q := 1 - (1-b.tune.Divert)*min(1, b.high(s, b.limit(s))/max(b.waiting(s, now), 1))
+	q := b.q(s, b.waiting(s, now), b.high(s, b.limit(s)))
 	part := b.lessers / max(b.total, 1)
 	if lesser {
 		return b.rng.Float64()*part < q
@@ -240,6 +242,12 @@
 	return b.rng.Float64()*(1-part) < q-part
 }
 
+// q is the part of all requests that a backend in overload diverts at an occupancy of n. Some always pass:
+// without them no report would tell that it has emptied.
+func (b *Balancer) q(s *server, n, h float64) float64 {
+	return min(qMost, b.tune.Divert+(1-b.tune.Divert)*max(0, n/h-1)/b.tune.Ramp)
+}
+
 // mayRetry tells whether the rules and the budget allow a further attempt. Retries must never add to an
 // overload: they take the ordinary path again, and share a budget that only first attempts fill.
 func (b *Balancer) mayRetry(now float64, r *request) bool {
@@ -334,7 +342,7 @@
 // wait there, but was lost on the way, or is one of a few with far more work than most. Held until it times
 // out, it would make a backend that loses a tenth of its requests look crowded while it stands idle.
 func (b *Balancer) overtaken(s *server, by *attempt) {
-	before := by.at - overtake*b.service(s)
+	before := by.at - b.tune.Overtake*b.service(s)
 	i := 0
 	for ; i < len(s.flying) && (!s.flying[i].open || s.flying[i].at < before); i++ {
 		if a := s.flying[i]; a.open {
@@ -403,12 +411,15 @@
 
 // limit is R: the queue a backend clears in half the shortest told deadline, capped where 'full' was met.
 func (b *Balancer) limit(s *server) float64 {
-	return max(min(s.room, b.half/b.service(s)), s.least()/onset)
+	return max(min(s.room, b.half/b.service(s)), s.least()/onset, b.tune.H/onset)
 }
 
 // high is H. It never lets a backend hold more than it clears in a part of the shortest aim: an answer past
 // its aim is wasted work, however long the deadline.
 func (b *Balancer) high(s *server, r float64) float64 {
+	if b.tune.H > 0 {
+		return b.tune.H
+	}
 	return max(min(onset*r, roomPart*s.room, b.tune.AimPart*b.aim/b.service(s)), s.least())
 }
 
@@ -466,6 +477,9 @@
 		if s.update(now, b); s.mode > worst || !b.usable(now, r, s) {
 			continue
 		}
+		if s.mode == normal && now-s.sentAt > b.tune.Heal*float64(b.set.Nodes) && b.ramp(s, now) == 1 {
+			return s // what is believed of it is old: one request tells, and no more follow for as long
+		}
 		if ramp := b.ramp(s, now); ramp < 1 {
 			// A cold backend is kept from being pushed over by a fixed share of each node's requests: its
 			// ramp's part of what a warm one serves, times a part of the multiple that brings it down. The
@@ -599,7 +613,7 @@
 		s := b.servers[e.ID]
 		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
 			s = &server{launched: e.Launched.Seconds(), room: math.Inf(1), base: math.Inf(1), reportAt: now,
-				ownAt: now, lastOK: now}
+				ownAt: now, sentAt: now, lastOK: now}
 			b.servers[e.ID] = s
 		}
 		s.Entry, s.grace = e, 0
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -12,7 +12,7 @@
 	Held     float64 // estimated occupancy: requests in work or waiting there, of all nodes
 	Own      float64 // this node's attempts in flight
 	H, R     float64 // the thresholds in force
-	Q        float64 // part of the requests drawn for it that it would divert now
+	Q        float64 // part of the requests drawn for it that it diverts now
 	Service  float64 // seconds for each request it holds
 	Bad      float64 // share of failures lately
 	Ejected  bool
@@ -26,7 +26,8 @@
 	out := make([]Belief, 0, len(b.order))
 	for _, s := range b.order {
 		r := b.limit(s)
-		x := Belief{ID: s.ID, Mode: [...]string{"normal", "overload", "discard"}[s.mode], Held: b.waiting(s, t), Own: s.own, R: r, H: b.high(s, r),
+		n, h := b.waiting(s, t), b.high(s, r)
+		x := Belief{ID: s.ID, Mode: [...]string{"normal", "overload", "discard"}[s.mode], Held: n, Own: s.own, R: r, H: h, Q: [...]float64{0, b.q(s, n, h), 1}[s.mode],
 			Service: b.service(s), Bad: s.bad, Ejected: t < s.ejected || s.trial, Ramp: b.ramp(s, t), ReportOf: span(t - s.reportAt)}
 		out = append(out, x)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,6 +56,7 @@
 	flying    []*attempt // out, in the order of the sends; those that have ended are taken off later
 	ownLag    float64    // the same, at about the time of the latest report
 	ownAt     float64
+	sentAt    float64 // when something was last sent to it
 	ghosts    float64 // attempts that timed out here lately: no report shows their end yet
 	others    float64 // occupancy by reports beyond this node's own, smoothed
 	reportAt  float64
