Kit: what a box read just before it came back from silence is dropped too

Seen: the test of a box's troubles failed 14 to 17 times of 40 on a machine whose cores were busy, and before this work too. The records show a request received that was written while the box was cut off: its reader had the first byte, then waited for the box's lock, and found the box back.

Change: connections that were open when the box came back are marked, and nothing read off them counts.

--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -80,6 +80,7 @@
 	node  trace.Node
 	fresh bool
 	extra bool // past the number that the box accepts
+	cut   bool // it was open when the box came back from silence; guarded by Box.mu
 	busy  atomic.Pointer[call]
 }
 
@@ -207,6 +208,7 @@
 	}
 	b.state(b.clock.Now(), trace.Back)
 	for c := range b.conns {
+		c.cut = true
 		b.lost(c)
 	}
 	close(b.silent)
@@ -385,13 +387,14 @@
 	})
 }
 
-// wait returns once the box can be reached. It tells whether it could all along.
-func (b *Box) wait() bool {
+// wait returns once the box can be reached. It tells whether it could all along, as far as this connection goes: what
+// was read off it just before the box came back is none of the box's either.
+func (b *Box) wait(c *boxConn) bool {
 	b.mu.Lock()
-	silent := b.silent
+	silent, cut := b.silent, c.cut
 	b.mu.Unlock()
 	if silent == nil {
-		return true
+		return !cut
 	}
 	<-silent
 	return false
@@ -399,7 +402,7 @@
 
 // talk reads the requests of one connection.
 func (b *Box) talk(c *boxConn) {
-	if !b.wait() {
+	if !b.wait(c) {
 		reset(c.Conn)
 		return
 	}
@@ -410,7 +413,7 @@
 		}
 		_, err := in.Peek(1)
 		first := b.clock.us()
-		if !b.wait() {
+		if !b.wait(c) {
 			return // what came while it was cut off came nowhere
 		}
 		if err != nil {
