--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -55,6 +55,12 @@
 		{[]string{"rehearse", bad}, 2, "", "bad.toml:2: rate: no such key"},
 		{[]string{"check", bad}, 2, "", "bad.toml:2: rate: no such key"},
 		{[]string{"check", file(t, "c.json", "{}")}, 2, "", "c.json: listen:"},
+		{[]string{"lab", "kill"}, 2, "", `the laboratory plays no "kill"`},
+		{[]string{"lab", "--set", "q=1"}, 2, "", `"q" is none of aim_part, divert`},
+		{[]string{"lab", "--set", "divert=2"}, 2, "", "divert=2 is no number from 0 to 1"},
+		{[]string{"lab", "--grid", "h"}, 2, "", `"h" is not of the form figure=value,value`},
+		{[]string{"lab", "--only"}, 2, "", "no setting is left"},
+		{[]string{"lab", "--seeds", "0"}, 2, "", "0 is outside 1 to 100000"},
 		{[]string{"judge", "/no/such/trace"}, 2, "", "no such file"},
 		{[]string{"judge", file(t, "t", "{\"trace\":77}\n")}, 2, "", "trace is 77, and should be 1"},
 		{[]string{"rehearse", "calm", "--trace", "/no/such/folder/t"}, 2, "", "no such file"},
@@ -103,3 +109,26 @@
 		t.Errorf("a node that does not start: status %d, %s", status, errOut)
 	}
 }
+
+// One day of the laboratory, as a sweep and as a trace that the judge reads.
+func TestLab(t *testing.T) {
+	day := file(t, "day.toml", "length = \"4s\"\n[[event]]\ndo = \"lose\"\nat = \"1s\"\nfor = \"2s\"\npart = 0.1\n")
+	dir := t.TempDir()
+	page, trace, beliefs := filepath.Join(dir, "lab.html"), filepath.Join(dir, "t"), filepath.Join(dir, "b")
+	status, out, errOut := call(t, "lab", day, "--seeds", "2", "--grid", "h=3,6", "--set", "divert=0.8", "--html", page)
+	if status != 0 || !strings.Contains(out, "in service") || !strings.Contains(out, "divert=0.8") || !strings.Contains(out, "h=6") {
+		t.Errorf("status %d\n%s%s", status, out, errOut)
+	}
+	if text, err := os.ReadFile(page); err != nil || !bytes.Contains(text, []byte("h=6")) {
+		t.Errorf("the page: %v", err)
+	}
+	if status, out, errOut = call(t, "lab", day, "--trace", trace, "--beliefs", beliefs); status != 0 {
+		t.Errorf("status %d\n%s%s", status, out, errOut)
+	}
+	if status, out, _ = call(t, "judge", trace); status != 0 || strings.Count(out, " kept\n") != 4 {
+		t.Errorf("the judge: status %d\n%s", status, out)
+	}
+	if text, err := os.ReadFile(beliefs); err != nil || bytes.Count(text, []byte("\"TrueHeld\"")) < 3*11*4 {
+		t.Errorf("the beliefs: %d bytes, %v", len(text), err)
+	}
+}
--- a/internal/kit/stand/stand_test.go
+++ b/internal/kit/stand/stand_test.go
@@ -272,6 +272,23 @@
 	}
 }
 
+// A request that is lost is read, and nothing comes of it; the next ones are served.
+func TestBoxLosesRequests(t *testing.T) {
+	b := newBook()
+	x, addr := newBox(t, b, nil)
+	x.Lose(1)
+	lost := dial(t, addr)
+	io.WriteString(lost, post("r1", time.Millisecond))
+	until(t, "the request", func() bool { return len(b.records(t, trace.Recv)) == 1 })
+	x.Lose(0)
+	if resp, _ := dial(t, addr).ask(t, post("r2", time.Millisecond)); resp.StatusCode != 200 {
+		t.Errorf("the next one: %d", resp.StatusCode)
+	}
+	if n := len(b.records(t, trace.Reply)); n != 1 || x.Standing().Held != 0 {
+		t.Errorf("%d replies, %d held, want one reply and none held", n, x.Standing().Held)
+	}
+}
+
 func TestBoxFallsOver(t *testing.T) {
 	b := newBook()
 	x, addr := newBox(t, b, func(c *BoxConfig) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy makes the decisions of one HTTP load balancer: which backend a request goes to, which
 // requests are refused, what is tried again. Settings, events and actions are in policy/api.go, what a node
-// remembers in policy/state.go; all decisions are here.
+// remembers in policy/state.go, how lost attempts are told in policy/lost.go; all other decisions are here.
 //
 // Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks":
 // normal, overload (each request is diverted with probability q) and discard (nothing is sent). Diverted
@@ -172,7 +172,13 @@
 }
 
 func (b *Balancer) send(now float64, r *request, s *server) {
-	a := &attempt{server: s, open: true, met: b.waiting(s, now) + 1, at: now}
+	a := &r.first
+	if len(r.attempts) > 0 {
+		a = &attempt{}
+	} else {
+		r.attempts = r.list[:0]
+	}
+	*a = attempt{server: s, open: true, met: b.waiting(s, now) + 1, at: now}
 	r.attempts = append(r.attempts, a)
 	s.flying = append(s.flying, a)
 	s.sentAt = now
@@ -264,6 +270,7 @@
 	if !a.stray {
 		s.own = max(0, s.own-1)
 	}
+	s.flying = slices.Delete(s.flying, 0, ended(s.flying))
 	took := max(0, ev.Took.Seconds())
 	n := max(ev.Load.Queue, ev.Load.Held, 0)
 	if w := ev.Load.Work; ev.Load.Held < 0 && w > 0 && w < math.MaxInt32 && b.ramp(s, now) == 1 {
@@ -337,22 +344,6 @@
 	r.class.answers++
 }
 
-// overtaken takes what is out at a backend for much longer than what was just answered off its occupancy.
-// Backends take requests in turn: what was sent several service times before one that has its answer does not
-// wait there, but was lost on the way, or is one of a few with far more work than most. Held until it times
-// out, it would make a backend that loses a tenth of its requests look crowded while it stands idle.
-func (b *Balancer) overtaken(s *server, by *attempt) {
-	before := by.at - b.tune.Overtake*b.service(s)
-	i := 0
-	for ; i < len(s.flying) && (!s.flying[i].open || s.flying[i].at < before); i++ {
-		if a := s.flying[i]; a.open {
-			a.stray = true
-			s.own = max(0, s.own-1)
-		}
-	}
-	s.flying = slices.Delete(s.flying, 0, i)
-}
-
 // blame counts a failed attempt. A broken backend can look best (fast errors, an empty queue), so one that
 // fails too often is ejected for a growing time and comes back by trickle. However many are ejected, the
 // rest are not pushed over: their modes refuse what they cannot take.
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,11 +40,13 @@
 	until    float64 // when the client gives up
 	aim      float64 // when its answer stops being worth anything
 	attempts []*attempt
-	open     int     // attempts without an outcome
-	final    bool    // the client has its answer; nothing more may be sent
-	mayRun   *server // backend of the first attempt that may have run
-	mayRunAt float64 // when that was sent
-	avoid    *server // the backend just tried: not twice in a row
+	first    attempt     // most requests have one, which needs no memory of its own
+	list     [1]*attempt // and neither does the list of it
+	open     int         // attempts without an outcome
+	final    bool        // the client has its answer; nothing more may be sent
+	mayRun   *server     // backend of the first attempt that may have run
+	mayRunAt float64     // when that was sent
+	avoid    *server     // the backend just tried: not twice in a row
 }
 
 type server struct {
