Laboratory: a box's process and its connections are counted apart

When a box came back from silence the laboratory set its reports and load notes going again by a copy of those of its start, which left out the connections held and the warming notes of a cold box.

Change: what runs with the process goes by a count of processes, what belongs to connections by a count of their ends, and the copy is gone. An unused parameter of the policy's q as well; it decides the same.

--- a/internal/kit/lab/box.go
+++ b/internal/kit/lab/box.go
@@ -23,7 +23,8 @@
 	slow     bool
 	loses    float64 // part of its requests that it forgets
 	conns    int     // that it holds
-	life     int     // counts its processes; connections of an earlier one are worth nothing
+	runs     int     // counts its processes
+	life     int     // counts the times that all its connections ended; those of an earlier one are worth nothing
 	open     map[uint64]*attempt
 	woken    int64 // marks the latest call to drive; earlier ones that are still set do nothing
 }
@@ -43,9 +44,10 @@
 	rng := rand.New(rand.NewPCG(p.Seed, 3))
 	r := &w.plan.Scenario.Report
 	b.life++
+	b.runs++
 	b.up, b.draining, b.silent, b.slow, b.loses, b.conns = true, false, false, false, 0, 0
 	b.open = map[uint64]*attempt{}
-	b.model = boxmodel.New(spec, p.Seed+uint64(b.life), w.now)
+	b.model = boxmodel.New(spec, p.Seed+uint64(b.runs), w.now)
 	b.reports = boxmodel.NewReports(r.Late.D(), r.Noise, rng)
 	if !warm {
 		b.started = max(w.now, 1)
@@ -72,10 +74,10 @@
 	if gap <= 0 {
 		return
 	}
-	life := b.life
+	runs := b.runs
 	var tick func()
 	tick = func() {
-		if b.life != life || !b.up {
+		if b.runs != runs || !b.up {
 			return
 		}
 		b.drive()
@@ -137,9 +139,9 @@
 	}
 	if at, ok := b.model.Next(); ok {
 		b.woken++
-		mine, life := b.woken, b.life
+		mine := b.woken
 		b.w.at(at, func() {
-			if b.woken == mine && b.life == life {
+			if b.woken == mine && b.up {
 				b.drive()
 			}
 		})
@@ -159,17 +161,6 @@
 // reset ends every connection to it.
 func (b *box) reset() {
 	b.life++ // connections kept by nodes are of the life before
-	if b.up {
-		// The process goes on; only its connections end. What it had in hand is answered to nobody.
-		life := b.life
-		r := &b.w.plan.Scenario.Report
-		b.every(0, r.Every.D(), func() bool { b.reports.Take(b.w.now, b.model); return b.life == life })
-		b.every(0, loadEvery, func() bool {
-			b.w.note(trace.Record{Kind: trace.Load, Box: b.plan.ID, Held: b.model.Held(), Queue: b.model.Waiting(),
-				Cores: b.model.Capacity()})
-			return true
-		})
-	}
 	b.conns = 0
 	for _, a := range b.sorted() {
 		delete(b.open, a.att)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -240,7 +240,7 @@
 // diverted, lesser classes first. A fixed q lets too much pass a backend that fills on, or closes one that
 // stands a little above H to nearly all; so q grows from Divert at H to qMost at 1 + Ramp times H.
 func (b *Balancer) diverts(now float64, s *server, lesser bool) bool {
-	q := b.q(s, b.waiting(s, now), b.high(s, b.limit(s)))
+	q := b.q(b.waiting(s, now), b.high(s, b.limit(s)))
 	part := b.lessers / max(b.total, 1)
 	if lesser {
 		return b.rng.Float64()*part < q
@@ -250,7 +250,7 @@
 
 // q is the part of all requests that a backend in overload diverts at an occupancy of n. Some always pass:
 // without them no report would tell that it has emptied.
-func (b *Balancer) q(s *server, n, h float64) float64 {
+func (b *Balancer) q(n, h float64) float64 {
 	return min(qMost, b.tune.Divert+(1-b.tune.Divert)*max(0, n/h-1)/b.tune.Ramp)
 }
 
