Requests stay in their zone as far as the price of crossing is worth it

The module did not read the price: pick (policy/policy.go) gave boxes of the own zone a fixed weight of 1.5, right for a price of 0.01 and for no other. Now each class stays with a chance that follows what answers of either side took lately, against the price (policy/zone.go).

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -347,8 +347,11 @@
 
 // info is the settings object of a create message; keys that are not named here are skipped.
 type info struct {
-	Balancers *int    `json:"balancers"`
-	Zone      string  `json:"zone"`
+	Balancers *int   `json:"balancers"`
+	Zone      string `json:"zone"`
+	Tariffs   struct {
+		CrossZone float64 `json:"cross_zone"`
+	} `json:"tariffs"`
 	Discovery string  `json:"discovery"`
 	OverShare float64 `json:"over_share_worth"`
 	Grades    []struct {
@@ -406,7 +409,7 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Settings{}, err
 	}
-	s := policy.Settings{Zone: in.Zone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
+	s := policy.Settings{Zone: in.Zone, CrossPrice: in.Tariffs.CrossZone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
 		Cancel: in.Limits.Cancel, MustAskIn: seconds(in.Rules.MustAskIn),
 		DrainGrace: seconds(in.Rules.DrainGrace),
 		ColdShare:  in.Rules.ColdShare, ColdFor: seconds(in.Rules.ColdFor),
--- a/policy/api.go
+++ b/policy/api.go
@@ -46,6 +46,7 @@
 // Settings is what a node is told at its start. Durations and counts left zero mean "not told".
 type Settings struct {
 	Zone        string        // zone of this node
+	CrossPrice  float64       // of an attempt that leaves the zone, in mean requests' worth
 	Nodes       int           // nodes in service, this one included; at least 1
 	MustAsk     bool          // the list comes only when asked for
 	MustAskIn   time.Duration // after a loss the list must be asked for within this; 0 when not told
@@ -108,7 +109,7 @@
 	}{
 		{"MustAskIn", s.MustAskIn.Seconds()}, {"RetryAfter", s.RetryAfter.Seconds()},
 		{"DrainGrace", s.DrainGrace.Seconds()}, {"ColdFor", s.ColdFor.Seconds()}, {"FallFor", s.FallFor.Seconds()},
-		{"FallFactor", s.FallFactor}, {"OverShare", s.OverShare},
+		{"FallFactor", s.FallFactor}, {"CrossPrice", s.CrossPrice}, {"OverShare", s.OverShare},
 	} {
 		if !(v.value >= 0 && v.value <= math.MaxFloat64) {
 			return fmt.Errorf("policy: %s: %v must be a number that is not negative", v.name, v.value)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,7 @@
 // Package policy makes the decisions of one HTTP load balancer: which backend a request goes to, which
 // requests are refused, what is tried again. Settings, events and actions are in policy/api.go, what a node
-// remembers in policy/state.go, how lost attempts are told in policy/lost.go; all other decisions are here.
+// remembers in policy/state.go, how lost attempts are told in policy/lost.go, what a request is worth beside
+// others in policy/worth.go, what leaving the zone is worth in policy/zone.go; all others are here.
 //
 // Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks":
 // normal, overload (each request is diverted with probability q) and discard (nothing is sent). Diverted
@@ -59,7 +60,7 @@
 	b := &Balancer{set: set, tune: tune, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
 		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1)}
 	for _, c := range set.Classes {
-		b.classes = append(b.classes, &class{Class: c, least: c.Deadline.Seconds()})
+		b.classes = append(b.classes, &class{Class: c, stay: 1, least: c.Deadline.Seconds()})
 		if d := c.Deadline.Seconds(); d > 0 {
 			b.half = min(b.half, d/2)
 		}
@@ -117,7 +118,7 @@
 		return
 	}
 	// A class never told of must be taken as one that must not run twice.
-	c := &class{Class: Class{Name: ev.Class, Effect: Unsafe}}
+	c := &class{Class: Class{Name: ev.Class, Effect: Unsafe}, stay: 1}
 	if i := slices.IndexFunc(b.classes, func(k *class) bool { return k.Name == ev.Class }); i >= 0 {
 		c = b.classes[i]
 	}
@@ -146,18 +147,6 @@
 	b.retries = min(retryBank, b.retries+retryPart)
 }
 
-// overShare draws whether a request lies past its tenant's share: the node takes its own part of the share,
-// and of what goes beyond it as many at random as there are too many.
-func (b *Balancer) overShare(name string) bool {
-	i := slices.IndexFunc(b.tenants, func(t *tenant) bool { return t.Name == name })
-	if i < 0 || b.set.OverShare >= 1 {
-		return false
-	}
-	t := b.tenants[i]
-	t.count++
-	return b.rng.Float64()*t.rate > t.QuotaPerS*b.part
-}
-
 // try sends a request on the ordinary path of the design, or tells that no backend takes it: draw a backend,
 // let one in overload divert the request with probability q, and diverted requests draw a normal one.
 func (b *Balancer) try(now float64, r *request) bool {
@@ -172,6 +161,10 @@
 }
 
 func (b *Balancer) send(now float64, r *request, s *server) {
+	b.sends.n++
+	if b.priced(s) {
+		b.sends.sum++
+	}
 	a := &r.first
 	if len(r.attempts) > 0 {
 		a = &attempt{}
@@ -340,6 +333,7 @@
 func (b *Balancer) latency(s *server, r *request, a *attempt, took float64) {
 	s.latency += took
 	s.occupancy += a.met
+	b.zoned(s, r.class, took)
 	r.class.latency += took
 	r.class.answers++
 }
@@ -461,14 +455,14 @@
 
 // pick draws a backend in the given mode or a better one, by weights that fall with the expected delay.
 func (b *Balancer) pick(now float64, r *request, worst mode) *server {
-	var chosen *server
-	sum := 0.0
+	var chosen [2]*server // here, and where it costs a crossing
+	var sum [2]float64
 	b.picks++
 	for _, s := range b.order {
 		if s.update(now, b); s.mode > worst || !b.usable(now, r, s) {
 			continue
 		}
-		if s.mode == normal && now-s.sentAt > b.tune.Heal*float64(b.set.Nodes) && b.ramp(s, now) == 1 {
+		if s.mode == normal && now-s.sentAt > b.heal(s) && b.ramp(s, now) == 1 {
 			return s // what is believed of it is old: one request tells, and no more follow for as long
 		}
 		if ramp := b.ramp(s, now); ramp < 1 {
@@ -488,12 +482,19 @@
 		if s.Zone == b.set.Zone {
 			weight *= ownZone
 		}
-		sum += weight
-		if b.rng.Float64()*sum < weight { // so that each is drawn with its part of the whole sum
-			chosen = s
+		i := 0
+		if b.priced(s) {
+			i = 1
+		}
+		sum[i] += weight
+		if b.rng.Float64()*sum[i] < weight { // so that each is drawn with its part of the whole sum
+			chosen[i] = s
 		}
 	}
-	return chosen
+	if chosen[0] == nil || chosen[1] != nil && b.rng.Float64() >= r.class.stay {
+		return chosen[1]
+	}
+	return chosen[0]
 }
 
 // plan runs a few times a second: it ages what was learnt and renews what the requests then use.
@@ -549,27 +550,10 @@
 	for _, t := range b.tenants {
 		t.rate, t.count = t.rate*f+t.count/dt*(1-f), 0
 	}
+	b.cross(dt, f)
 	b.shares(math.Exp(-dt / oldTau))
 }
 
-// shares finds the lesser classes, those worth less than the average for their work. They are not ranked
-// further: the worst of them counts too.
-func (b *Balancer) shares(f float64) {
-	b.total, b.lessers = b.total*f, b.lessers*f
-	var worth, work float64
-	for _, c := range b.classes {
-		c.requests, c.latency, c.answers = c.requests*f, c.latency*f, c.answers*f
-		worth += c.requests * c.Worth
-		work += c.requests * c.work()
-	}
-	for _, c := range b.classes {
-		c.lesser = c.Worth*work < worth*c.work()
-	}
-}
-
-// work is the mean latency of a class, as a measure of what its requests cost.
-func (c *class) work() float64 { return (c.latency + guess) / (c.answers + 1) }
-
 // list follows the server list.
 func (b *Balancer) list(now float64, ev *Event) {
 	if ev.List == ListFailed {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -27,9 +27,9 @@
 	for _, s := range b.order {
 		r := b.limit(s)
 		n, h := b.waiting(s, t), b.high(s, r)
-		x := Belief{ID: s.ID, Mode: [...]string{"normal", "overload", "discard"}[s.mode], Held: n, Own: s.own, R: r, H: h, Q: [...]float64{0, b.q(n, h), 1}[s.mode],
-			Service: b.service(s), Bad: s.bad, Ejected: t < s.ejected || s.trial, Ramp: b.ramp(s, t), ReportOf: span(t - s.reportAt)}
-		out = append(out, x)
+		out = append(out, Belief{ID: s.ID, Mode: [...]string{"normal", "overload", "discard"}[s.mode], Held: n,
+			Own: s.own, R: r, H: h, Q: [...]float64{0, b.q(n, h), 1}[s.mode], Service: b.service(s), Bad: s.bad,
+			Ejected: t < s.ejected || s.trial, Ramp: b.ramp(s, t), ReportOf: span(t - s.reportAt)})
 	}
 	return out
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,6 +18,9 @@
 	latency, answers float64 // decayed sum of latencies, and the answers behind it
 	least            float64 // least time left of a first try lately
 	lesser           bool    // worth less than the average for its work
+	near             tally   // latencies of answers that crossed no zone at a price
+	best             float64 // least mean of them
+	stay             float64 // part of the requests that stays in this zone while there is a backend for it
 }
 
 type tenant struct {
@@ -97,6 +100,9 @@
 	lessers  float64 // and of those that are diverted first
 	picks    float64 // decayed count of draws,
 	span     float64 // and of the seconds that they were counted in
+	worth    float64 // mean worth of a request lately
+	far      tally   // latencies of answers from other zones, as parts of their class's in this one
+	sends    tally   // attempts, and those of them that left the zone at a price
 	seen     float64 // decayed count of reports,
 	mean     float64 // and what others hold at a backend by their mean
 	retries  float64 // further attempts that the budget allows
--- /dev/null
+++ b/policy/worth.go
@@ -0,0 +1,35 @@
+package policy
+
+import "slices"
+
+// overShare draws whether a request lies past its tenant's share: the node takes its own part of the share,
+// and of what goes beyond it as many at random as there are too many.
+func (b *Balancer) overShare(name string) bool {
+	i := slices.IndexFunc(b.tenants, func(t *tenant) bool { return t.Name == name })
+	if i < 0 || b.set.OverShare >= 1 {
+		return false
+	}
+	t := b.tenants[i]
+	t.count++
+	return b.rng.Float64()*t.rate > t.QuotaPerS*b.part
+}
+
+// shares finds the lesser classes, those worth less than the average for their work. They are not ranked
+// further: the worst of them counts too.
+func (b *Balancer) shares(f float64) {
+	b.total, b.lessers = b.total*f, b.lessers*f
+	var requests, worth, work float64
+	for _, c := range b.classes {
+		c.requests, c.latency, c.answers = c.requests*f, c.latency*f, c.answers*f
+		requests += c.requests
+		worth += c.requests * c.Worth
+		work += c.requests * c.work()
+	}
+	b.worth = worth / max(requests, 1e-9)
+	for _, c := range b.classes {
+		c.lesser = c.Worth*work < worth*c.work()
+	}
+}
+
+// work is the mean latency of a class, as a measure of what its requests cost.
+func (c *class) work() float64 { return (c.latency + guess) / (c.answers + 1) }
