A class that a box fails is kept from that box; its other classes are not

Every attempt logged with its class and box: at those boxes one class fails in each of its requests (save-config; saldo: 546 of 548 errors) and every other class is answered soundly. blame (policy/policy.go) counted failures for the box as a whole and ejected it, so that a third of the fleet was missing for classes it serves well, and the rest stood in overload. Now each box has a record for each class (fails, answers, of); a class that fails there is left out and tried again as boxes are.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,8 +59,8 @@
 	}
 	b := &Balancer{set: set, tune: tune, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
 		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1)}
-	for _, c := range set.Classes {
-		b.classes = append(b.classes, &class{Class: c, stay: 1, least: c.Deadline.Seconds()})
+	for i, c := range set.Classes {
+		b.classes = append(b.classes, &class{Class: c, index: i, stay: 1, least: c.Deadline.Seconds()})
 		if d := c.Deadline.Seconds(); d > 0 {
 			b.half = min(b.half, d/2)
 		}
@@ -118,7 +118,7 @@
 		return
 	}
 	// A class never told of must be taken as one that must not run twice.
-	c := &class{Class: Class{Name: ev.Class, Effect: Unsafe}, stay: 1}
+	c := &class{Class: Class{Name: ev.Class, Effect: Unsafe}, stay: 1, index: len(b.classes)}
 	if i := slices.IndexFunc(b.classes, func(k *class) bool { return k.Name == ev.Class }); i >= 0 {
 		c = b.classes[i]
 	}
@@ -175,6 +175,9 @@
 	r.attempts = append(r.attempts, a)
 	s.flying = append(s.flying, a)
 	s.sentAt = now
+	if s.classes != nil && s.of(b, r.class).trial {
+		s.of(b, r.class).ejected = now + ejectFor // one at a time
+	}
 	r.open++
 	s.own++
 	until := r.until // ended at the aim, it would draw a client's retry that is worth nothing
@@ -288,11 +291,12 @@
 	case OK:
 		s.lastOK = now
 		s.served++
-		s.bad *= 1 - 1/badTau
-		if s.trial && s.bad < badShare { // also when what was in flight shows that it is not out after all
-			s.trial, s.ejections, s.ejected = false, 0, now
+		if s.answers(now) {
 			b.log("backend %d answers again", s.ID)
 		}
+		if s.classes != nil && s.of(b, r.class).answers(now) {
+			b.log("backend %d answers class %s again", s.ID, r.class.Name)
+		}
 		b.latency(s, r, a, took)
 		b.overtaken(s, a)
 	case Full:
@@ -322,7 +326,12 @@
 		}
 	case ConnectFailed:
 		b.blame(now, s, outTau)
-	case Failed, Reset:
+	case Failed:
+		b.blame(now, s, badTau)
+		if h := s.of(b, r.class); b.fails(now, h, outTau) {
+			b.log("backend %d gets no class %s for %.1f s: it fails those", s.ID, r.class.Name, h.ejected-now)
+		}
+	case Reset:
 		b.blame(now, s, badTau)
 	}
 	s.update(now, b)
@@ -342,14 +351,42 @@
 // fails too often is ejected for a growing time and comes back by trickle. However many are ejected, the
 // rest are not pushed over: their modes refuse what they cannot take.
 func (b *Balancer) blame(now float64, s *server, tau float64) {
-	s.bad = min(badMost, s.bad+(1-s.bad)/tau)
-	if now < s.ejected || !s.trial && s.bad < badShare {
-		return
+	if b.fails(now, &s.health, tau) {
+		b.log("backend %d ejected for %.1f s: too many attempts failed", s.ID, s.ejected-now)
 	}
-	s.ejections++
-	s.ejected = now + min(ejectMost, ejectFor*math.Pow(2, float64(s.ejections-1)))*(0.75+0.5*b.rng.Float64())
-	s.trial = true
-	b.log("backend %d ejected for %.1f s: too many attempts failed", s.ID, s.ejected-now)
+}
+
+// fails books a failure, and tells whether it ejects what the record is of.
+func (b *Balancer) fails(now float64, h *health, tau float64) bool {
+	h.bad = min(badMost, h.bad+(1-h.bad)/tau)
+	if now < h.ejected || !h.trial && h.bad < badShare {
+		return false
+	}
+	h.ejections++
+	h.ejected = now + min(ejectMost, ejectFor*math.Pow(2, float64(h.ejections-1)))*(0.75+0.5*b.rng.Float64())
+	h.trial = true
+	return true
+}
+
+// answers books an answer, and tells whether it ends an ejection, as one of what was in flight may.
+func (h *health) answers(now float64) bool {
+	h.bad *= 1 - 1/badTau
+	if !h.trial || h.bad >= badShare {
+		return false
+	}
+	h.trial, h.ejections, h.ejected = false, 0, now
+	return true
+}
+
+// of is the record of one class at a backend. One of a class never told of is not kept.
+func (s *server) of(b *Balancer, c *class) *health {
+	if c.index >= len(b.classes) {
+		return &health{}
+	}
+	if s.classes == nil {
+		s.classes = make([]health, len(b.classes))
+	}
+	return &s.classes[c.index]
 }
 
 func (b *Balancer) gone(ev *Event) {
@@ -448,6 +485,9 @@
 	if s.State != Active && now >= s.grace || now < s.ejected || s.trial && s.own > 0 || s == r.avoid {
 		return false
 	}
+	if s.classes != nil && now < s.of(b, r.class).ejected {
+		return false
+	}
 	m, group := r.mayRun, r.class.Group
 	return m == nil || r.class.Effect != Keyed ||
 		(group != GroupZone || s.Zone == m.Zone) && (group != GroupCell || s.Cell == m.Cell)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -268,6 +268,49 @@
 	}
 }
 
+// A backend may fail every request of one class and answer all others: only that class is kept from it. Ejected whole,
+// the rest of what it could do was missing while other backends filled up.
+func TestAClassThatFailsIsKeptFromItsBackend(t *testing.T) {
+	b := node(t, settings(), Entry{ID: 1, Zone: "a"}, Entry{ID: 2, Zone: "a"})
+	sick, failed := true, 0
+	to := map[string]map[uint32]int{"once": {}, "low": {}}
+	play := func(from, n int) {
+		for i := from; i < from+n; i++ {
+			now, class := t0+time.Duration(i)*5*time.Millisecond, []string{"once", "low"}[i%2]
+			if i%50 == 0 {
+				b.Handle(now, &Event{Kind: EvTimer, Token: "tick"}, nil)
+			}
+			send := ask(b, now, fmt.Sprint("r", i), class)
+			if send.Kind != ActSend {
+				t.Fatalf("request %d is not sent", i)
+			}
+			to[class][send.Server]++
+			o := OK
+			if sick && class == "once" && send.Server == 1 {
+				o, failed = Failed, failed+1
+			}
+			outcome(b, now, send, o, Load{Known: true})
+		}
+	}
+	play(0, 2000) // 10 s
+	if failed < 3 || failed > 12 {
+		t.Errorf("%d of 1000 requests were sent where their class fails, want it tried now and then", failed)
+	}
+	if n := to["low"][1]; n < 300 {
+		t.Errorf("the backend got %d of 1000 requests of a class that it answers", n)
+	}
+	if s := b.servers[1]; s.trial || s.ejected > 0 {
+		t.Error("the backend was ejected whole")
+	}
+	sick = false
+	play(2000, 4000) // 20 s, by when the longest wait is over
+	clear(to["once"])
+	play(6000, 400)
+	if n := to["once"][1]; n < 60 {
+		t.Errorf("once it answers the class again the backend gets %d of 200", n)
+	}
+}
+
 // Connections that break now and then, at all backends alike, tell of no backend that is out. Ejected for them, sound
 // ones were missing while others filled up.
 func TestScatteredResetsEjectNobody(t *testing.T) {
@@ -985,7 +1028,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &server{bad: 1}
+		s := &server{health: health{bad: 1}}
 		b.blame(100, s, outTau)
 		ends[s.ejected] = true
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -14,6 +14,7 @@
 
 type class struct {
 	Class
+	index            int     // among the classes told of
 	requests         float64 // decayed count
 	latency, answers float64 // decayed sum of latencies, and the answers behind it
 	least            float64 // least time left of a first try lately
@@ -52,6 +53,14 @@
 	avoid    *server     // the backend just tried: not twice in a row
 }
 
+// health is how well what it is kept of answers.
+type health struct {
+	bad       float64 // share of failures lately
+	ejections int     // ejections in a row
+	ejected   float64 // nothing is sent until then,
+	trial     bool    // then one attempt at a time until one succeeds
+}
+
 type server struct {
 	Entry
 	launched  float64
@@ -73,14 +82,12 @@
 	occupancy float64 // and of the occupancies plus one that they were met at
 	typical   float64 // service time of its kind
 	lastOK    float64
-	work      float64 // reported time in work, smoothed,
-	base      float64 // and the least that its kind's mean has been
-	bad       float64 // share of failures lately
-	ejections int     // ejections in a row
-	ejected   float64 // nothing is sent until then,
-	trial     bool    // then one attempt at a time until one succeeds
-	served    float64 // decayed count of answers; sends would also count what a crowded backend turns away
-	chance    float64 // while cold: part of this node's picks that a warm one of its kind serves
+	work      float64  // reported time in work, smoothed,
+	base      float64  // and the least that its kind's mean has been
+	health             // of the backend as a whole
+	classes   []health // of each class there, as some fail at a backend that answers others; nil before one failed
+	served    float64  // decayed count of answers; sends would also count what a crowded backend turns away
+	chance    float64  // while cold: part of this node's picks that a warm one of its kind serves
 }
 
 // Balancer is the state of one node. It is not safe for concurrent use.
