Before a box's first report half of what is out there is taken to wait

The nodes' beliefs, logged: all twelve boxes in overload at an occupancy of 2 to 3, which is just this node's own attempts, with H at its floor of 1.6 and no report yet. Where reports tell only what waits, what is in work cancels out of the occupancy (waiting, policy/policy.go) only from the first report on; those come a report period late.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -378,7 +379,8 @@
 		ConnectTimeout float64 `json:"connect_timeout_s"`
 	} `json:"policy_limits"`
 	Report struct {
-		How string `json:"how"`
+		How   string   `json:"how"`
+		Names []string `json:"names"`
 	} `json:"report"`
 	Rules struct {
 		ColdFor    float64 `json:"cold_s"`
@@ -410,7 +412,8 @@
 		return Settings{}, err
 	}
 	s := policy.Settings{Zone: in.Zone, CrossPrice: in.Tariffs.CrossZone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
-		Cancel: in.Limits.Cancel, MustAskIn: seconds(in.Rules.MustAskIn),
+		Cancel:    in.Limits.Cancel,
+		QueueOnly: in.Report.How == "piggyback" && slices.Contains(in.Report.Names, "depth") && !slices.Contains(in.Report.Names, "concurrent"), MustAskIn: seconds(in.Rules.MustAskIn),
 		DrainGrace: seconds(in.Rules.DrainGrace),
 		ColdShare:  in.Rules.ColdShare, ColdFor: seconds(in.Rules.ColdFor),
 		FallFactor: in.Rules.FallFactor, FallFor: seconds(in.Rules.FallFor)}
--- a/policy/api.go
+++ b/policy/api.go
@@ -55,6 +55,7 @@
 	OverShare   float64       // worth of a request past its tenant's share, as a part of the usual
 	MaxAttempts int           // attempts for one request; at least 1
 	Cancel      bool          // attempts may be cancelled
+	QueueOnly   bool          // load reports tell what waits and not what is held
 	RetryAfter  time.Duration // longest retry-after that clients honour; 0 when they see none
 	DrainGrace  time.Duration
 	ColdShare   float64 // a cold backend's capacity at its start, as a part of the full
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	knowTau   = 2.0  // a report fades towards the mean of the fresh ones over this
 	oldTau    = 10.0 // an occupancy that drew 'full' and class shares fade over this
 	slotTau   = 60.0 // and how many it has in work at once over this
+	unheard   = 0.5  // so much of what is out does not wait, until a report tells what does
 	prior     = 5.0  // a backend's own service time counts from this many held requests on
 	guess     = 0.1  // service time before any answer was seen
 	silence   = 1.0  // time-outs and "full" are failures of a backend that answered nothing for this long
@@ -419,6 +420,9 @@
 func (b *Balancer) waiting(s *server, now float64) float64 {
 	s.settle(now)
 	n := max(0, b.mean+(s.others-b.mean)*math.Exp((s.reportAt-now)/knowTau)+s.own+s.ghosts)
+	if math.IsInf(s.reportAt, -1) {
+		n = max(0, b.mean+s.own-s.ownLag*unheard+s.ghosts) // taken for a crowd, what works well would be refused
+	}
 	if s.full > 0 {
 		n = max(n, s.full-(now-s.fullAt)/b.service(s)) // it cannot have cleared more than this
 	}
@@ -629,6 +633,9 @@
 		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
 			s = &server{launched: e.Launched.Seconds(), room: math.Inf(1), base: math.Inf(1), reportAt: now,
 				ownAt: now, sentAt: now, lastOK: now}
+			if b.set.QueueOnly {
+				s.reportAt = math.Inf(-1) // what is in work shows in the first report only
+			}
 			b.servers[e.ID] = s
 		}
 		s.Entry, s.grace = e, 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1288,3 +1288,25 @@
 		t.Errorf("two seconds and a report of 1 later %.1f believed held", n)
 	}
 }
+
+// Where reports tell only what waits, what is out before a first report is not all a crowd: at a start, sound boxes with
+// two or three requests in work were taken for overloaded until their reports came.
+func TestWhatIsOutBeforeAReportIsNoCrowd(t *testing.T) {
+	for _, only := range []bool{true, false} {
+		b := node(t, settings(func(s *Settings) { s.QueueOnly = only }), Entry{ID: 1, Zone: "a"})
+		s := b.servers[1]
+		s.own, s.ownLag, s.ownAt = 3, 3, t0.Seconds()
+		want := 3.0
+		if only {
+			want = 1.5
+		}
+		if got := b.waiting(s, t0.Seconds()); !near(got, want) {
+			t.Errorf("queue only %v: %v waiting before a report, want %v", only, got, want)
+		}
+		send := ask(b, t0, "r", "top")
+		outcome(b, t0, send, OK, Load{Known: true, Queue: 0, Held: -1})
+		if math.IsInf(s.reportAt, -1) {
+			t.Errorf("queue only %v: a report was not taken in", only)
+		}
+	}
+}
