What a box has lost gets a second copy elsewhere, where class and settings allow

The settings' parallel_tries was not read. Now an attempt that is late for its class (four deviations past its mean, half its aim at the most) and was overtaken at a box that lost others within 10 s, or whose box has said nothing since, gets one copy at a box in normal mode, from the budget of further attempts; a keyed one inside its group and window, an unsafe one never. The first answer ends the request and calls the other off; a failure waits for the other (policy/copy.go). Random drives found that a copy sent before its request's own outcome was read came after the final answer: it is sent after.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -371,6 +371,7 @@
 	} `json:"projects"`
 	Limits struct {
 		Cancel      bool    `json:"cancel"`
+		Copies      bool    `json:"parallel_tries"`
 		RetryAfter  *bool   `json:"retry_after"`
 		MaxRetry    float64 `json:"max_retry_after_s"`
 		MaxAttempts *int    `json:"max_attempts"`
@@ -412,8 +413,9 @@
 		return Settings{}, err
 	}
 	s := policy.Settings{Zone: in.Zone, CrossPrice: in.Tariffs.CrossZone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
-		Cancel:    in.Limits.Cancel,
-		QueueOnly: in.Report.How == "piggyback" && slices.Contains(in.Report.Names, "depth") && !slices.Contains(in.Report.Names, "concurrent"), MustAskIn: seconds(in.Rules.MustAskIn),
+		Cancel: in.Limits.Cancel, Copies: in.Limits.Copies, MustAskIn: seconds(in.Rules.MustAskIn),
+		QueueOnly: in.Report.How == "piggyback" && slices.Contains(in.Report.Names, "depth") &&
+			!slices.Contains(in.Report.Names, "concurrent"),
 		DrainGrace: seconds(in.Rules.DrainGrace),
 		ColdShare:  in.Rules.ColdShare, ColdFor: seconds(in.Rules.ColdFor),
 		FallFactor: in.Rules.FallFactor, FallFor: seconds(in.Rules.FallFor)}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -63,7 +63,7 @@
 		Classes: []policy.Class{{Name: "a", Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Worth: 3,
 			Effect: policy.Keyed, Group: policy.GroupZone, Window: 2 * time.Second}},
 		Tenants:     []policy.Tenant{{Name: "t", QuotaPerS: 9.5}},
-		MaxAttempts: 6, Cancel: true, RetryAfter: 2 * time.Second,
+		MaxAttempts: 6, Cancel: true, Copies: true, RetryAfter: 2 * time.Second,
 		DrainGrace: 500 * time.Millisecond, ColdShare: 0.32, ColdFor: 9 * time.Second,
 		FallFactor: 3, FallFor: 2 * time.Second}
 	if m.Kind != Create || m.Instance != 3 || m.Seed != 77 || !reflect.DeepEqual(m.Settings, want) {
--- /dev/null
+++ b/policy/copy_test.go
@@ -0,0 +1,162 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// lossy returns a node of zone a that has learnt what a class takes, about 50 ms, with one more request out at backend
+// 1, which lost another one lately. Backend 2 is of the same zone and 3 of another; both are free.
+func lossy(t *testing.T, class string, change func(*Settings)) (b *Balancer, lost Action, now time.Duration) {
+	t.Helper()
+	b = node(t, settings(func(s *Settings) {
+		s.Copies = true
+		change(s)
+	}), Entry{ID: 1, Zone: "a"}, Entry{ID: 2, Zone: "a"}, Entry{ID: 3, Zone: "b"})
+	for now = t0; now < t0+time.Second; now += 20 * time.Millisecond {
+		outcome(b, now, ask(b, now, now.String(), class), OK, Load{Known: true})
+	}
+	shut(b, 2, 3)
+	if lost = ask(b, now, "lost", class); lost.Kind != ActSend || lost.Server != 1 {
+		t.Fatalf("%+v, want a send to 1", lost)
+	}
+	b.servers[1].lostAt = now.Seconds()
+	return b, lost, now
+}
+
+// shut leaves backends out, and opens all others.
+func shut(b *Balancer, ids ...uint32) {
+	for id, s := range b.servers {
+		if s.ejected = 0; slices.Contains(ids, id) {
+			s.ejected = 1e9
+		}
+	}
+}
+
+// overtake has backend 1 answer a request that it got after the others, and returns where copies go.
+func overtake(b *Balancer, now time.Duration, class string) (copies []Action) {
+	shut(b, 2, 3)
+	send := ask(b, now, fmt.Sprint("later", now), class)
+	shut(b)
+	for _, a := range b.Handle(now+50*time.Millisecond, &Event{Kind: EvOutcome, ID: send.ID, Server: send.Server,
+		Took: 50 * time.Millisecond, Outcome: OK, Last: true, Load: Load{Known: true}}, nil) {
+		if a.Kind == ActSend {
+			copies = append(copies, a)
+		}
+	}
+	return copies
+}
+
+func TestWhatABackendLostGetsASecondCopy(t *testing.T) {
+	const late = 600 * time.Millisecond
+	for _, c := range []struct {
+		name, class string
+		change      func(*Settings)
+		after       time.Duration
+		spoil       func(*Balancer)
+		copies      int
+	}{
+		{"lost", "top", func(*Settings) {}, late, nil, 1},
+		{"keyed, in its zone", "key", func(*Settings) {}, late, nil, 1},
+		{"must run once", "once", func(*Settings) {}, late, nil, 0},
+		{"not allowed", "top", func(s *Settings) { s.Copies = false }, late, nil, 0},
+		{"out for too short a time", "top", func(*Settings) {}, 5 * time.Millisecond, nil, 0},
+		{"its window is over", "key", func(s *Settings) { s.Classes[2].Window = late }, late, nil, 0},
+		{"the only attempt allowed", "top", func(s *Settings) { s.MaxAttempts = 1 }, late, nil, 0},
+		{"a backend that loses nothing", "top", func(*Settings) {}, late, func(b *Balancer) { b.servers[1].lostAt = 0 }, 0},
+		{"no budget", "top", func(*Settings) {}, late, func(b *Balancer) { b.retries = 0 }, 0},
+		{"others in overload", "top", func(*Settings) {}, late, func(b *Balancer) {
+			b.servers[2].room, b.servers[3].room = 0.1, 0.1
+			b.servers[2].others, b.servers[3].others = 50, 50
+			b.servers[2].reportAt, b.servers[3].reportAt = 1e6, 1e6
+		}, 0},
+	} {
+		b, lost, now := lossy(t, c.class, c.change)
+		if c.spoil != nil {
+			c.spoil(b)
+		}
+		copies := overtake(b, now+c.after, c.class)
+		if len(copies) != c.copies {
+			t.Errorf("%s: %d copies, want %d", c.name, len(copies), c.copies)
+		}
+		for _, a := range copies {
+			if a.ID != lost.ID || a.Server == 1 || c.class == "key" && a.Server != 2 {
+				t.Errorf("%s: a copy of %s to %d", c.name, a.ID, a.Server)
+			}
+		}
+	}
+}
+
+// A backend that has answered nothing at all since an attempt was sent shows as little as one that lost it.
+func TestASilentBackendsAttemptGetsASecondCopy(t *testing.T) {
+	b, lost, now := lossy(t, "top", func(*Settings) {})
+	b.servers[1].lostAt = 0
+	shut(b)
+	copies := 0
+	for at := now; at < now+time.Second; at += 20 * time.Millisecond {
+		for _, a := range b.Handle(at, &Event{Kind: EvTimer, Token: "tick"}, nil) {
+			if a.Kind == ActSend {
+				copies++
+				if a.ID != lost.ID || a.Server == 1 {
+					t.Errorf("a copy of %s to %d", a.ID, a.Server)
+				}
+			}
+		}
+	}
+	if copies != 1 {
+		t.Errorf("%d copies, want 1", copies)
+	}
+}
+
+// However its two attempts end, a request has one final answer, and what still runs then is called off.
+func TestTwoAttemptsGiveOneAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ends  []int // attempts in the order in which they end
+		with  []Outcome
+		final int // which of the ends gives the final answer
+	}{
+		{"the copy is answered", []int{1, 0}, []Outcome{OK, Canceled}, 0},
+		{"the first is answered after all", []int{0, 1}, []Outcome{OK, Canceled}, 0},
+		{"the copy fails, then the first is answered", []int{1, 0}, []Outcome{Failed, OK}, 1},
+		{"both time out", []int{0, 1}, []Outcome{TimedOut, TimedOut}, 1},
+		{"the copy is turned away and the first breaks", []int{1, 0}, []Outcome{Full, Reset}, 1},
+	} {
+		b, lost, now := lossy(t, "top", func(s *Settings) { s.MaxAttempts = 2 })
+		copies := overtake(b, now+600*time.Millisecond, "top")
+		if len(copies) != 1 {
+			t.Fatalf("%s: %d copies", c.name, len(copies))
+		}
+		servers, now := []uint32{lost.Server, copies[0].Server}, now+700*time.Millisecond
+		over := false
+		for i, n := range c.ends {
+			o := c.with[i]
+			served := o == OK
+			out := b.Handle(now, &Event{Kind: EvOutcome, ID: lost.ID, Attempt: n, Server: servers[n], Took: 100 * time.Millisecond,
+				Outcome: o, Last: served || over}, nil)
+			answers, called := 0, 0
+			for _, a := range out {
+				switch a.Kind {
+				case ActRefuse, ActFail:
+					answers++
+				case ActCancel:
+					called++
+				case ActSend:
+					t.Errorf("%s: sent after end %d", c.name, i)
+				}
+			}
+			if want := i == c.final && !served; (answers == 1) != want || answers > 1 {
+				t.Errorf("%s: %d answers at end %d", c.name, answers, i)
+			}
+			if want := served && i == 0; (called == 1) != want {
+				t.Errorf("%s: %d attempts called off at end %d", c.name, called, i)
+			}
+			over = over || served || answers > 0
+		}
+		if b.requests[lost.ID] != nil {
+			t.Errorf("%s: the request is still kept", c.name)
+		}
+	}
+}
--- a/policy/drive_test.go
+++ b/policy/drive_test.go
@@ -92,6 +92,7 @@
 	seq    int
 	record []policy.Action
 	sent   int
+	copies int // sent while another attempt of the request was out
 	faults int
 }
 
@@ -115,6 +116,7 @@
 func drive(t *testing.T, seed uint64, nodes, servers int, rate float64, length time.Duration) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), boxes: map[uint32]*box{},
 		set: testSettings(nodes, seed%2 == 0)}
+	w.set.Copies = seed%3 > 0
 	start := time.Hour
 	var list []policy.Entry
 	for i := 0; i < servers; i++ {
@@ -275,7 +277,10 @@
 	}
 	for _, tr := range a.attempts {
 		if tr.open {
-			w.fault("rule 2: %s has two attempts out", act.ID)
+			if !w.set.Copies || a.class.Effect == policy.Unsafe {
+				w.fault("rule 2: %s has two attempts out", act.ID)
+			}
+			w.copies++
 		}
 		if !tr.ran && !tr.open {
 			continue
@@ -306,6 +311,8 @@
 		outcome, took = policy.ConnectFailed, 100*ms
 	case b.held > 20:
 		outcome, took = policy.Full, ms
+	case w.rng.IntN(25) == 0 && b.ID%2 == 0: // lost without a word
+		took = time.Hour
 	case w.rng.IntN(300) == 0:
 		outcome, took = policy.Reset, 5*ms
 	case w.rng.IntN(500) == 0:
@@ -337,6 +344,7 @@
 }
 
 func TestRulesHoldInRandomDrives(t *testing.T) {
+	copies := 0
 	for seed := uint64(1); seed <= 12; seed++ {
 		nodes, rate := []int{1, 2, 3, 40}[seed%4], []float64{20, 120, 500}[seed%3]
 		if nodes > 3 {
@@ -347,6 +355,13 @@
 			t.Errorf("seed %d: only %d attempts: the drive tests nothing", seed, w.sent)
 		}
 		w.checkCold()
+		if !w.set.Copies && w.copies > 0 {
+			t.Errorf("seed %d: %d second copies where none are allowed", seed, w.copies)
+		}
+		copies += w.copies
+	}
+	if copies < 50 {
+		t.Errorf("only %d second copies: the drives test none of it", copies)
 	}
 }
 
--- a/policy/lost.go
+++ b/policy/lost.go
@@ -9,9 +9,11 @@
 func (b *Balancer) overtaken(s *server, by *attempt) {
 	before := by.at - b.tune.Overtake*b.service(s)
 	for len(s.flying) > 0 && s.flying[0].at < before {
-		s.flying[0].stray = true
+		a := s.flying[0]
+		a.stray = true
 		s.own = max(0, s.own-1)
 		s.flying = slices.Delete(s.flying, 0, 1+ended(s.flying[1:]))
+		b.copy(b.now, a)
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,8 @@
 // Package policy makes the decisions of one HTTP load balancer: which backend a request goes to, which
 // requests are refused, what is tried again. Settings, events and actions are in policy/api.go, what a node
-// remembers in policy/state.go, how lost attempts are told in policy/lost.go, what a request is worth beside
-// others in policy/worth.go, what leaving the zone is worth in policy/zone.go; all others are here.
+// remembers in policy/state.go, how lost attempts are told in policy/lost.go, which get a second copy in
+// policy/copy.go, what a request is worth beside others in policy/worth.go, what leaving the zone is worth in
+// policy/zone.go; all others are here.
 //
 // Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks":
 // normal, overload (each request is diverted with probability q) and discard (nothing is sent). Diverted
@@ -96,6 +97,7 @@
 			b.do(Action{Kind: ActWatch})
 		}
 	}
+	b.overdue(t) // after the event, which may end one of them
 	// One timer is out at a time, whatever timers come in; one that was lost is set anew.
 	if t >= b.tickAt-1e-6 && (ev.Kind == EvTimer || t > b.tickAt+tick) {
 		b.tickAt = t + tick
@@ -172,9 +174,12 @@
 	} else {
 		r.attempts = r.list[:0]
 	}
-	*a = attempt{server: s, open: true, met: b.waiting(s, now) + 1, at: now}
+	*a = attempt{server: s, request: r, open: true, met: b.waiting(s, now) + 1, at: now}
 	r.attempts = append(r.attempts, a)
 	s.flying = append(s.flying, a)
+	if b.again(r.class) && r.open == 0 {
+		r.class.out = append(r.class.out, a)
+	}
 	s.sentAt = now
 	if s.classes != nil && s.of(b, r.class).trial {
 		s.of(b, r.class).ejected = now + ejectFor // one at a time
@@ -214,18 +219,19 @@
 	s := a.server
 	a.open = false
 	r.open--
-	b.learn(now, s, r, a, ev)
 	r.final = r.final || ev.Last
+	b.learn(now, s, r, a, ev)
 	if r.final {
-		if r.open == 0 {
-			delete(b.requests, r.id)
-		}
+		b.over(r)
 		return
 	}
 	if r.mayRun == nil && ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot {
 		r.mayRun, r.mayRunAt = s, now-ev.Took.Seconds()
 	}
 	r.avoid = s
+	if r.open > 0 {
+		return // its other copy is still out
+	}
 	if b.mayRetry(now, r) && b.try(now, r) {
 		b.retries--
 	} else {
@@ -314,6 +320,7 @@
 		}
 	case TimedOut:
 		if a.stray { // it tells of a loss, not of a crowd
+			s.lostAt = now
 			b.blame(now, s, badTau)
 			break
 		}
@@ -345,6 +352,7 @@
 	s.occupancy += a.met
 	b.zoned(s, r.class, took)
 	r.class.latency += took
+	r.class.squares += took * took
 	r.class.answers++
 }
 
@@ -396,8 +404,14 @@
 		return
 	}
 	r.final = true
+	b.over(r)
+}
+
+// over ends a request that has its final answer or whose client has left.
+func (b *Balancer) over(r *request) {
 	for i, a := range r.attempts {
-		if a.open && b.set.Cancel {
+		if a.open && b.set.Cancel && !a.called {
+			a.called = true
 			b.do(Action{Kind: ActCancel, ID: r.id, Attempt: i}) // nobody waits for this work any more
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -14,14 +14,16 @@
 
 type class struct {
 	Class
-	index            int     // among the classes told of
-	requests         float64 // decayed count
-	latency, answers float64 // decayed sum of latencies, and the answers behind it
-	least            float64 // least time left of a first try lately
-	lesser           bool    // worth less than the average for its work
-	near             tally   // latencies of answers that crossed no zone at a price
-	best             float64 // least mean of them
-	stay             float64 // part of the requests that stays in this zone while there is a backend for it
+	index            int        // among the classes told of
+	requests         float64    // decayed count
+	latency, answers float64    // decayed sum of latencies, and the answers behind it
+	squares          float64    // and of their squares
+	out              []*attempt // first attempts that may get a copy, in the order of the sends
+	least            float64    // least time left of a first try lately
+	lesser           bool       // worth less than the average for its work
+	near             tally      // latencies of answers that crossed no zone at a price
+	best             float64    // least mean of them
+	stay             float64    // part of the requests that stays in this zone while there is a backend for it
 }
 
 type tenant struct {
@@ -30,11 +32,13 @@
 }
 
 type attempt struct {
-	server *server
-	open   bool
-	met    float64 // occupancy plus one that it met
-	at     float64 // when it was sent
-	stray  bool    // lost, by what its backend answered since
+	server  *server
+	request *request
+	open    bool
+	called  bool    // off
+	met     float64 // occupancy plus one that it met
+	at      float64 // when it was sent
+	stray   bool    // lost, by what its backend answered since
 }
 
 type request struct {
@@ -82,6 +86,7 @@
 	occupancy float64 // and of the occupancies plus one that they were met at
 	typical   float64 // service time of its kind
 	lastOK    float64
+	lostAt    float64  // when an attempt that others had overtaken timed out
 	work      float64  // reported time in work, smoothed,
 	base      float64  // and the least that its kind's mean has been
 	health             // of the backend as a whole
--- a/policy/worth.go
+++ b/policy/worth.go
@@ -20,7 +20,7 @@
 	b.total, b.lessers = b.total*f, b.lessers*f
 	var requests, worth, work float64
 	for _, c := range b.classes {
-		c.requests, c.latency, c.answers = c.requests*f, c.latency*f, c.answers*f
+		c.requests, c.latency, c.squares, c.answers = c.requests*f, c.latency*f, c.squares*f, c.answers*f
 		requests += c.requests
 		worth += c.requests * c.Worth
 		work += c.requests * c.work()
