A leaving node serves its connections for as long as answers can be in time

Lines at fault: serve (internal/node/clients.go) told every client to close from SIGTERM on and closed idle connections after 0.5 s. Now connections are served until the longest aim before the earliest SIGKILL of PROTOCOL (the longest deadline, 3 s at most, and 0.7 s); a request that comes meanwhile gets no more time than that leaves. What was taken before keeps its client's time. With it: an answer that has begun to reach its client is told to the module (EvBegun), so that no copy follows it; the kit has fail-class, prices.cross_site and the scenario one-class-fails, played in the laboratory by a test.

--- a/internal/kit/deployment/deployment.go
+++ b/internal/kit/deployment/deployment.go
@@ -48,6 +48,7 @@
 	}
 	return m{"balancers": s.Nodes.Count, "ordinal": ordinal, "zone": site, "zones": zones, "discovery": s.List.Mode,
 		"grades": grades, "projects": projects, "over_share_worth": s.Traffic.OverShare, "weights": "silent", "worth_by": "request",
+		"tariffs": m{"cross_zone": s.Prices.CrossSite},
 		"clients": m{"marks_retry": false},
 		"policy_limits": m{"cancel": true, "conn_idle_s": s.Conn.Idle.S(), "connect_timeout_s": s.Conn.Timeout.S(),
 			"max_attempts": s.Rules.Attempts, "max_open": 20000, "max_retry_after_s": s.Clients.MaxWait.S(), "parallel_tries": true,
--- a/internal/kit/lab/box.go
+++ b/internal/kit/lab/box.go
@@ -22,6 +22,7 @@
 	silent   bool
 	slow     bool
 	loses    float64 // part of its requests that it forgets
+	fails    string  // the class that it fails, if any
 	conns    int     // that it holds
 	runs     int     // counts its processes
 	life     int     // counts the times that all its connections ended; those of an earlier one are worth nothing
@@ -45,7 +46,7 @@
 	r := &w.plan.Scenario.Report
 	b.life++
 	b.runs++
-	b.up, b.draining, b.silent, b.slow, b.loses, b.conns = true, false, false, false, 0, 0
+	b.up, b.draining, b.silent, b.slow, b.loses, b.fails, b.conns = true, false, false, false, 0, "", 0
 	b.open = map[uint64]*attempt{}
 	b.model = boxmodel.New(spec, p.Seed+uint64(b.runs), w.now)
 	b.reports = boxmodel.NewReports(r.Late.D(), r.Noise, rng)
@@ -202,6 +203,10 @@
 	if b.loses > 0 && b.w.rng.Float64() < b.loses {
 		return
 	}
+	if b.fails != "" && b.w.plan.Scenario.Classes[a.req.need.Class].Name == b.fails {
+		b.reply(a, policy.Failed)
+		return
+	}
 	job := boxmodel.Job{ID: a.att, Work: a.req.need.Work.Seconds(), Extra: extra.Seconds(), Until: b.w.now + a.wait}
 	b.open[a.att] = a
 	if b.w.resets > 0 && b.w.rng.Float64() < b.w.resets {
--- /dev/null
+++ b/internal/kit/lab/class_test.go
@@ -0,0 +1,64 @@
+package lab
+
+import (
+	"testing"
+
+	"craneglade/internal/kit/judge"
+	"craneglade/internal/kit/plan"
+	"craneglade/internal/kit/scenario"
+	"craneglade/internal/kit/trace"
+	"craneglade/policy"
+)
+
+// Boxes that fail one class and answer all others are the whole of this day's trouble: nodes keep that class from them,
+// lose few of its requests to it, and go on using them for the rest.
+func TestABoxThatFailsOneClass(t *testing.T) {
+	s, err := scenario.Load("one-class-fails")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Name: "one-class-fails", Plan: plan.New(s, 4), Tuning: policy.Tuned()}
+	sick := map[string]bool{}
+	for _, st := range o.Plan.Steps {
+		if st.Do == plan.Fail && st.By > 0 {
+			sick[st.Box] = true
+		}
+	}
+	if len(sick) != 3 {
+		t.Fatalf("%d boxes fail a class, want 3", len(sick))
+	}
+	failed, quotes, line := 0, 0, 1
+	j := judge.New(Head(&o))
+	class := map[int64]string{}
+	o.Record = func(r *trace.Record) {
+		line++
+		j.Add(line, *r)
+		switch r.Kind {
+		case trace.Recv:
+			class[r.Att] = r.Class
+		case trace.Reply:
+			if !sick[r.Box] || r.T < trace.US(8e9) || r.T > trace.US(16e9) {
+				break // before the nodes could know, and after it is over
+			}
+			if r.How == trace.Failed && class[r.Att] == "save-config" {
+				failed++
+			}
+			if r.How == trace.Served && class[r.Att] == "send-quote" {
+				quotes++
+			}
+		}
+	}
+	if err := Play(o); err != nil {
+		t.Fatal(err)
+	}
+	if v := j.Finish().Violations; len(v) > 0 {
+		t.Errorf("a rule broke: %+v", v[0])
+	}
+	// 2,400 requests in these 8 s; three of nine to twelve boxes would fail some 450 saves.
+	if failed < 3 || failed > 120 {
+		t.Errorf("%d saves failed, want them tried now and then", failed)
+	}
+	if quotes < 100 {
+		t.Errorf("%d quotes were answered by the boxes that fail saves", quotes)
+	}
+}
--- a/internal/kit/lab/world.go
+++ b/internal/kit/lab/world.go
@@ -240,6 +240,11 @@
 		b.reset()
 	case plan.Lose:
 		b.loses = st.By
+	case plan.Fail:
+		b.fails = ""
+		if st.By > 0 {
+			b.fails = st.Text
+		}
 	case plan.Reset:
 		w.resets = st.By
 	case plan.Hush:
--- a/internal/kit/plan/plan.go
+++ b/internal/kit/plan/plan.go
@@ -40,6 +40,7 @@
 	Return   = "return"   // it is back
 	Reset    = "reset"    // part By of all requests are reset; 0 ends it
 	Lose     = "lose"     // Box loses part By of its requests: read, and neither run nor answered; 0 ends it
+	Fail     = "fail"     // Box answers requests of the class Text with an error; By 0 ends it
 	Spoil    = "spoil"    // part By of all answers are spoilt; 0 ends it
 	Kill     = "kill"     // Node is killed
 	Term     = "term"     // Node gets SIGTERM
@@ -256,6 +257,12 @@
 				step(Step{At: at, Do: Lose, Box: p.Boxes[i].ID, By: e.Part})
 				step(Step{At: end, Do: Lose, Box: p.Boxes[i].ID})
 			}
+		case "fail-class":
+			announce("%d boxes fail %s for %v", e.Boxes, e.Class, e.For)
+			for _, i := range some(at, end, e.Boxes) {
+				step(Step{At: at, Do: Fail, Box: p.Boxes[i].ID, Text: e.Class, By: 1})
+				step(Step{At: end, Do: Fail, Box: p.Boxes[i].ID, Text: e.Class})
+			}
 		case "reset", "spoil":
 			do := map[string]string{"reset": Reset, "spoil": Spoil}[e.Do]
 			announce("boxes %s %.0f%% for %v", e.Do, 100*e.Part, e.For)
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -373,6 +373,8 @@
 		seat.box.Return()
 	case plan.Lose:
 		seat.box.Lose(s.By)
+	case plan.Fail:
+		seat.box.FailClass(s.Text, s.By > 0)
 	case plan.Reset, plan.Spoil:
 		r.mu.Lock()
 		if s.Do == plan.Reset {
--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -62,6 +62,7 @@
 	resets   float64
 	spoils   float64
 	loses    float64
+	fails    string // the class that it fails, if any
 	slow     bool
 	reports  *boxmodel.Reports
 }
@@ -237,6 +238,16 @@
 	b.loses = part
 }
 
+// FailClass makes the box answer requests of a class with an error, or ends that.
+func (b *Box) FailClass(class string, on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fails = ""
+	if on {
+		b.fails = class
+	}
+}
+
 // Standing is what there is to show of a box.
 type Standing struct {
 	Warm, Slow, Draining, Silent, Fallen bool
@@ -503,6 +514,10 @@
 	if b.loses > 0 && b.rng.Float64() < b.loses {
 		return true // until its node gives it up
 	}
+	if b.fails != "" && rec.Class == b.fails {
+		b.later(k, trace.Failed, b.answer(500, "", "failed\n"))
+		return true
+	}
 	if b.resets > 0 && b.rng.Float64() < b.resets {
 		k.dead = true
 	}
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"craneglade/policy"
 )
 
 // beliefEvery is how often the debug log tells what is believed of the backends.
@@ -30,7 +32,17 @@
 		}
 		n.mu.Unlock()
 		for i := range all {
-			n.log.LogAttrs(ctx, slog.LevelDebug, "belief", slog.String("backend", ids[i]), slog.Any("of", &all[i]))
+			n.log.LogAttrs(ctx, slog.LevelDebug, "belief", slog.String("backend", ids[i]), slog.Any("of", belief(all[i])))
 		}
 	}
 }
+
+// belief is one as a group of a log line.
+type belief policy.Belief
+
+func (x belief) LogValue() slog.Value {
+	return slog.GroupValue(slog.String("mode", x.Mode), slog.Float64("held", x.Held), slog.Float64("own", x.Own),
+		slog.Float64("h", x.H), slog.Float64("r", x.R), slog.Float64("q", x.Q), slog.Float64("service_s", x.Service),
+		slog.Float64("bad", x.Bad), slog.Bool("ejected", x.Ejected), slog.Float64("ramp", x.Ramp),
+		slog.Duration("report_of", x.ReportOf))
+}
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -338,7 +338,7 @@
 	f := &flowing{body: resp.Body, from: c.Conn, size: resp.ContentLength, ended: make(chan error, 1)}
 	res.answer.flow = f
 	err := errCanceled
-	if n.deliver(a.request, res.answer) {
+	if n.deliver(a, res.answer) {
 		select {
 		case err = <-f.ended:
 		case <-ctx.Done():
@@ -362,13 +362,15 @@
 }
 
 // deliver gives a request an answer that is still coming, unless it has one.
-func (n *node) deliver(r *request, a answer) bool {
+func (n *node) deliver(at *attempt, a answer) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	r := at.request
 	if r.answered {
 		return false
 	}
 	r.answered = true
 	r.done <- a
+	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvBegun, ID: r.id, Attempt: at.index})
 	return true
 }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -67,11 +67,6 @@
 
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
-	var longest time.Duration // that a client waits
-	for _, c := range n.cfg.Settings.Policy.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	longest = cmp.Or(longest, 3*time.Second)
 	limit := (n.cfg.Sockets - ownSockets) / 2
 	if n.cfg.Sockets == 0 {
 		limit = 1 << 20
@@ -85,30 +80,57 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	// Connections go on coming for a while, and clients go on using those that they have. What a node answers until it
+	// is killed is not missing elsewhere: it serves them for as long as their answers can still be in time.
+	begun := time.Now()
+	serves, killed, last := n.departure()
+	n.killed.Store(begun.Add(killed).UnixNano())
 	n.leaving.Store(true)
-	n.log.Info("leaving: finishing what was taken")
-	// Connections go on coming for a while, and clients use those that they have: each answer now tells them
-	// to close, and only then is the listener closed.
+	n.log.Info("leaving: serving the connections that there are, then finishing what was taken", "serves", serves)
 	time.Sleep(acceptFor)
 	err := ln.Close()
 	if e := <-failed; !errors.Is(e, net.ErrClosed) {
 		err = errors.Join(err, e)
 	}
-	s.closeAll(false) // the clients of those on which no request has come turn to other nodes
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		s.wg.Wait()
 	}()
-	select {
-	case <-done:
-	case <-time.After(longest + transit):
-		s.closeAll(true) // the last deadline has passed
-		<-done
+	for _, step := range []struct {
+		after time.Duration
+		do    func()
+	}{
+		{serves, func() {
+			n.closing.Store(true) // each answer now tells its client to close
+			s.closeAll(false)     // and the clients of connections that carry no request turn to other nodes
+		}},
+		{last, func() { s.closeAll(true) }}, // the last deadline has passed
+	} {
+		select {
+		case <-done:
+			return err
+		case <-time.After(time.Until(begun.Add(step.after))):
+			step.do()
+		}
 	}
+	<-done
 	return err
 }
 
+// departure is for how long after SIGTERM connections are served, when the node may be killed, and when nobody waits any
+// more for what it took. It may be killed once the longest deadline, of longestTold at the most, and killSlack have
+// passed; what it takes last still has the longest aim until then.
+func (n *node) departure() (serves, killed, last time.Duration) {
+	var longest, aim time.Duration
+	for _, c := range n.cfg.Settings.Policy.Classes {
+		longest, aim = max(longest, c.Deadline), max(aim, c.Aim)
+	}
+	longest = cmp.Or(longest, longestTold)
+	killed = min(longest, longestTold) + killSlack
+	return max(acceptFor, killed-aim-5*transit), killed, max(killed, longest+transit)
+}
+
 // accept takes in connections until ln is closed.
 func (s *clients) accept(ln net.Listener) error {
 	for {
@@ -269,7 +291,7 @@
 			c.over = true
 		}
 		a, ok := s.answer(c, r)
-		last := r.in.Close || c.over || s.node.leaving.Load() || !r.body.isDrained() || ok && s.leaves(c)
+		last := r.in.Close || c.over || s.node.closing.Load() || !r.body.isDrained() || ok && s.leaves(c)
 		if !ok || c.write(r.in, a, last) != nil || last || !s.rest(c) {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,10 @@
 	transit    = 10 * time.Millisecond
 	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
 	acceptFor = 500 * time.Millisecond
+	// PROTOCOL: SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as longestTold where it is longer,
+	// and killSlack.
+	longestTold = 3 * time.Second
+	killSlack   = 700 * time.Millisecond
 )
 
 // node owns the balancer, and with it the order of events: whoever holds mu hands in the next one. Nothing
@@ -37,6 +41,8 @@
 	bodies  *bodyStore
 	effects map[string]policy.Effect // of the classes that there are
 	leaving atomic.Bool              // SIGTERM has come
+	closing atomic.Bool              // and connections are to end
+	killed  atomic.Int64             // Unix nanoseconds from which the node may be killed, once it has come; 0 before
 
 	ctx context.Context // ends when the node does; attempts and watches hang on it
 	wg  sync.WaitGroup  // attempts and calls to discovery
@@ -185,7 +191,12 @@
 	now := n.clock.now()
 	// The answer must be with the client when its time is up: the way there and back and the time that the
 	// request has spent here are off.
-	left := max(0, r.patience-time.Since(r.arrived)-transit)
+	left := r.patience - time.Since(r.arrived) - transit
+	// What came while clients could not know that this node leaves, killing it may leave unanswered; no later request.
+	if end := n.killed.Load(); end != 0 && r.arrived.UnixNano() > end-int64(longestTold) {
+		left = min(left, time.Until(time.Unix(0, end))-2*transit)
+	}
+	left = max(0, left)
 	r.until, r.done = now+left, make(chan answer, 1)
 	n.requests[r.id] = r
 	n.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.id, Class: r.in.Header.Get("X-Class"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -115,7 +115,9 @@
 		d.list(ev)
 	case "tick_due":
 		ev.Kind, ev.Token = policy.EvTimer, d.text(1, "nonce", true)
-	case "flowing", "checked", "memo":
+	case "flowing":
+		ev.Kind, ev.ID, ev.Attempt = policy.EvBegun, d.text(1, "corr", true), int(d.integer(4, "seq_no"))
+	case "checked", "memo":
 		ev.Kind = policy.EvOther
 	default:
 		return false
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -34,7 +34,9 @@
 		`["ended",3,"r-b",0,5,0.2,false,"ConnectError",null]`: {Kind: Event, Instance: 3, Event: policy.Event{
 			Kind: policy.EvOutcome, ID: "r-b", Server: 5, Took: 200 * time.Millisecond,
 			Outcome: policy.ConnectFailed}},
-		`["abandoned",5,"r-a"]`:            {Kind: Event, Instance: 5, Event: policy.Event{Kind: policy.EvGone, ID: "r-a"}},
+		`["abandoned",5,"r-a"]`: {Kind: Event, Instance: 5, Event: policy.Event{Kind: policy.EvGone, ID: "r-a"}},
+		`["flowing",3,"r-b",5,0.009,1]`: {Kind: Event, Instance: 3, Event: policy.Event{
+			Kind: policy.EvBegun, ID: "r-b", Attempt: 1}},
 		`["tick_due",3,"sweep"]`:           {Kind: Event, Instance: 3, Event: policy.Event{Kind: policy.EvTimer, Token: "sweep"}},
 		`["checked",3,7,"Ok",0.0014,null]`: {Kind: Event, Instance: 3, Event: policy.Event{Kind: policy.EvOther}},
 		`["targets",3,"lost",4,null]`: {Kind: Event, Instance: 3, Event: policy.Event{
--- a/policy/api.go
+++ b/policy/api.go
@@ -129,6 +129,7 @@
 	EvGone                     // the client gave up
 	EvList                     // news of the server list
 	EvTimer                    // a timer set by ActTimer is due
+	EvBegun                    // an answer that goes on while it comes has begun to; Attempt brings it
 	EvOther                    // anything the policy does not act on
 )
 
--- a/policy/copy_test.go
+++ b/policy/copy_test.go
@@ -160,3 +160,43 @@
 		}
 	}
 }
+
+// An answer that has begun to reach its client is the only one: no copy follows, another attempt is called off, and its
+// own is not.
+func TestAnAnswerThatHasBegunStandsAlone(t *testing.T) {
+	b, lost, now := lossy(t, "top", func(*Settings) {})
+	begun := func(attempt int) (called []int) {
+		for _, a := range b.Handle(now, &Event{Kind: EvBegun, ID: lost.ID, Attempt: attempt}, nil) {
+			if a.Kind == ActCancel {
+				called = append(called, a.Attempt)
+			}
+		}
+		return called
+	}
+	if called := begun(0); called != nil {
+		t.Errorf("%v called off, want nothing", called)
+	}
+	if copies := overtake(b, now+600*time.Millisecond, "top"); copies != nil {
+		t.Errorf("a copy to %d behind an answer that has begun", copies[0].Server)
+	}
+
+	b, lost, now = lossy(t, "top", func(*Settings) {})
+	copies := overtake(b, now+600*time.Millisecond, "top")
+	if len(copies) != 1 {
+		t.Fatalf("%d copies", len(copies))
+	}
+	if called := begun(1); !slices.Equal(called, []int{0}) {
+		t.Errorf("%v called off, want the first", called)
+	}
+	for i, o := range []Outcome{Canceled, OK} {
+		for _, a := range b.Handle(now+time.Second, &Event{Kind: EvOutcome, ID: lost.ID, Attempt: i, Server: []uint32{1, copies[0].Server}[i],
+			Took: time.Second, Outcome: o, Last: true}, nil) {
+			if a.Kind != ActTimer && a.Kind != ActLog {
+				t.Errorf("%+v after attempt %d ended", a, i)
+			}
+		}
+	}
+	if b.requests[lost.ID] != nil {
+		t.Error("the request is still kept")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,6 +88,8 @@
 		b.ended(t, ev)
 	case EvGone:
 		b.gone(ev)
+	case EvBegun:
+		b.begun(ev)
 	case EvList:
 		b.list(t, ev)
 	case EvTimer:
@@ -407,6 +409,15 @@
 	b.over(r)
 }
 
+// begun leaves a request to the attempt whose answer has begun to reach the client.
+func (b *Balancer) begun(ev *Event) {
+	if r := b.requests[ev.ID]; r != nil && !r.final && ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
+		r.attempts[ev.Attempt].called = true // never, from now on
+		r.final = true
+		b.over(r)
+	}
+}
+
 // over ends a request that has its final answer or whose client has left.
 func (b *Balancer) over(r *request) {
 	for i, a := range r.attempts {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -1,9 +1,6 @@
 package policy
 
-import (
-	"log/slog"
-	"time"
-)
+import "time"
 
 // Belief is what a node believes of one backend. Nothing in it is a decision.
 type Belief struct {
@@ -33,11 +30,3 @@
 	}
 	return out
 }
-
-// LogValue is the belief as one group of a log line.
-func (x *Belief) LogValue() slog.Value {
-	return slog.GroupValue(slog.String("mode", x.Mode), slog.Float64("held", x.Held), slog.Float64("own", x.Own),
-		slog.Float64("h", x.H), slog.Float64("r", x.R), slog.Float64("q", x.Q), slog.Float64("service_s", x.Service),
-		slog.Float64("bad", x.Bad), slog.Bool("ejected", x.Ejected), slog.Float64("ramp", x.Ramp),
-		slog.Duration("report_of", x.ReportOf))
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,7 +35,7 @@
 	server  *server
 	request *request
 	open    bool
-	called  bool    // off
+	called  bool    // off, or never to be
 	met     float64 // occupancy plus one that it met
 	at      float64 // when it was sent
 	stray   bool    // lost, by what its backend answered since
