--- /dev/null
+++ b/internal/engine/list.go
@@ -0,0 +1,201 @@
+package engine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"craneglade/policy"
+)
+
+// Listed is one box in a list.
+type Listed struct {
+	ID        string `json:"id"`
+	Addr      string `json:"addr"`
+	Zone      string `json:"zone"`
+	Kind      string `json:"kind"`
+	Cell      int64  `json:"cell"`
+	State     string `json:"state"`
+	StartedMS int64  `json:"started_ms"`
+}
+
+// List is a box list, or a change of one, as PROTOCOL has it.
+type List struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Listed `json:"servers"`
+}
+
+// Box is one process behind the node.
+type Box struct {
+	Number uint32 // the module's name for it
+	ID     string // the list's
+	Addr   string
+	Kept   any // the carrier's own; only it touches this
+
+	started int64
+	left    bool         // off the list; guarded by the engine's lock
+	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
+}
+
+// Shut tells whether nothing new may be written to the box any more: its drain's grace is over.
+func (b *Box) Shut() bool {
+	stop := b.stop.Load()
+	return stop != 0 && time.Now().UnixNano() >= stop
+}
+
+// Follow sets the source of lists, with the list that is known before it tells one.
+func (e *Engine) Follow(s Source, known *List) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.source = s
+	// The list can start a watch at once, whose answer must not be taken in before the list is.
+	e.take(known, policy.ListCached)
+	if !e.set.MustAsk {
+		s.Watch() // the module asks only where lists are not pushed
+	}
+}
+
+// Replace sets another source, and has it watch. The boxes stay until it tells its list.
+func (e *Engine) Replace(s Source) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ctx.Err() == nil {
+		e.source = s
+		s.Watch()
+	}
+}
+
+// Version is that of the list.
+func (e *Engine) Version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// News takes in a list of s, unless s is not followed any more or fresh, told the version that is known, says that the
+// list is not new.
+func (e *Engine) News(s Source, l *List, kind policy.ListKind, fresh func(known int64) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.source == s && e.ctx.Err() == nil && fresh(e.version) {
+		e.take(l, kind)
+	}
+}
+
+// Lost tells that s has failed to give what was asked of it; the module says when to ask again.
+func (e *Engine) Lost(s Source) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.source == s && e.ctx.Err() == nil {
+		e.handle(e.clock.Now(), &policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+	}
+}
+
+// Ready tells whether some box is listed as ready.
+func (e *Engine) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ready
+}
+
+// take brings the boxes up to date and hands the list to the module. e.mu is held.
+func (e *Engine) take(l *List, kind policy.ListKind) {
+	now := e.clock.Now()
+	e.version = l.Version
+	entries := make([]policy.Entry, 0, len(l.Servers))
+	seen := map[string]bool{}
+	for i := range l.Servers {
+		seen[l.Servers[i].ID] = true
+	}
+	for i := range l.Servers {
+		s := &l.Servers[i]
+		x := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
+		switch s.State {
+		case "Ready":
+		case "Gone":
+			x.State = policy.Left
+		default: // Terminating, or a state that is not known here: nothing new for either
+			x.State = policy.Leaving
+		}
+		b := e.names[s.ID]
+		if b != nil && b.Addr != s.Addr && s.Addr != "" {
+			// Another address is another process, even where the start time does not tell.
+			entries = append(entries, policy.Entry{ID: b.Number, State: policy.Left})
+			e.drop(b)
+			b = nil
+		}
+		switch {
+		case b == nil && x.State == policy.Left:
+			continue
+		case b == nil:
+			for _, o := range e.names {
+				if o.Addr == s.Addr && !o.left && !seen[o.ID] {
+					// Its process can't be there any more: what goes to its address reaches the new one.
+					entries = append(entries, policy.Entry{ID: o.Number, State: policy.Left})
+					e.drop(o)
+				}
+			}
+			e.nextNum++
+			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, started: s.StartedMS}
+		case b.started != s.StartedMS:
+			old := b
+			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, started: s.StartedMS} // the module tells the two apart by the start
+			e.carrier.Retire(old)
+		}
+		e.names[s.ID], e.boxes[b.Number] = b, b
+		x.ID = b.Number
+		entries = append(entries, x)
+		switch x.State {
+		case policy.Active:
+			b.left = false
+			b.stop.Store(0)
+		case policy.Leaving:
+			e.drain(b)
+		case policy.Left:
+			e.drop(b)
+		}
+	}
+	if kind != policy.ListDelta {
+		for id, b := range e.names {
+			if !seen[id] {
+				e.drop(b)
+			}
+		}
+	}
+	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	e.ready = false
+	for _, b := range e.names {
+		e.ready = e.ready || b.stop.Load() == 0
+	}
+}
+
+// drain lets nothing new be written to a box once its grace is over, less the time that the news took.
+func (e *Engine) drain(b *Box) {
+	grace := e.set.DrainGrace * 9 / 10
+	b.stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano())
+}
+
+// drop takes a box off the list. It stays known until its grace is over: the module may go on with the last of a list
+// that came empty, and a box that is listed again keeps its number and its connections.
+func (e *Engine) drop(b *Box) {
+	if b.left {
+		return
+	}
+	b.left = true
+	e.drain(b)
+	stop := b.stop.Load()
+	time.AfterFunc(e.set.DrainGrace, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !b.left || b.stop.Load() != stop {
+			return // listed again meanwhile
+		}
+		if e.names[b.ID] == b {
+			delete(e.names, b.ID)
+		}
+		if e.boxes[b.Number] == b {
+			delete(e.boxes, b.Number)
+		}
+		e.carrier.Retire(b)
+	})
+}
--- /dev/null
+++ b/internal/httpcarrier/carrier.go
@@ -0,0 +1,284 @@
+// Package httpcarrier carries attempts to boxes over HTTP/1.1, as PROTOCOL has it between nodes and backends: one request
+// at a time on a connection, from a pool of them.
+package httpcarrier
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"craneglade/internal/bodies"
+	"craneglade/internal/engine"
+	"craneglade/internal/message"
+	"craneglade/internal/wire"
+	"craneglade/policy"
+)
+
+var errTimeout = errors.New("the attempt's time is up")
+
+// answerTime is how long an answer may take from its first byte to its last.
+const answerTime = 250 * time.Millisecond
+
+// Config is what a carrier is made from.
+type Config struct {
+	Conns   int           // connections to boxes at a time
+	Idle    time.Duration // boxes close connections idle for this long, as the settings have it; 0 when not told
+	Reports bool          // answers may hold load reports
+	Answer  int64         // the largest body of an answer; one over message.MaxBody is passed on while it comes
+	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Log     *slog.Logger
+}
+
+// Carrier is an engine.Carrier of message.Requests.
+type Carrier struct {
+	pool    *pool
+	reports bool
+	answer  int64
+	log     *slog.Logger
+}
+
+// New returns a carrier with no connection.
+func New(cfg Config) *Carrier {
+	return &Carrier{pool: newPool(cfg), reports: cfg.Reports, answer: cfg.Answer, log: cfg.Log}
+}
+
+// Retire closes the connections to a box that carry nothing. Those that carry something follow.
+func (n *Carrier) Retire(b *engine.Box) { n.pool.clear(n.pool.of(b), true) }
+
+// Stop closes all connections that carry nothing. No attempt may be under way or follow.
+func (n *Carrier) Stop() { n.pool.stop() }
+
+// Carry sends the request once and waits for what comes back. It returns only after a connection that it gave up is
+// closed, so that an attempt that follows is never a second copy.
+func (n *Carrier) Carry(ctx context.Context, a *engine.Attempt) engine.Result {
+	ctx, cancel := context.WithTimeoutCause(ctx, a.Wait, errTimeout)
+	defer cancel()
+	r, ok := a.Request.Payload.(*message.Request)
+	if !ok {
+		return engine.Result{Outcome: policy.Moot} // another protocol's: never sent
+	}
+	text, err := encode(r, a.Wait)
+	if err != nil {
+		n.log.Warn("a request can't be written", "err", err)
+		return engine.Result{Outcome: policy.Moot}
+	}
+	b := n.pool.of(a.Box)
+	heard := b.heard.Load()
+	c, err := n.pool.get(ctx, b, a.Box.Addr, a.Effect() == policy.Unsafe)
+	switch {
+	case errors.Is(err, errSockets):
+		return engine.Result{Outcome: policy.Moot} // not the backend's doing, and not to be held against it
+	case err != nil && context.Cause(ctx) == nil, errors.Is(context.Cause(ctx), errTimeout):
+		if c != nil {
+			n.pool.put(c)
+		}
+		return engine.Result{Outcome: policy.ConnectFailed}
+	case err != nil:
+		return engine.Result{Outcome: policy.Canceled}
+	}
+	// A send is stopped that was given up, or whose backend's drain grace ended, while it waited for a connection.
+	if a.Box.Shut() {
+		n.pool.put(c)
+		return engine.Result{Outcome: policy.Moot}
+	}
+	if ctx.Err() != nil {
+		n.pool.put(c)
+		return engine.Result{Outcome: policy.Canceled}
+	}
+	p := r.Body
+	if p != nil && p.Tier == bodies.Once && !p.Begun.CompareAndSwap(false, true) {
+		n.pool.put(c)
+		return engine.Result{Outcome: policy.Moot} // it is not kept, and an earlier attempt has begun to send it
+	}
+	giveUp := context.AfterFunc(ctx, func() { c.Close() })
+	sent, err := c.Write(text)
+	whole := sent == len(text)
+	if err == nil && p != nil && p.Memory == nil {
+		err = p.Send(ctx, c)
+		whole = err == nil
+		if errors.Is(err, message.ErrBody) || errors.Is(err, message.ErrClient) {
+			n.pool.close(c) // the box has only a part
+			n.log.Warn("a body was not sent", "request", r.ID, "err", err)
+			if errors.Is(err, message.ErrClient) {
+				a.Abort(message.CutShort(err))
+			}
+			return engine.Result{Outcome: policy.Moot}
+		}
+	}
+	var resp *http.Response
+	var body []byte
+	if err == nil {
+		resp, body, err = c.read(r.In.Method, n.answer)
+	}
+	switch {
+	case err == nil, errors.Is(err, errSpoilt):
+		n.pool.learn(c, true)
+	case context.Cause(ctx) == nil: // it ended by the backend's doing, before a byte
+		n.pool.learn(c, false)
+	}
+	if err == nil && resp.ContentLength > message.MaxBody {
+		b.heard.Add(1)
+		return n.flow(ctx, a, c, resp, giveUp)
+	}
+	// The answer stands, however its connection ends; but only a sound one is used again.
+	if giveUp() && err == nil && !resp.Close && len(resp.TransferEncoding) == 0 && c.in.Buffered() == 0 {
+		n.pool.put(c)
+	} else {
+		n.pool.close(c)
+	}
+	if err == nil || errors.Is(err, errSpoilt) {
+		b.heard.Add(1)
+	}
+	if err != nil {
+		outcome := policy.Reset // unless shown otherwise it may have run
+		switch cause := context.Cause(ctx); {
+		case cause != nil && !errors.Is(cause, errTimeout):
+			return engine.Result{Outcome: policy.Canceled}
+		case !whole:
+			outcome = policy.ConnectFailed // its last byte was never written
+		case cause != nil:
+			outcome = policy.TimedOut
+		}
+		if outcome == policy.TimedOut && b.heard.Load() == heard {
+			// Nothing came back from this backend for the whole of the attempt. When a machine was cut off, each
+			// connection kept from before would swallow one more request, and reset one when it is back.
+			n.pool.clear(b, false)
+		}
+		n.log.Debug("an attempt broke off", "box", a.Box.ID, "err", err)
+		return engine.Result{Outcome: outcome}
+	}
+	return n.judge(a.Box, resp, body)
+}
+
+// encode is the request as it goes out, with the headers that PROTOCOL knows.
+func encode(r *message.Request, wait time.Duration) ([]byte, error) {
+	in := r.In
+	req := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: http.Header{"User-Agent": nil},
+		Body: http.NoBody}
+	var body []byte // what goes out with the head
+	if p := r.Body; p != nil && p.Memory != nil {
+		body = p.Memory
+		req.ContentLength, req.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
+	}
+	for _, name := range message.Headers {
+		if v, ok := in.Header[name]; ok {
+			req.Header[name] = v
+		}
+	}
+	req.Header.Set("X-Deadline", strconv.FormatInt(wait.Microseconds(), 10)+"u")
+	var b bytes.Buffer
+	b.Grow(1024 + len(body))
+	if err := req.Write(&b); err != nil || body != nil || r.Body == nil {
+		return b.Bytes(), err
+	}
+	// The body follows: only its length goes with the head. No header stands before this one but Host, and none holds a
+	// line's end.
+	return bytes.Replace(b.Bytes(), []byte("\r\nContent-Length: 0\r\n"), fmt.Appendf(nil, "\r\nContent-Length: %d\r\n", in.ContentLength), 1), nil
+}
+
+// errSpoilt is an answer that can't be the backend's answer to the request. The request may have run.
+var errSpoilt = errors.New("a spoilt answer")
+
+// read reads one answer whole, before any of it goes on: one that breaks can still be tried again. Of one that is larger
+// than the usual, up to most, it reads the head.
+func (c *boxConn) read(method string, most int64) (*http.Response, []byte, error) {
+	c.cap.N = message.MaxHead + message.MaxBody
+	for {
+		if _, err := c.in.Peek(1); err != nil {
+			return nil, nil, err
+		}
+		if err := c.SetReadDeadline(time.Now().Add(answerTime)); err != nil {
+			return nil, nil, err
+		}
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, nil, fmt.Errorf("%w: it switches protocols", errSpoilt)
+		}
+		if resp.StatusCode < 200 { // informational: the answer follows, perhaps after a while
+			if err := c.SetReadDeadline(time.Time{}); err != nil {
+				return nil, nil, err
+			}
+			continue
+		}
+		if resp.StatusCode == http.StatusOK && resp.ContentLength > message.MaxBody && resp.ContentLength <= most {
+			c.cap.N += resp.ContentLength
+			return resp, nil, nil
+		}
+		if resp.ContentLength > message.MaxBody {
+			return nil, nil, fmt.Errorf("%w: %d bytes", errSpoilt, resp.ContentLength)
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !strings.EqualFold(resp.Header.Get("Connection"), "close") {
+			return nil, nil, fmt.Errorf("%w: no length", errSpoilt)
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
+		if err == nil && len(body) > message.MaxBody {
+			err = errors.New("too large a body")
+		}
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
+		}
+		return resp, body, c.SetReadDeadline(time.Time{})
+	}
+}
+
+// judge tells what an answer means.
+func (n *Carrier) judge(b *engine.Box, resp *http.Response, body []byte) engine.Result {
+	res := engine.Result{Outcome: policy.Failed}
+	if reports := resp.Header["X-Load"]; len(reports) > 0 && n.reports {
+		load, err := wire.DecodeLoad(reports[0])
+		if err == nil && len(reports) == 1 {
+			res.Load = load
+		} else {
+			n.log.Debug("a load report makes no sense", "box", b.ID, "reports", reports)
+		}
+	}
+	turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
+	switch {
+	case turned && resp.Header.Get("X-Not-Run") == "1":
+		res.Outcome = policy.Full
+	case resp.StatusCode == http.StatusOK:
+		res.Outcome = policy.OK
+		res.Reply = &message.Reply{Header: resp.Header, Body: body}
+	}
+	return res
+}
+
+// flow passes on an answer that is too large to be held. Once it has begun the request has its final answer; where that
+// breaks off, the client sees it by its length.
+func (n *Carrier) flow(ctx context.Context, a *engine.Attempt, c *boxConn, resp *http.Response, giveUp func() bool) engine.Result {
+	res := n.judge(a.Box, resp, nil)
+	f := message.NewFlow(resp.Body, c.Conn, resp.ContentLength)
+	err := context.Canceled
+	if a.Deliver(&message.Reply{Header: resp.Header, Flow: f}) {
+		select {
+		case err = <-f.Ended():
+		case <-ctx.Done():
+			err = context.Cause(ctx)
+		}
+	}
+	if giveUp() && err == nil && !resp.Close && c.in.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil {
+		n.pool.put(c)
+	} else {
+		n.pool.close(c)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, message.ErrClient), errors.Is(err, context.Canceled):
+		res.Outcome = policy.Canceled
+	default:
+		n.log.Debug("an answer broke off on its way", "box", a.Box.ID, "err", err)
+		res.Outcome = policy.Reset
+	}
+	return res
+}
--- /dev/null
+++ b/internal/httpcarrier/pool.go
@@ -0,0 +1,250 @@
+package httpcarrier
+
+import (
+	"bufio"
+	lists "container/list"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"craneglade/internal/admission"
+	"craneglade/internal/engine"
+	"craneglade/internal/sock"
+)
+
+// restTime is how long a connection rests after an answer: what a backend writes behind one must be there before
+// the next request goes out, or it would pass for that request's answer.
+const restTime = 3 * time.Millisecond
+
+var errSockets = errors.New("no descriptor is left for a connection to a backend")
+
+// pool holds this node's connections to backends, within a part of the process's descriptors. Each has one owner at
+// a time, and comes back only after an answer that was read whole with nothing behind it.
+type pool struct {
+	dial  func(ctx context.Context, addr string) (net.Conn, error)
+	limit int
+	idle  time.Duration // a connection that stood for this long is closed
+	told  time.Duration // for how long boxes keep them, as the settings have it
+	start time.Time
+
+	mu    sync.Mutex
+	ages  *admission.Ages // for how long boxes keep connections, from all of them together
+	open  int
+	rest  lists.List // of *boxConn: those with no owner, the longest idle first
+	sweep *time.Timer
+}
+
+func newPool(cfg Config) *pool {
+	p := &pool{limit: cfg.Conns, dial: cfg.Dial}
+	// A request written to a connection that the box has just closed ends as a reset: retire it before.
+	p.idle = cfg.Idle * 9 / 10
+	p.told, p.start = cfg.Idle, time.Now()
+	p.ages = admission.NewAges(p.told, nil)
+	return p
+}
+
+// kept is what the pool keeps for a box.
+type kept struct {
+	heard atomic.Int64 // attempts that something came back for
+
+	// Guarded by pool.mu.
+	ages    *admission.Ages
+	conns   []*boxConn // those with no owner, the latest last
+	retired bool       // no connection is kept any more
+}
+
+// of is what is kept for a box.
+func (p *pool) of(b *engine.Box) *kept {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ofLocked(b)
+}
+
+// ofLocked is of. p.mu is held.
+func (p *pool) ofLocked(b *engine.Box) *kept {
+	if k, ok := b.Kept.(*kept); ok {
+		return k
+	}
+	k := &kept{ages: admission.NewAges(p.told, p.ages)}
+	b.Kept = k
+	return k
+}
+
+// boxConn is a connection to a backend.
+type boxConn struct {
+	net.Conn
+	cap    io.LimitedReader // between the socket and in: no answer goes on without end
+	in     *bufio.Reader
+	box    *kept
+	rested time.Duration  // for how long it had when it was taken; 0 for one that has carried nothing yet
+	since  time.Time      // when it came to rest,
+	place  *lists.Element // and where; nil while it has an owner. Guarded by pool.mu
+}
+
+// get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close. What must
+// not be sent twice goes only on a connection that the box is sure to have kept.
+func (p *pool) get(ctx context.Context, k *kept, addr string, once bool) (*boxConn, error) {
+	for {
+		c := p.take(k, once)
+		if c == nil {
+			return p.connect(ctx, k, addr)
+		}
+		if wait := restTime - time.Since(c.since); wait > 0 {
+			sleep(ctx, wait)
+		}
+		if sock.Pending(c.Conn) == sock.Nothing {
+			return c, nil
+		}
+		p.close(c) // the backend has closed it, or sent what nobody asked for: seen in time, and no harm
+	}
+}
+
+// learn notes whether a connection that had rested held when it was used again.
+func (p *pool) learn(c *boxConn, held bool) {
+	if c.rested == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if held {
+		c.box.ages.Held(time.Since(p.start), c.rested)
+	} else {
+		c.box.ages.Broke(time.Since(p.start), c.rested)
+	}
+}
+
+// take returns the latest used of b's connections that have rested, else the one that has rested for longest; none where
+// it has rested for longer than b is known to keep one, or, for what must not be sent twice, is sure to.
+func (p *pool) take(b *kept, once bool) *boxConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, known := time.Now(), b.ages
+	for longest := known.Longest(); len(b.conns) > 0 && now.Sub(b.conns[0].since) > longest; {
+		p.discard(b.conns[0])
+	}
+	if len(b.conns) == 0 {
+		return nil
+	}
+	c := b.conns[0]
+	for _, o := range slices.Backward(b.conns) {
+		if now.Sub(o.since) >= restTime {
+			c = o
+			break
+		}
+	}
+	rested := now.Sub(c.since)
+	if once && rested > known.Sure() {
+		return nil
+	}
+	p.remove(c)
+	c.rested = max(rested, 1)
+	return c
+}
+
+// remove takes a connection out of those with no owner. p.mu is held.
+func (p *pool) remove(c *boxConn) {
+	p.rest.Remove(c.place)
+	c.place = nil
+	i := slices.Index(c.box.conns, c)
+	c.box.conns = slices.Delete(c.box.conns, i, i+1)
+}
+
+// connect opens a connection, for which one to another box makes room where there are too many.
+func (p *pool) connect(ctx context.Context, k *kept, addr string) (*boxConn, error) {
+	p.mu.Lock()
+	if p.open >= p.limit {
+		oldest := p.rest.Front() // to another backend: this one has none
+		if oldest == nil {
+			p.mu.Unlock()
+			return nil, errSockets
+		}
+		p.discard(oldest.Value.(*boxConn))
+	}
+	p.open++
+	p.mu.Unlock()
+	conn, err := p.dial(ctx, addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c := &boxConn{Conn: conn, box: k}
+	c.cap.R = conn
+	c.in = bufio.NewReader(&c.cap)
+	return c, nil
+}
+
+// put takes a connection back.
+func (p *pool) put(c *boxConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.box.retired {
+		p.open--
+		c.Close()
+		return
+	}
+	c.since = time.Now()
+	c.place = p.rest.PushBack(c)
+	c.box.conns = append(c.box.conns, c)
+	if p.idle > 0 && p.sweep == nil {
+		p.sweep = time.AfterFunc(p.idle, p.expire)
+	}
+}
+
+// close ends a connection that its owner has done with.
+func (p *pool) close(c *boxConn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// discard closes a connection with no owner. p.mu is held.
+func (p *pool) discard(c *boxConn) {
+	p.remove(c)
+	p.open--
+	c.Close()
+}
+
+// expire closes the connections that have stood for too long.
+func (p *pool) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep = nil
+	for e := p.rest.Front(); e != nil; e = p.rest.Front() {
+		c := e.Value.(*boxConn)
+		if left := p.idle - time.Since(c.since); left > 0 {
+			p.sweep = time.AfterFunc(left, p.expire)
+			return
+		}
+		p.discard(c)
+	}
+}
+
+// clear closes the connections to b that have no owner. With retire those that are in use follow.
+func (p *pool) clear(b *kept, retire bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.retired = b.retired || retire
+	for len(b.conns) > 0 {
+		p.discard(b.conns[0])
+	}
+}
+
+// stop closes all that have no owner, and ends the sweep.
+func (p *pool) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for e := p.rest.Front(); e != nil; e = p.rest.Front() {
+		p.discard(e.Value.(*boxConn))
+	}
+	if p.sweep != nil {
+		p.sweep.Stop()
+	}
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,48 @@
+// Package message is an HTTP/1.1 request and its answer as the front and the carrier share them: the one reads what the
+// other sends, and the other way round. Bodies are held in the tiers of package bodies.
+package message
+
+import (
+	"net/http"
+	"time"
+
+	"craneglade/internal/engine"
+)
+
+const (
+	MaxBody = 64 << 10 // bytes of a request's or an answer's body, but where settings of our own allow more
+	MaxHead = 16 << 10 // bytes of a head
+
+	// WriteTime is for how long a client may pause while it sends or reads.
+	WriteTime = 2 * time.Second
+	chunkSize = 32 << 10
+)
+
+// Headers are those that a request may carry, besides its length and host; PROTOCOL knows no others.
+var Headers = []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Retry", "X-Cost-Hint", "X-Extras", "Idempotency-Key"}
+
+// Request is one request of a client. It is its own payload.
+type Request struct {
+	engine.Request
+	In   *http.Request
+	Body *Body // nil for none
+	Shed bool  // the node is so far behind that it refuses it
+}
+
+// Release gives back what the request holds.
+func (r *Request) Release() { r.Body.Free() }
+
+// Reply is a box's answer.
+type Reply struct {
+	Header http.Header
+	Body   []byte
+	Flow   *Flow // in place of Body, for one that is still coming
+}
+
+// Rejection is the answer to what is no request, or whose body has no place. Its connection is closed: what follows on
+// it can't be told from the rest of that request.
+type Rejection struct {
+	Status     int
+	Text       string
+	RetryAfter time.Duration
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	knowTau   = 2.0  // a report fades towards the mean of the fresh ones over this
 	oldTau    = 10.0 // an occupancy that drew 'full' and class shares fade over this
 	slotTau   = 60.0 // and how many it has in work at once over this
-	unheard   = 0.9  // so much of what is out does not wait, until a report tells what does
+	unheard   = 0.5  // so much of what is out does not wait, until a report tells what does
 	prior     = 5.0  // a backend's own service time counts from this many held requests on
 	guess     = 0.1  // service time before any answer was seen
 	silence   = 1.0  // time-outs and "full" are failures of a backend that answered nothing for this long
