--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -95,7 +95,12 @@
 			return p.connect(ctx, k, addr)
 		}
 		if wait := restTime - time.Since(c.since); wait > 0 {
-			sleep(ctx, wait)
+			rested := time.NewTimer(wait)
+			select {
+			case <-rested.C:
+			case <-ctx.Done():
+				rested.Stop()
+			}
 		}
 		if sock.Pending(c.Conn) == sock.Nothing {
 			return c, nil
