The node is taken apart: engine, HTTP front and carrier, box list, assembly

Need: request table, HTTP, pool and discovery shared one struct and one lock in internal/node; a second protocol, a second source of boxes or a handover had no place to stand. Change: internal/engine (decision module, request table, one final answer; knows no HTTP and no socket), httpfront, httpcarrier with its pool, boxlist, message (what front and carrier share), sock; internal/node assembles them. Imports go downwards only. Sockets to boxes come from a dial function, their ages from a clock that tests move. A first attempt lives in its request. The old files are gone; the tests moved along: what reached into the pool now goes through connections counted by the carrier, a moved clock and the box's own closes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -45,6 +45,8 @@
 
 	until    time.Duration
 	attempts []*Attempt
+	first    Attempt     // most requests have one, which needs no memory of its own
+	list     [1]*Attempt // and neither does the list of it
 	open     int
 	answered bool
 	done     chan Answer // holds the one answer; never blocks
@@ -75,6 +77,7 @@
 	Request *Request
 	Box     *Box
 	Wait    time.Duration // it ends after this at the latest
+	Effect  policy.Effect // what repeating the request would do; Unsafe where nobody told of its class
 
 	engine *Engine
 	index  int
@@ -97,12 +100,6 @@
 	return true
 }
 
-// Effect is what repeating the request would do. A class that nobody told of counts as one that must not run twice.
-func (a *Attempt) Effect() policy.Effect {
-	effect, _ := a.engine.Effect(a.Request.Class)
-	return effect
-}
-
 // Abort gives the request an answer of its front's own, unless it has one: what its client sent proved to be no request,
 // and no attempt has sent it whole.
 func (a *Attempt) Abort(payload any) { a.engine.abort(a.Request, payload) }
@@ -357,7 +354,14 @@
 	if r == nil {
 		return
 	}
-	a := &Attempt{Request: r, Box: e.boxes[act.Server], engine: e, index: len(r.attempts), sent: now}
+	a := &r.first
+	if len(r.attempts) > 0 {
+		a = &Attempt{}
+	} else {
+		r.attempts = r.list[:0]
+	}
+	*a = Attempt{Request: r, Box: e.boxes[act.Server], engine: e, index: len(r.attempts), sent: now}
+	a.Effect, _ = e.Effect(r.Class)
 	a.Wait = min(act.Wait, r.until-now)
 	if act.Wait <= 0 {
 		a.Wait = r.until - now
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -43,6 +43,12 @@
 	return stop != 0 && time.Now().UnixNano() >= stop
 }
 
+// ShutFrom has nothing new written to the box from t on. One that is shut already keeps its moment.
+func (b *Box) ShutFrom(t time.Time) { b.stop.CompareAndSwap(0, t.UnixNano()) }
+
+// Reopen takes a ShutFrom back.
+func (b *Box) Reopen() { b.stop.Store(0) }
+
 // Follow sets the source of lists, with the list that is known before it tells one.
 func (e *Engine) Follow(s Source, known *List) {
 	e.mu.Lock()
@@ -148,7 +154,7 @@
 		switch x.State {
 		case policy.Active:
 			b.left = false
-			b.stop.Store(0)
+			b.Reopen()
 		case policy.Leaving:
 			e.drain(b)
 		case policy.Left:
@@ -172,7 +178,7 @@
 // drain lets nothing new be written to a box once its grace is over, less the time that the news took.
 func (e *Engine) drain(b *Box) {
 	grace := e.set.DrainGrace * 9 / 10
-	b.stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano())
+	b.ShutFrom(time.Now().Add(grace))
 }
 
 // drop takes a box off the list. It stays known until its grace is over: the module may go on with the last of a list
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -34,6 +34,7 @@
 	Reports bool          // answers may hold load reports
 	Answer  int64         // the largest body of an answer; one over message.MaxBody is passed on while it comes
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Now     func() time.Time // what connections age by; nil for time.Now
 	Log     *slog.Logger
 }
 
@@ -50,6 +51,13 @@
 	return &Carrier{pool: newPool(cfg), reports: cfg.Reports, answer: cfg.Answer, log: cfg.Log}
 }
 
+// Conns is how many connections there are, and how many of them carry nothing.
+func (n *Carrier) Conns() (open, rest int) {
+	n.pool.mu.Lock()
+	defer n.pool.mu.Unlock()
+	return n.pool.open, n.pool.rest.Len()
+}
+
 // Retire closes the connections to a box that carry nothing. Those that carry something follow.
 func (n *Carrier) Retire(b *engine.Box) { n.pool.clear(n.pool.of(b), true) }
 
@@ -72,7 +80,7 @@
 	}
 	b := n.pool.of(a.Box)
 	heard := b.heard.Load()
-	c, err := n.pool.get(ctx, b, a.Box.Addr, a.Effect() == policy.Unsafe)
+	c, err := n.pool.get(ctx, b, a.Box.Addr, a.Effect == policy.Unsafe)
 	switch {
 	case errors.Is(err, errSockets):
 		return engine.Result{Outcome: policy.Moot} // not the backend's doing, and not to be held against it
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -30,6 +30,7 @@
 	limit int
 	idle  time.Duration // a connection that stood for this long is closed
 	told  time.Duration // for how long boxes keep them, as the settings have it
+	now   func() time.Time
 	start time.Time
 
 	mu    sync.Mutex
@@ -40,10 +41,13 @@
 }
 
 func newPool(cfg Config) *pool {
-	p := &pool{limit: cfg.Conns, dial: cfg.Dial}
+	p := &pool{limit: cfg.Conns, dial: cfg.Dial, now: cfg.Now}
+	if p.now == nil {
+		p.now = time.Now
+	}
 	// A request written to a connection that the box has just closed ends as a reset: retire it before.
 	p.idle = cfg.Idle * 9 / 10
-	p.told, p.start = cfg.Idle, time.Now()
+	p.told, p.start = cfg.Idle, p.now()
 	p.ages = admission.NewAges(p.told, nil)
 	return p
 }
@@ -94,7 +98,7 @@
 		if c == nil {
 			return p.connect(ctx, k, addr)
 		}
-		if wait := restTime - time.Since(c.since); wait > 0 {
+		if wait := restTime - p.now().Sub(c.since); wait > 0 {
 			rested := time.NewTimer(wait)
 			select {
 			case <-rested.C:
@@ -117,9 +121,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if held {
-		c.box.ages.Held(time.Since(p.start), c.rested)
+		c.box.ages.Held(p.now().Sub(p.start), c.rested)
 	} else {
-		c.box.ages.Broke(time.Since(p.start), c.rested)
+		c.box.ages.Broke(p.now().Sub(p.start), c.rested)
 	}
 }
 
@@ -128,7 +132,7 @@
 func (p *pool) take(b *kept, once bool) *boxConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, known := time.Now(), b.ages
+	now, known := p.now(), b.ages
 	for longest := known.Longest(); len(b.conns) > 0 && now.Sub(b.conns[0].since) > longest; {
 		p.discard(b.conns[0])
 	}
@@ -194,7 +198,7 @@
 		c.Close()
 		return
 	}
-	c.since = time.Now()
+	c.since = p.now()
 	c.place = p.rest.PushBack(c)
 	c.box.conns = append(c.box.conns, c)
 	if p.idle > 0 && p.sweep == nil {
@@ -224,7 +228,7 @@
 	p.sweep = nil
 	for e := p.rest.Front(); e != nil; e = p.rest.Front() {
 		c := e.Value.(*boxConn)
-		if left := p.idle - time.Since(c.since); left > 0 {
+		if left := p.idle - p.now().Sub(c.since); left > 0 {
 			p.sweep = time.AfterFunc(left, p.expire)
 			return
 		}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -147,6 +147,9 @@
 	return err
 }
 
+// Leaving tells whether the front was told to end.
+func (s *Front) Leaving() bool { return s.leaving.Load() }
+
 // accept takes in connections until ln is closed.
 func (s *Front) accept(ln net.Listener) error {
 	for {
--- a/internal/message/body.go
+++ b/internal/message/body.go
@@ -80,6 +80,13 @@
 	return s.budget.Used(t)
 }
 
+// Placed is how many bodies a tier was given.
+func (s *Store) Placed(t bodies.Tier) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Placed(t)
+}
+
 // Stop ends the workers. A call that hangs in the file system outlives it.
 func (s *Store) Stop() {
 	if s.spool != nil {
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -22,15 +22,7 @@
 		case <-ctx.Done():
 			return
 		}
-		n.mu.Lock()
-		all := n.bal.Snapshot(n.clock.now())
-		ids := make([]string, len(all))
-		for i := range all {
-			if b := n.backends[all[i].ID]; b != nil {
-				ids[i] = b.id
-			}
-		}
-		n.mu.Unlock()
+		ids, all := n.engine.Beliefs()
 		for i := range all {
 			n.log.LogAttrs(ctx, slog.LevelDebug, "belief", slog.String("backend", ids[i]), slog.Any("of", belief(all[i])))
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,7 +8,9 @@
 	"net"
 	"os"
 	"slices"
+	"time"
 
+	"craneglade/internal/engine"
 	"craneglade/internal/settings"
 	"craneglade/internal/wire"
 	"craneglade/policy"
@@ -22,10 +24,13 @@
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
-	Sockets   int  // descriptors that the process may hold
-	Known     list // the backends as this node last had them
+	Sockets   int         // descriptors that the process may hold
+	Known     engine.List // the backends as this node last had them
 	Settings  wire.Settings
 	Own       *settings.File // this program's own; nil where there is none
+
+	boxConns int              // connections to boxes at a time, in place of a part of Sockets; 0 for that
+	now      func() time.Time // what connections to boxes age by; nil for the system's clock
 }
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
@@ -55,7 +60,7 @@
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
 		} `json:"limits"`
-		Known    list            `json:"known"`
+		Known    engine.List     `json:"known"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
