Admission tells clients apart by address; descriptors move between clients and boxes

Need (issue on limits): one greedy or broken client could take the place of those that behave, tenants past their share did not yield connections first, and clients had a fixed half of the descriptors and boxes three eighths whatever either needed. Change: connections stand in lines by state and, in each, by address in buckets of equal size, so that the longest one of the address with most goes first, in constant work. An address that is only ever rejected has no time to be silent in; while nobody can be spared, addresses above the mean leave with their answers, and one below it is let in. Idle ones of tenants past their share go first. admission.Descriptors: each side is sure of three eighths, the rest goes to whoever needs it, and an idle connection on lent room is closed for the other side; internal/rooms holds it for both.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -18,6 +18,7 @@
 	"craneglade/internal/bodies"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
+	"craneglade/internal/rooms"
 	"craneglade/internal/wire"
 	"craneglade/policy"
 )
@@ -29,7 +30,7 @@
 
 // Config is what a carrier is made from.
 type Config struct {
-	Conns   int           // connections to boxes at a time
+	Room    *rooms.Room   // descriptors for connections to boxes
 	Idle    time.Duration // boxes close connections idle for this long, as the settings have it; 0 when not told
 	Reports bool          // answers may hold load reports
 	Answer  int64         // the largest body of an answer; one over message.MaxBody is passed on while it comes
@@ -58,6 +59,13 @@
 	return n.pool.open, n.pool.rest.Len()
 }
 
+// Yield closes the connection that has carried nothing for longest, and tells whether there was one.
+func (n *Carrier) Yield() bool {
+	n.pool.mu.Lock()
+	defer n.pool.mu.Unlock()
+	return n.pool.spare()
+}
+
 // Retire closes the connections to a box that carry nothing. Those that carry something follow.
 func (n *Carrier) Retire(b *engine.Box) { n.pool.clear(n.pool.of(b), true) }
 
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -14,6 +14,7 @@
 
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
+	"craneglade/internal/rooms"
 	"craneglade/internal/sock"
 )
 
@@ -27,7 +28,7 @@
 // a time, and comes back only after an answer that was read whole with nothing behind it.
 type pool struct {
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
-	limit int
+	room  *rooms.Room
 	idle  time.Duration // a connection that stood for this long is closed
 	told  time.Duration // for how long boxes keep them, as the settings have it
 	now   func() time.Time
@@ -41,7 +42,7 @@
 }
 
 func newPool(cfg Config) *pool {
-	p := &pool{limit: cfg.Conns, dial: cfg.Dial, now: cfg.Now}
+	p := &pool{room: cfg.Room, dial: cfg.Dial, now: cfg.Now}
 	if p.now == nil {
 		p.now = time.Now
 	}
@@ -165,21 +166,23 @@
 
 // connect opens a connection, for which one to another box makes room where there are too many.
 func (p *pool) connect(ctx context.Context, k *kept, addr string) (*boxConn, error) {
+	taken := p.room.Take()
 	p.mu.Lock()
-	if p.open >= p.limit {
-		oldest := p.rest.Front() // to another backend: this one has none
-		if oldest == nil {
-			p.mu.Unlock()
-			return nil, errSockets
-		}
-		p.discard(oldest.Value.(*boxConn))
+	if !taken && p.spare() { // one to another box: this one has none
+		taken = p.room.Take()
 	}
 	p.open++
 	p.mu.Unlock()
+	if !taken && !p.room.Claim() {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, errSockets
+	}
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		p.mu.Lock()
-		p.open--
+		p.gone()
 		p.mu.Unlock()
 		return nil, err
 	}
@@ -194,8 +197,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.box.retired {
-		p.open--
 		c.Close()
+		p.gone()
 		return
 	}
 	c.since = p.now()
@@ -211,14 +214,29 @@
 	c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.gone()
+}
+
+// gone counts a connection that has ended. p.mu is held.
+func (p *pool) gone() {
 	p.open--
+	p.room.Give()
+}
+
+// spare closes the connection that has rested for longest, if there is one. p.mu is held.
+func (p *pool) spare() bool {
+	oldest := p.rest.Front()
+	if oldest != nil {
+		p.discard(oldest.Value.(*boxConn))
+	}
+	return oldest != nil
 }
 
 // discard closes a connection with no owner. p.mu is held.
 func (p *pool) discard(c *boxConn) {
 	p.remove(c)
-	p.open--
 	c.Close()
+	p.gone()
 }
 
 // expire closes the connections that have stood for too long.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -23,6 +23,7 @@
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
+	"craneglade/internal/rooms"
 	"craneglade/internal/sock"
 	"craneglade/policy"
 )
@@ -50,13 +51,16 @@
 	Engine *engine.Engine
 	Bodies *message.Store
 	Clock  engine.Clock
-	Open   int // connections at a time
-	Asking int // and those of them that carry requests
+	Room   *rooms.Room        // descriptors for connections of clients,
+	Extra  int                // and so many beyond them, for telling clients that there is no room
+	Asking int                // connections that carry requests at a time
+	Shares map[string]float64 // requests a second that each tenant has a share in this node of
 	Log    *slog.Logger
 }
 
-// Front is the connections of this node's clients. Past the limit one that carries no request makes room; where there
-// is none the new one's request is refused, and far past it new ones wait in the backlog.
+// Front is the connections of this node's clients. Where no descriptor is left for one, another that carries no request
+// makes room; where there is none the new one's request is refused, and while all that are kept for that are in use new
+// ones wait in the backlog.
 type Front struct {
 	engine  *engine.Engine
 	bodies  *message.Store
@@ -67,12 +71,14 @@
 	ctx     context.Context // ends when the front has
 	stop    context.CancelFunc
 
-	slots chan struct{}
+	room  *rooms.Room
+	extra chan struct{}
 	wg    sync.WaitGroup // connections
 
 	mu       sync.Mutex
 	account  *admission.Clients // decides who may stay
 	pressure admission.Pressure
+	tenants  *admission.Tenants
 	conns    map[*clientConn]struct{}
 }
 
@@ -83,19 +89,22 @@
 	cap   io.LimitedReader // between the socket and in: nobody sends without end
 	in    *bufio.Reader
 	over  bool // there were too many already when it came
+	extra bool // it is one of those beyond the room
 
 	used bool // a request on it has been answered
 
 	// Guarded by clients.mu.
 	account admission.Conn
 	closing bool // it made room for another, or the node leaves
+	granted bool // it has a descriptor of the room
 }
 
 // New returns a front that answers nobody yet.
 func New(cfg Config) *Front {
 	s := &Front{engine: cfg.Engine, bodies: cfg.Bodies, clock: cfg.Clock, log: cfg.Log,
-		slots: make(chan struct{}, cfg.Open+cfg.Open/8), conns: map[*clientConn]struct{}{},
-		account: admission.NewClients(admission.Limits{Open: cfg.Open, Asking: cfg.Asking, Silent: silentTime, Slow: readTime})}
+		room: cfg.Room, extra: make(chan struct{}, max(1, cfg.Extra)), conns: map[*clientConn]struct{}{},
+		tenants: admission.NewTenants(cfg.Shares),
+		account: admission.NewClients(admission.Limits{Asking: cfg.Asking, Silent: silentTime, Slow: readTime})}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -153,10 +162,10 @@
 // accept takes in connections until ln is closed.
 func (s *Front) accept(ln net.Listener) error {
 	for {
-		s.slots <- struct{}{}
+		s.extra <- struct{}{}
 		conn, err := ln.Accept()
 		if err != nil {
-			<-s.slots
+			<-s.extra
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
 				time.Sleep(5 * time.Millisecond)
 				continue
@@ -164,11 +173,22 @@
 			return err
 		}
 		c := &clientConn{Conn: conn, start: time.Now()}
-		c.cap.R, c.account.Owner = conn, c
+		c.cap.R, c.account.Owner, c.account.From = conn, c, host(conn.RemoteAddr())
 		c.in = bufio.NewReader(&c.cap)
+		c.granted = s.room.Take()
 		s.mu.Lock()
-		if s.account.Full() {
-			c.over = !s.makeRoom()
+		if !c.granted && s.makeRoom() {
+			c.granted = s.room.Take()
+		}
+		s.mu.Unlock()
+		if !c.granted {
+			c.granted = s.room.Claim()
+		}
+		s.mu.Lock()
+		if c.extra = !c.granted; c.extra {
+			c.over = !s.account.Behind(c.account.From) // one of a client that holds little is served all the same
+		} else {
+			<-s.extra
 		}
 		s.conns[c] = struct{}{}
 		s.account.Add(s.now(), &c.account)
@@ -180,8 +200,11 @@
 			c.Close()
 			s.mu.Lock()
 			s.forget(c)
+			s.release(c)
 			s.mu.Unlock()
-			<-s.slots
+			if c.extra {
+				<-s.extra
+			}
 		}()
 	}
 }
@@ -189,6 +212,29 @@
 // now is the time for the account.
 func (s *Front) now() time.Duration { return s.clock.Since() }
 
+// host is an address without its port.
+func host(a net.Addr) string {
+	if t, ok := a.(*net.TCPAddr); ok {
+		return t.IP.String()
+	}
+	return a.String()
+}
+
+// Yield closes a connection that carries no request for another side's sake, if there is one.
+func (s *Front) Yield() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.makeRoom()
+}
+
+// release gives a connection's descriptor back. s.mu is held.
+func (s *Front) release(c *clientConn) {
+	if c.granted {
+		c.granted = false
+		s.room.Give()
+	}
+}
+
 // makeRoom closes a connection that carries no request, if there is one. s.mu is held.
 func (s *Front) makeRoom() bool {
 	spare := s.account.Spare(s.now(), func(c *admission.Conn) bool { return sock.Pending(c.Owner.(*clientConn).Conn) != sock.Nothing })
@@ -222,6 +268,7 @@
 	if !c.closing {
 		c.closing = true
 		s.forget(c)
+		s.release(c)
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -262,6 +309,9 @@
 func (s *Front) begin(c *clientConn, r *message.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.ID != "" {
+		c.account.Past = s.tenants.Past(s.now(), r.Tenant)
+	}
 	s.account.Begin(s.now(), &c.account, r.ID == "")
 	return !c.closing
 }
@@ -278,6 +328,15 @@
 	return leave
 }
 
+// rejected notes that a connection brought no request.
+func (s *Front) rejected(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.closing { // one that made room said nothing for want of time
+		s.account.Rejected(s.now(), &c.account)
+	}
+}
+
 // rest notes that a connection waits for its next request, and tells whether it may.
 func (s *Front) rest(c *clientConn) bool {
 	s.mu.Lock()
@@ -301,17 +360,21 @@
 	for {
 		r, no := s.read(c)
 		if no != nil {
+			s.rejected(c)
 			c.reject(no)
 			return
 		}
 		if r == nil {
+			if !c.used {
+				s.rejected(c)
+			}
 			return
 		}
 		if !s.begin(c, r) && !s.leaving.Load() {
 			c.over = true
 		}
 		a, ok := s.answer(c, r)
-		last := r.In.Close || c.over || s.closing.Load() || !r.Body.IsDrained() || ok && s.leaves(c)
+		last := r.In.Close || c.over || c.extra || s.closing.Load() || !r.Body.IsDrained() || ok && s.leaves(c)
 		if !ok || c.write(r.In, a, last) != nil || last || !s.rest(c) {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,17 +12,18 @@
 	"runtime/debug"
 	"sync"
 
+	"craneglade/internal/admission"
 	"craneglade/internal/boxlist"
 	"craneglade/internal/engine"
 	"craneglade/internal/httpcarrier"
 	"craneglade/internal/httpfront"
 	"craneglade/internal/message"
+	"craneglade/internal/rooms"
 )
 
 const (
 	minSockets = 64 // with fewer descriptors a node cannot serve
 	ownSockets = 16 // descriptors for anything but clients and boxes
-	unlimited  = 1 << 20
 )
 
 type node struct {
@@ -87,9 +88,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("bodies: %w", err)
 	}
-	room := cfg.room()
+	both := cfg.rooms()
+	boxes := both.Side(admission.BoxSide)
+	if cfg.boxConns != 0 {
+		fixed := rooms.New(2*max(cfg.boxConns, 1), max(cfg.boxConns, 0))
+		boxes = fixed.Side(admission.BoxSide)
+		for cfg.boxConns < 0 && fixed.Side(admission.ClientSide).Take() {
+		}
+	}
 	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
-	n.carrier = httpcarrier.New(httpcarrier.Config{Conns: room.boxes, Idle: cfg.Settings.ConnIdle,
+	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle,
 		Reports: cfg.Settings.Reports, Answer: n.bodies.Answer, Log: log, Now: cfg.now,
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }})
 	n.engine, err = engine.New(engine.Config{Settings: cfg.Settings.Policy, Seed: cfg.Seed, Clock: clock,
@@ -98,8 +106,10 @@
 		n.bodies.Stop()
 		return nil, err
 	}
-	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock, Open: room.clients,
-		Asking: room.asking, Log: log})
+	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock,
+		Room: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Log: log})
+	both.Yields(admission.ClientSide, n.front.Yield)
+	both.Yields(admission.BoxSide, n.carrier.Yield)
 	n.list = n.source(cfg.Discovery, false)
 	n.engine.Follow(n.list, &cfg.Known)
 	var ctx context.Context
@@ -123,17 +133,32 @@
 	n.bodies.Stop()
 }
 
-// room is how the descriptors are shared out: connections of clients, those of them that carry requests, and
-// connections to boxes.
-func (cfg *Config) room() struct{ clients, asking, boxes int } {
-	r := struct{ clients, asking, boxes int }{unlimited, 0, unlimited}
-	if s := cfg.Sockets; s > 0 {
-		r.clients, r.asking, r.boxes = (s-ownSockets)/2, s/3, (s-ownSockets)*3/8
+// extra is how many connections of clients may be open beyond the room, to be told that there is none.
+func (cfg *Config) extra() int {
+	if cfg.Sockets == 0 {
+		return 1024
 	}
-	if cfg.boxConns != 0 {
-		r.boxes = cfg.boxConns
+	return max(1, (cfg.Sockets-ownSockets)/16)
+}
+
+// rooms shares the descriptors out: three eighths are clients' in any case, three eighths boxes', and the rest goes to
+// whoever needs it.
+func (cfg *Config) rooms() *rooms.Rooms {
+	if cfg.Sockets == 0 {
+		return rooms.New(0, 0)
+	}
+	total := cfg.Sockets - ownSockets - cfg.extra()
+	return rooms.New(total, total*3/8)
+}
+
+// shares are the tenants' parts of this node's requests, in requests a second.
+func (cfg *Config) shares() map[string]float64 {
+	p := &cfg.Settings.Policy
+	out := make(map[string]float64, len(p.Tenants))
+	for _, t := range p.Tenants {
+		out[t.Name] = t.QuotaPerS / float64(max(1, p.Nodes))
 	}
-	return r
+	return out
 }
 
 func (n *node) source(addr string, whole bool) *boxlist.Source {
