One budget in memory for heads, bodies and answers; an answer without room streams

Need (issue on limits): bodies had a total, but heads, write buffers and answers under 64 KiB were bounded each, not together. Change: a request takes 21 KiB for its head and buffers when its head has been read, and gives them back when nothing more can come of it; an answer takes its size before it is read, and one that finds no room is passed on while it comes. Heads and answers are sure of half as much as bodies have and may use what bodies leave; no body uses theirs. Without room a request is told 503 with Retry-After before anything is done for it. A question for readiness has no body any more. Seen on the way: with one plain total, bodies kept in memory starved the heads of all later requests (the test that fills all tiers hung on it); hence the part that is the heads'.

--- a/internal/bodies/budget.go
+++ b/internal/bodies/budget.go
@@ -31,9 +31,11 @@
 	Once   bool  // may be streamed without being kept; where it may not, it waits for no tier and is turned away
 }
 
-// Limits are the totals of the tiers, in bytes; 0 closes a tier.
+// Limits are the totals of the tiers, in bytes; 0 closes a tier. Heads is what heads and answers are sure of beside the
+// bodies in memory; they may use what bodies leave of Memory, but no body uses Heads.
 type Limits struct {
 	Memory int64
+	Heads  int64
 	Disk   int64
 }
 
@@ -41,6 +43,7 @@
 type Budget struct {
 	limits Limits
 	used   [tiers]int64
+	heads  int64        // held in memory beside bodies
 	count  [tiers]int64 // placed so far
 	shut   bool         // the disk does not work now
 }
@@ -68,7 +71,7 @@
 	switch {
 	case size > c.Most:
 		return TooLarge
-	case size <= c.Memory && b.used[Memory]+size <= b.limits.Memory:
+	case size <= c.Memory && b.used[Memory]+size+max(0, b.heads-b.limits.Heads) <= b.limits.Memory:
 		return Memory
 	case c.Disk && !b.shut && b.used[Disk]+size <= b.limits.Disk:
 		return Disk
@@ -78,6 +81,21 @@
 	return TooLarge
 }
 
+// Hold takes room in memory for what is no body (heads, answers), and tells whether there is any. Release gives it back.
+func (b *Budget) Hold(size int64) bool {
+	if b.used[Memory]+b.heads+size > b.limits.Memory+b.limits.Heads {
+		return false
+	}
+	b.heads += size
+	return true
+}
+
+// Release gives back what Hold took.
+func (b *Budget) Release(size int64) { b.heads -= size }
+
+// Held is what is held in memory beside bodies, in bytes.
+func (b *Budget) Held() int64 { return b.heads }
+
 // Fall moves a body that could not be written to disk to the next tier. It gives back what Place took.
 func (b *Budget) Fall(c Class, size int64) (Tier, error) {
 	b.Free(Disk, size)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -108,7 +108,7 @@
 type Result struct {
 	Outcome policy.Outcome
 	Load    policy.Load
-	Reply   any // of one that was served, unless it was delivered
+	Reply   any // of one that was served, unless it was delivered; told by Release, if it has that, where nobody gets it
 }
 
 // Carrier carries attempts to boxes.
@@ -283,6 +283,8 @@
 	if res.Outcome == policy.OK && !r.answered {
 		r.answered = true
 		r.done <- Answer{Payload: res.Reply}
+	} else {
+		release(res.Reply)
 	}
 	now := e.clock.Now()
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.Box.Number, Attempt: a.index,
@@ -305,7 +307,12 @@
 		return
 	}
 	delete(e.requests, r.ID)
-	if p, ok := r.Payload.(interface{ Release() }); ok {
+	release(r.Payload)
+}
+
+// release tells a payload that nobody uses it any more, if it wants to know.
+func release(payload any) {
+	if p, ok := payload.(interface{ Release() }); ok {
 		p.Release()
 	}
 }
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -30,10 +30,10 @@
 
 // Config is what a carrier is made from.
 type Config struct {
-	Room    *rooms.Room   // descriptors for connections to boxes
-	Idle    time.Duration // boxes close connections idle for this long, as the settings have it; 0 when not told
-	Reports bool          // answers may hold load reports
-	Answer  int64         // the largest body of an answer; one over message.MaxBody is passed on while it comes
+	Room    *rooms.Room    // descriptors for connections to boxes
+	Idle    time.Duration  // boxes close connections idle for this long, as the settings have it; 0 when not told
+	Reports bool           // answers may hold load reports
+	Bodies  *message.Store // room for answers; one that has none, or is over message.MaxBody, is passed on while it comes
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Now     func() time.Time // what connections age by; nil for time.Now
 	Log     *slog.Logger
@@ -43,13 +43,13 @@
 type Carrier struct {
 	pool    *pool
 	reports bool
-	answer  int64
+	bodies  *message.Store
 	log     *slog.Logger
 }
 
 // New returns a carrier with no connection.
 func New(cfg Config) *Carrier {
-	return &Carrier{pool: newPool(cfg), reports: cfg.Reports, answer: cfg.Answer, log: cfg.Log}
+	return &Carrier{pool: newPool(cfg), reports: cfg.Reports, bodies: cfg.Bodies, log: cfg.Log}
 }
 
 // Conns is how many connections there are, and how many of them carry nothing.
@@ -131,8 +131,17 @@
 	}
 	var resp *http.Response
 	var body []byte
+	var held int64
+	stream := false
 	if err == nil {
-		resp, body, err = c.read(r.In.Method, n.answer)
+		resp, body, err = c.read(r.In.Method, func(size int64) bool {
+			if size > message.MaxBody || !n.bodies.Hold(size) {
+				stream = true
+				return false
+			}
+			held = size
+			return true
+		}, n.bodies.Answer)
 	}
 	switch {
 	case err == nil, errors.Is(err, errSpoilt):
@@ -140,7 +149,7 @@
 	case context.Cause(ctx) == nil: // it ended by the backend's doing, before a byte
 		n.pool.learn(c, false)
 	}
-	if err == nil && resp.ContentLength > message.MaxBody {
+	if err == nil && stream {
 		b.heard.Add(1)
 		return n.flow(ctx, a, c, resp, giveUp)
 	}
@@ -154,6 +163,9 @@
 		b.heard.Add(1)
 	}
 	if err != nil {
+		if held > 0 {
+			n.bodies.Free(held)
+		}
 		outcome := policy.Reset // unless shown otherwise it may have run
 		switch cause := context.Cause(ctx); {
 		case cause != nil && !errors.Is(cause, errTimeout):
@@ -171,7 +183,13 @@
 		n.log.Debug("an attempt broke off", "box", a.Box.ID, "err", err)
 		return engine.Result{Outcome: outcome}
 	}
-	return n.judge(a.Box, resp, body)
+	res := n.judge(a.Box, resp, body)
+	if p, ok := res.Reply.(*message.Reply); ok && held > 0 {
+		p.Holds(n.bodies, held)
+	} else if held > 0 {
+		n.bodies.Free(held)
+	}
+	return res
 }
 
 // encode is the request as it goes out, with the headers that PROTOCOL knows.
@@ -203,9 +221,9 @@
 // errSpoilt is an answer that can't be the backend's answer to the request. The request may have run.
 var errSpoilt = errors.New("a spoilt answer")
 
-// read reads one answer whole, before any of it goes on: one that breaks can still be tried again. Of one that is larger
-// than the usual, up to most, it reads the head.
-func (c *boxConn) read(method string, most int64) (*http.Response, []byte, error) {
+// read reads one answer whole, before any of it goes on: one that breaks can still be tried again. Of a served one that
+// hold, asked with its size, has no room for, it reads the head. Larger ones than most are spoilt.
+func (c *boxConn) read(method string, hold func(size int64) bool, most int64) (*http.Response, []byte, error) {
 	c.cap.N = message.MaxHead + message.MaxBody
 	for {
 		if _, err := c.in.Peek(1); err != nil {
@@ -227,7 +245,7 @@
 			}
 			continue
 		}
-		if resp.StatusCode == http.StatusOK && resp.ContentLength > message.MaxBody && resp.ContentLength <= most {
+		if resp.StatusCode == http.StatusOK && resp.ContentLength > 0 && resp.ContentLength <= most && !hold(resp.ContentLength) {
 			c.cap.N += resp.ContentLength
 			return resp, nil, nil
 		}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -353,6 +353,7 @@
 	body       []byte
 	flow       *message.Flow // in place of body, for one that is still coming
 	retryAfter time.Duration
+	reply      *message.Reply // whose room it holds; nil for none
 }
 
 // talk answers one request after the other.
@@ -375,7 +376,12 @@
 		}
 		a, ok := s.answer(c, r)
 		last := r.In.Close || c.over || c.extra || s.closing.Load() || !r.Body.IsDrained() || ok && s.leaves(c)
-		if !ok || c.write(r.In, a, last) != nil || last || !s.rest(c) {
+		if !ok {
+			return
+		}
+		err := c.write(r.In, a, last)
+		a.reply.Release()
+		if err != nil || last || !s.rest(c) {
 			return
 		}
 	}
@@ -419,7 +425,13 @@
 	if no := s.check(r); no != nil {
 		return nil, no
 	}
-	r.Shed = r.ID != "" && s.sheds(late, r)
+	if r.ID == "" { // a question for the node's readiness
+		return r, nil
+	}
+	r.Shed = s.sheds(late, r)
+	if !s.bodies.Admit(r) {
+		return nil, &message.Rejection{Status: http.StatusServiceUnavailable, Text: "no memory is left for a request", RetryAfter: 250 * time.Millisecond}
+	}
 	if in.ContentLength > 0 {
 		if in.Header.Get("Expect") != "" {
 			c.SetWriteDeadline(end.Add(bodyTime))
@@ -436,6 +448,7 @@
 		c.cap.N = in.ContentLength
 		var no *message.Rejection
 		if r.Body, no = s.bodies.Read(s.ctx, r.Class, in); no != nil {
+			r.Release()
 			return nil, no
 		}
 	}
@@ -472,6 +485,9 @@
 		}
 	}
 	if in.URL.Path == "/ready" {
+		if in.ContentLength > 0 {
+			return no(bad, "Content-Length: a question for readiness has no body")
+		}
 		return nil
 	}
 	for _, name := range message.Headers {
@@ -505,11 +521,11 @@
 		return answer{status: s.readiness()}, true
 	}
 	if c.over || r.Shed { // nothing was sent: refusing is harmless, whatever the class
-		r.Body.Free()
+		r.Release()
 		return answer{status: http.StatusServiceUnavailable, body: []byte("too much at once\n"), retryAfter: 250 * time.Millisecond}, true
 	}
 	if !s.engine.Begin(&r.Request) {
-		r.Body.Free()
+		r.Release()
 		c.reject(&message.Rejection{Status: http.StatusConflict, Text: "X-Request-Id: a request with this id is open"})
 		return answer{}, false
 	}
@@ -542,9 +558,11 @@
 			s.engine.Gone(&r.Request)
 			select {
 			case a := <-r.Done():
-				if f := told(a).flow; f != nil { // it began to come at this moment
-					f.End(context.Canceled)
+				t := told(a)
+				if t.flow != nil { // it began to come at this moment
+					t.flow.End(context.Canceled)
 				}
+				t.reply.Release()
 			default:
 			}
 			return answer{}, false
@@ -557,7 +575,7 @@
 func told(a engine.Answer) answer {
 	switch p := a.Payload.(type) {
 	case *message.Reply:
-		return answer{status: http.StatusOK, header: p.Header, body: p.Body, flow: p.Flow}
+		return answer{status: http.StatusOK, header: p.Header, body: p.Body, flow: p.Flow, reply: p}
 	case *message.Rejection:
 		return answer{status: p.Status, body: []byte(p.Text + "\n")}
 	}
--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -102,7 +102,7 @@
 		new: `		if p.Tier == bodies.Disk { ` + logged + `r.ID); c.Conn = &plantedFlip{Conn: c.Conn} }; err = p.Send(ctx, c)`},
 	{name: "no room for a body, and no word of it", names: []string{judge.CutOff}, file: "internal/httpfront/front.go", day: "limits.toml",
 		old: `		if r.Body, no = s.bodies.Read(s.ctx, r.Class, in); no != nil {`,
-		new: `		if r.Body, no = s.bodies.Read(s.ctx, r.Class, in); no != nil && no.Status == 503 { s.log.Info("planted", "id", r.ID); return nil, nil } else if no != nil {`},
+		new: `		if r.Body, no = s.bodies.Read(s.ctx, r.Class, in); no != nil && no.Status == 503 { r.Release(); s.log.Info("planted", "id", r.ID); return nil, nil } else if no != nil {`},
 	{name: "an answer for the request before", names: []string{judge.WrongAnswer}, file: "internal/engine/engine.go",
 		old: `		r.done <- Answer{Payload: res.Reply}`,
 		new: `		r.done <- Answer{Payload: e.planted(r.ID, res.Reply)}`},
--- a/internal/message/body.go
+++ b/internal/message/body.go
@@ -36,9 +36,10 @@
 func NewStore(memoryMB int, own *settings.Bodies, clock engine.Clock) (*Store, error) {
 	s := &Store{classes: map[string]bodies.Class{}, usual: bodies.Class{Most: MaxBody, Memory: MaxBody}, Answer: MaxBody,
 		clock: clock}
-	limits := bodies.Limits{Memory: 1 << 40}
+	limits := bodies.Limits{Memory: 1 << 40, Heads: 1 << 40}
 	if memoryMB > 0 {
 		limits.Memory = int64(memoryMB) << 20 / 4
+		limits.Heads = limits.Memory / 2
 	}
 	if own != nil {
 		if own.Memory > 0 {
@@ -87,6 +88,27 @@
 	return s.budget.Placed(t)
 }
 
+// Hold takes room in memory for size bytes that are no body, and tells whether there is any. Free gives it back.
+func (s *Store) Hold(size int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Hold(size)
+}
+
+// Free gives back what Hold took.
+func (s *Store) Free(size int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Release(size)
+}
+
+// Held is what heads and answers hold in memory, in bytes.
+func (s *Store) Held() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Held()
+}
+
 // Stop ends the workers. A call that hangs in the file system outlives it.
 func (s *Store) Stop() {
 	if s.spool != nil {
--- /dev/null
+++ b/internal/message/budget_test.go
@@ -0,0 +1,51 @@
+package message
+
+import (
+	"testing"
+
+	"craneglade/internal/bodies"
+	"craneglade/internal/engine"
+)
+
+// Heads, bodies and answers share one total: what one of them holds the others do not get, and all is given back, once.
+func TestOneTotal(t *testing.T) {
+	s, err := NewStore(0, nil, engine.NewClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetLimits(bodies.Limits{Memory: 2 * HeadCost, Heads: HeadCost})
+	defer s.Stop()
+	var a, b, c Request
+	if !s.Admit(&a) || !s.Admit(&b) {
+		t.Fatal("no room for two of three")
+	}
+	p := &Reply{}
+	if !s.Hold(HeadCost) {
+		t.Fatal("no room for an answer")
+	}
+	p.Holds(s, HeadCost)
+	if s.Admit(&c) {
+		t.Error("a fourth is let in")
+	}
+	p.Release()
+	p.Release()
+	if !s.Admit(&c) || s.Hold(1) {
+		t.Error("the answer's room did not come back once")
+	}
+	for _, r := range []*Request{&a, &b, &c} {
+		r.Release()
+		r.Release()
+	}
+	if tier, _ := s.place(s.usual, HeadCost); tier != bodies.Memory {
+		t.Errorf("a body goes to %v", tier)
+	}
+	if tier, _ := s.place(s.usual, 2*HeadCost); tier != bodies.TooLarge || !s.Hold(HeadCost) {
+		t.Errorf("a body of what heads are sure of goes to %v", tier)
+	}
+	s.Free(HeadCost)
+	if n := s.Held(); n != 0 {
+		t.Errorf("%d bytes are held by nobody", n)
+	}
+	var none *Reply
+	none.Release()
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -15,6 +15,10 @@
 
 	// WriteTime is for how long a client may pause while it sends or reads.
 	WriteTime = 2 * time.Second
+
+	// HeadCost is what a request holds beside its body, in bytes: the buffer that its head came in, the head as it was
+	// read, and the buffer that it goes out by.
+	HeadCost  = 4<<10 + MaxHead + 1<<10
 	chunkSize = 32 << 10
 )
 
@@ -27,16 +31,47 @@
 	In   *http.Request
 	Body *Body // nil for none
 	Shed bool  // the node is so far behind that it refuses it
+
+	store *Store // whose room for HeadCost it holds; nil for none
 }
 
-// Release gives back what the request holds.
-func (r *Request) Release() { r.Body.Free() }
+// Admit takes room for a request, apart from its body, and tells whether there is any.
+func (s *Store) Admit(r *Request) bool {
+	if !s.Hold(HeadCost) {
+		return false
+	}
+	r.store = s
+	return true
+}
+
+// Release gives back what the request holds. It may be called again.
+func (r *Request) Release() {
+	r.Body.Free()
+	if r.store != nil {
+		r.store.Free(HeadCost)
+		r.store = nil
+	}
+}
 
 // Reply is a box's answer.
 type Reply struct {
 	Header http.Header
 	Body   []byte
 	Flow   *Flow // in place of Body, for one that is still coming
+
+	store *Store // whose room for size bytes it holds; nil for none
+	size  int64
+}
+
+// Holds has a reply give back size bytes of a store's room once it is released.
+func (p *Reply) Holds(s *Store, size int64) { p.store, p.size = s, size }
+
+// Release gives back what the reply holds. It may be called again, and of none.
+func (p *Reply) Release() {
+	if p != nil && p.store != nil {
+		p.store.Free(p.size)
+		p.store = nil
+	}
 }
 
 // Rejection is the answer to what is no request, or whose body has no place. Its connection is closed: what follows on
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -91,11 +91,14 @@
 	return nil
 }
 
+// roomForBodies is what a tieredRig's bodies have in memory, beside the heads of 60 requests.
+const roomForBodies = 300 << 10
+
 // tieredRig is a node whose saves of up to 1 MiB are kept in memory up to 100 KiB each, else on a disk of 2 MiB, else
 // sent once. Quotes may be on disk, but are never streamed.
 func tieredRig(t *testing.T, d *disk, b *box, wait time.Duration) *rig {
 	t.Helper()
-	own := &settings.File{Bodies: settings.Bodies{Memory: 300 << 10, Classes: []settings.Class{
+	own := &settings.File{Bodies: settings.Bodies{Memory: roomForBodies, Classes: []settings.Class{
 		{Name: "save", Most: 1 << 20, Memory: 100 << 10, Disk: true, Once: true},
 		{Name: "quote", Most: 1 << 20, Memory: 100 << 10, Disk: true}}}}
 	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) {
@@ -103,7 +106,7 @@
 	}, b.entry("s-1"))
 	if d != nil {
 		r.bodies.UseDisk(d, settings.Disk{Workers: 4, Deadline: tomlfile.Duration(wait)})
-		r.bodies.SetLimits(bodies.Limits{Memory: 300 << 10, Disk: 2 << 20})
+		r.bodies.SetLimits(bodies.Limits{Memory: roomForBodies, Heads: 60 * message.HeadCost, Disk: 2 << 20})
 	}
 	return r
 }
@@ -118,7 +121,7 @@
 func (r *rig) empty(t *testing.T, d *disk) {
 	t.Helper()
 	wait(t, "the room of all bodies", func() bool {
-		return r.bodies.Used(bodies.Memory) == 0 && r.bodies.Used(bodies.Disk) == 0
+		return r.bodies.Held() == 0 && r.bodies.Used(bodies.Memory) == 0 && r.bodies.Used(bodies.Disk) == 0
 	})
 	wait(t, "the close of all files", func() bool {
 		d.mu.Lock()
@@ -289,6 +292,8 @@
 	t.Parallel()
 	d := &disk{}
 	hold := make(chan struct{})
+	let := sync.OnceFunc(func() { close(hold) })
+	defer let() // the box's end waits for its answers
 	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
 		<-hold
 		return echo(c, r, nth)
@@ -333,10 +338,10 @@
 	}
 	wait(t, "full tiers", func() bool { n := r.tiers(); return n[0] >= 3 && n[1] >= 2 && n[0]+n[1]+n[2] >= 55 })
 	memory, onDisk := r.bodies.Used(bodies.Memory), r.bodies.Used(bodies.Disk)
-	if memory > 300<<10 || onDisk > 2<<20 {
+	if memory > roomForBodies || onDisk > 2<<20 {
 		t.Errorf("%d bytes in memory and %d on disk", memory, onDisk)
 	}
-	close(hold)
+	let()
 	wg.Wait()
 	if served.Load()+refused.Load() != 60 || other.Load() != 0 || served.Load() < 20 {
 		t.Errorf("%d served, %d refused, %d neither", served.Load(), refused.Load(), other.Load())
@@ -426,3 +431,44 @@
 		return r.engine.Open() == 0
 	})
 }
+
+// With no memory left a request is told so before anything is done for it, an answer is passed on while it comes, and all
+// room is given back whoever leaves when.
+func TestOneTotalOfMemory(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let() // the box's end waits for its answers
+	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "held") {
+			<-release
+		}
+		return reply(c, 200, "", strings.Repeat("x", 30<<10))
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	r.bodies.SetLimits(bodies.Limits{Memory: 2 * message.HeadCost, Heads: message.HeadCost})
+	var held []*client
+	for i := range 2 {
+		c := r.dial(t)
+		c.send(view(fmt.Sprint("held-", i)).text())
+		held = append(held, c)
+	}
+	wait(t, "two at the box", func() bool { return len(b.requests()) == 2 })
+	// A third has room, its answer of 30 KiB has none beside it, and is streamed.
+	if resp, body := r.dial(t).ask(view("third")); resp.StatusCode != 200 || len(body) != 30<<10 {
+		t.Errorf("third: %d, %d bytes", resp.StatusCode, len(body))
+	}
+	c := r.dial(t)
+	c.send(view("held-2").text())
+	wait(t, "three at the box", func() bool { return len(b.requests()) == 4 })
+	if resp, _ := r.dial(t).ask(view("fourth")); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("fourth: %d", resp.StatusCode)
+	}
+	c.Close()
+	held[0].Close()
+	let()
+	if resp, body := held[1].answer(); resp.StatusCode != 200 || len(body) != 30<<10 {
+		t.Errorf("held: %d, %d bytes", resp.StatusCode, len(body))
+	}
+	r.empty(t, &disk{})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,7 +98,7 @@
 	}
 	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle,
-		Reports: cfg.Settings.Reports, Answer: n.bodies.Answer, Log: log, Now: cfg.now,
+		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now,
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }})
 	n.engine, err = engine.New(engine.Config{Settings: cfg.Settings.Policy, Seed: cfg.Seed, Clock: clock,
 		Carrier: n.carrier, Log: log})
