JSON-RPC over TCP as the second front and carrier, under the same engine and rules

Need (issue on one engine): the pricing engine's JSON-RPC calls passed the node by, so that a drained box still got them and no node counted their load.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,7 @@
 	ID       string // no other open request has it
 	Class    string
 	Tenant   string
+	Needs    uint8         // protocols that a box must speak for it, see Listed.Speaks
 	Repeat   bool          // its client says that it asked before
 	Arrived  time.Time     // when its first byte came
 	Patience time.Duration // for how long its client waits from then on
@@ -199,7 +200,7 @@
 	left = max(0, left)
 	r.until, r.done = now+left, make(chan Answer, 1)
 	e.requests[r.ID] = r
-	e.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: left, Repeat: r.Repeat})
+	e.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: left, Needs: r.Needs, Repeat: r.Repeat})
 	return true
 }
 
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -16,8 +16,12 @@
 	Cell      int64  `json:"cell"`
 	State     string `json:"state"`
 	StartedMS int64  `json:"started_ms"`
+	RPC       string `json:"rpc"` // where it speaks JSON-RPC; "" for a box that does not. Beyond PROTOCOL
 }
 
+// SpeaksRPC is the bit of policy.Entry's Speaks and of Request's Needs for JSON-RPC.
+const SpeaksRPC = 1
+
 // List is a box list, or a change of one, as PROTOCOL has it.
 type List struct {
 	Version int64    `json:"version"`
@@ -30,7 +34,8 @@
 	Number uint32 // the module's name for it
 	ID     string // the list's
 	Addr   string
-	Kept   any // the carrier's own; only it touches this
+	RPC    string
+	Kept   any // the HTTP carrier's own; only it touches this
 
 	started int64
 	left    bool         // off the list; guarded by the engine's lock
@@ -116,6 +121,9 @@
 	for i := range l.Servers {
 		s := &l.Servers[i]
 		x := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
+		if s.RPC != "" {
+			x.Speaks = SpeaksRPC
+		}
 		switch s.State {
 		case "Ready":
 		case "Gone":
@@ -124,7 +132,7 @@
 			x.State = policy.Leaving
 		}
 		b := e.names[s.ID]
-		if b != nil && b.Addr != s.Addr && s.Addr != "" {
+		if b != nil && (b.Addr != s.Addr && s.Addr != "" || b.RPC != s.RPC && s.RPC != "") {
 			// Another address is another process, even where the start time does not tell.
 			entries = append(entries, policy.Entry{ID: b.Number, State: policy.Left})
 			e.drop(b)
@@ -142,10 +150,10 @@
 				}
 			}
 			e.nextNum++
-			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, started: s.StartedMS}
+			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, RPC: s.RPC, started: s.StartedMS}
 		case b.started != s.StartedMS:
 			old := b
-			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, started: s.StartedMS} // the module tells the two apart by the start
+			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, RPC: s.RPC, started: s.StartedMS} // the module tells the two apart by the start
 			e.carrier.Retire(old)
 		}
 		e.names[s.ID], e.boxes[b.Number] = b, b
--- /dev/null
+++ b/internal/jsonrpc/frame.go
@@ -0,0 +1,180 @@
+// Package jsonrpc reads and writes the messages of JSON-RPC 2.0 (https://www.jsonrpc.org/specification) without I/O of its
+// own, and knows nothing of nodes and boxes. JSON itself is package jsontext's: duplicate members, invalid UTF-8, lone
+// surrogates and a nesting of over 10,000 are errors there.
+package jsonrpc
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// MaxFrame is the largest message or batch, in bytes.
+const MaxFrame = 64 << 10
+
+// maxHead is the largest head of a headed frame, in bytes.
+const maxHead = 1 << 10
+
+// Framing is how messages follow one another on a stream.
+type Framing uint8
+
+const (
+	Lines  Framing = iota // JSON texts one after another, each ended by its own end; written with a newline behind each
+	Headed                // each behind a head of "Content-Length: N" and an empty line, as in the Language Server Protocol
+)
+
+// ErrFrame is what can't be told apart from what follows it: nothing more can be read from its stream.
+var ErrFrame = errors.New("no JSON-RPC message")
+
+// Reader reads frames from a stream. The framing of each is told by its first byte: a JSON text can't begin with a letter
+// of "Content-Length".
+type Reader struct {
+	in   *bufio.Reader
+	last Framing
+}
+
+// NewReader returns a reader of a stream.
+func NewReader(in *bufio.Reader) *Reader { return &Reader{in: in} }
+
+// Framing is that of the latest frame.
+func (r *Reader) Framing() Framing { return r.last }
+
+// Wait returns once the first byte of a frame is there, or with the stream's error.
+func (r *Reader) Wait() error {
+	for {
+		b, err := r.in.Peek(1)
+		if err != nil {
+			return err
+		}
+		if !space(b[0]) {
+			return nil
+		}
+		r.in.Discard(1)
+	}
+}
+
+// Next returns the next frame. An error that wraps ErrFrame says what is wrong with it; io.EOF is the end of a stream between
+// two frames.
+func (r *Reader) Next() ([]byte, error) {
+	if err := r.Wait(); err != nil {
+		return nil, err
+	}
+	b, err := r.in.Peek(1)
+	if err != nil {
+		return nil, err
+	}
+	if b[0] == 'C' || b[0] == 'c' {
+		r.last = Headed
+		return r.headed()
+	}
+	r.last = Lines
+	return r.text()
+}
+
+func (r *Reader) headed() ([]byte, error) {
+	length, read := -1, 0
+	for {
+		line, err := r.in.ReadSlice('\n')
+		if read += len(line); read > maxHead {
+			return nil, fmt.Errorf("%w: a head of over %d bytes", ErrFrame, maxHead)
+		}
+		if err != nil {
+			return nil, cut(err)
+		}
+		text := strings.TrimRight(string(line), "\r\n")
+		if text == "" {
+			break
+		}
+		name, value, ok := strings.Cut(text, ":")
+		switch {
+		case !ok:
+			return nil, fmt.Errorf("%w: %.40q is no header", ErrFrame, text)
+		case strings.EqualFold(name, "Content-Length"):
+			n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 31)
+			if err != nil || length >= 0 {
+				return nil, fmt.Errorf("%w: Content-Length: %.40q", ErrFrame, strings.TrimSpace(value))
+			}
+			length = int(n)
+		case !strings.EqualFold(name, "Content-Type"):
+			return nil, fmt.Errorf("%w: %.40q is no header that is known here", ErrFrame, name)
+		}
+	}
+	if length < 0 || length > MaxFrame {
+		return nil, fmt.Errorf("%w: Content-Length is missing or over %d", ErrFrame, MaxFrame)
+	}
+	frame := make([]byte, length)
+	if _, err := io.ReadFull(r.in, frame); err != nil {
+		return nil, cut(err)
+	}
+	return frame, nil
+}
+
+// text finds the end of a JSON text. It checks no more than what that needs: brackets that match, strings that end.
+func (r *Reader) text() ([]byte, error) {
+	var frame []byte
+	var open []byte // the closing brackets that are due
+	inString, escaped := false, false
+	for {
+		b, err := r.in.ReadByte()
+		if err != nil {
+			if err == io.EOF && len(open) == 0 && !inString && len(frame) > 0 {
+				return frame, nil // a number, a string or a word at the stream's end
+			}
+			return nil, cut(err)
+		}
+		if len(open) == 0 && !inString && len(frame) > 0 && space(b) {
+			return frame, nil // the same before white space
+		}
+		if frame = append(frame, b); len(frame) > MaxFrame {
+			return nil, fmt.Errorf("%w: over %d bytes", ErrFrame, MaxFrame)
+		}
+		switch {
+		case inString:
+			switch {
+			case b < 0x20:
+				return nil, fmt.Errorf("%w: a string with a control character", ErrFrame)
+			case escaped:
+				escaped = false
+			case b == '\\':
+				escaped = true
+			case b == '"':
+				inString = false
+			}
+		case b == '"':
+			inString = true
+		case b == '{':
+			open = append(open, '}')
+		case b == '[':
+			open = append(open, ']')
+		case b == '}' || b == ']':
+			if len(open) == 0 || open[len(open)-1] != b {
+				return nil, fmt.Errorf("%w: %q where another bracket is due", ErrFrame, b)
+			}
+			if open = open[:len(open)-1]; len(open) == 0 {
+				return frame, nil
+			}
+		}
+	}
+}
+
+func space(b byte) bool { return b == ' ' || b == '\t' || b == '\r' || b == '\n' }
+
+func cut(err error) error {
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %w", ErrFrame, err)
+}
+
+// Append appends a message in a framing.
+func Append(out []byte, f Framing, message []byte) []byte {
+	if f == Headed {
+		out = append(out, "Content-Length: "...)
+		out = strconv.AppendInt(out, int64(len(message)), 10)
+		return append(append(out, "\r\n\r\n"...), message...)
+	}
+	return append(append(out, message...), '\n')
+}
--- /dev/null
+++ b/internal/jsonrpc/message.go
@@ -0,0 +1,231 @@
+package jsonrpc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// The error codes of section 5.1 of the specification.
+const (
+	ParseError     = -32700
+	InvalidRequest = -32600
+	MethodNotFound = -32601
+	InvalidParams  = -32602
+	InternalError  = -32603
+)
+
+// Null is the id of an answer to what has none.
+var Null = jsontext.Value("null")
+
+// Message is a request, a notification or a response. Values are the very bytes that came.
+type Message struct {
+	ID     jsontext.Value // nil where there is no such member
+	Method string
+	Params jsontext.Value // nil where there is no such member
+	Result jsontext.Value
+	Error  jsontext.Value
+	Extra  jsontext.Value // of the member that Parse was told of
+}
+
+// Notification tells whether a request wants no answer.
+func (m *Message) Notification() bool { return m.ID == nil }
+
+// Split returns the members of a batch, or the frame itself where it is none. An error is one of JSON: nothing in the frame
+// can be trusted.
+func Split(frame []byte) (members []jsontext.Value, batch bool, err error) {
+	d := jsontext.NewDecoder(bytes.NewReader(frame))
+	whole, err := d.ReadValue()
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	whole = whole.Clone()
+	if _, err := d.ReadToken(); err != io.EOF {
+		return nil, false, fmt.Errorf("%w: something stands behind it", ErrFrame)
+	}
+	if whole.Kind() != '[' {
+		return []jsontext.Value{whole}, false, nil
+	}
+	d.Reset(bytes.NewReader(whole))
+	if _, err := d.ReadToken(); err != nil {
+		return nil, true, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	for d.PeekKind() != ']' {
+		v, err := d.ReadValue()
+		if err != nil {
+			return nil, true, fmt.Errorf("%w: %w", ErrFrame, err)
+		}
+		members = append(members, v.Clone())
+	}
+	return members, true, nil
+}
+
+// Parse reads one member. extra names a member beyond the specification's that is of interest; others are passed over. An
+// error says what is wrong with a message that is JSON; the message then has what could be read of its id.
+func Parse(v jsontext.Value, extra string) (Message, error) {
+	var m Message
+	if v.Kind() != '{' {
+		return m, errors.New("a message is an object")
+	}
+	d := jsontext.NewDecoder(bytes.NewReader(v))
+	if _, err := d.ReadToken(); err != nil {
+		return m, err
+	}
+	var version, method jsontext.Value
+	for d.PeekKind() != '}' {
+		name, err := d.ReadToken()
+		if err != nil {
+			return m, err
+		}
+		key := name.String()
+		value, err := d.ReadValue()
+		if err != nil {
+			return m, err
+		}
+		value = value.Clone()
+		switch key {
+		case "jsonrpc":
+			version = value
+		case "id":
+			m.ID = value
+		case "method":
+			method = value
+		case "params":
+			m.Params = value
+		case "result":
+			m.Result = value
+		case "error":
+			m.Error = value
+		case extra:
+			m.Extra = value
+		}
+	}
+	if k := m.ID.Kind(); m.ID != nil && k != '"' && k != '0' && k != 'n' {
+		m.ID = Null
+		return m, errors.New("id: it is a string, a number or null")
+	}
+	if string(version) != `"2.0"` {
+		return m, errors.New(`jsonrpc: it is "2.0"`)
+	}
+	if m.Result != nil || m.Error != nil {
+		if method != nil || m.Result != nil && m.Error != nil {
+			return m, errors.New("one of method, result and error")
+		}
+		return m, nil
+	}
+	if method.Kind() != '"' {
+		return m, errors.New("method: missing, or no string")
+	}
+	text, err := jsontext.AppendUnquote(nil, method)
+	if err != nil {
+		return m, err
+	}
+	m.Method = string(text)
+	if k := m.Params.Kind(); m.Params != nil && k != '{' && k != '[' {
+		return m, errors.New("params: an object or an array")
+	}
+	return m, nil
+}
+
+// AppendResult appends a response with a result.
+func AppendResult(out []byte, id, result jsontext.Value) []byte {
+	out = append(append(out, `{"jsonrpc":"2.0","id":`...), id...)
+	out = append(append(out, `,"result":`...), result...)
+	return append(out, '}')
+}
+
+// AppendErrorValue appends a response with an error object that is there already.
+func AppendErrorValue(out []byte, id, object jsontext.Value) []byte {
+	out = append(append(out, `{"jsonrpc":"2.0","id":`...), id...)
+	out = append(append(out, `,"error":`...), object...)
+	return append(out, '}')
+}
+
+// AppendError appends a response with an error; data may be nil.
+func AppendError(out []byte, id jsontext.Value, code int, text string, data jsontext.Value) []byte {
+	object := fmt.Appendf(nil, `{"code":%d,"message":`, code)
+	quoted, err := jsontext.AppendQuote(nil, text)
+	if err != nil {
+		quoted = []byte(`"an error whose text is not UTF-8"`)
+	}
+	object = append(object, quoted...)
+	if data != nil {
+		object = append(append(object, `,"data":`...), data...)
+	}
+	return AppendErrorValue(out, id, append(object, '}'))
+}
+
+// AppendCall appends a request with an id, params that may be nil, and a member beyond the specification's unless its name
+// is "": strict servers turn away a request that has one.
+func AppendCall(out []byte, id, method string, params jsontext.Value, extra string, value jsontext.Value) []byte {
+	out = append(out, `{"jsonrpc":"2.0","id":`...)
+	out, _ = jsontext.AppendQuote(out, id) // ids made here are ASCII
+	out = append(out, `,"method":`...)
+	out, _ = jsontext.AppendQuote(out, method) // it was unquoted from JSON, and is UTF-8
+	if params != nil {
+		out = append(append(out, `,"params":`...), params...)
+	}
+	if extra != "" {
+		out = append(out, ',')
+		out, _ = jsontext.AppendQuote(out, extra)
+		out = append(append(out, ':'), value...)
+	}
+	return append(out, '}')
+}
+
+// Find returns the value that an RFC 6901 pointer leads to within an object or array; ok is false where there is none.
+func Find(v jsontext.Value, p jsontext.Pointer) (found jsontext.Value, ok bool) {
+	for token := range p.Tokens() {
+		d := jsontext.NewDecoder(bytes.NewReader(v))
+		open, err := d.ReadToken()
+		if err != nil {
+			return nil, false
+		}
+		v = nil
+		switch open.Kind() {
+		case '{':
+			for d.PeekKind() != '}' {
+				name, err := d.ReadToken()
+				if err != nil {
+					return nil, false
+				}
+				here := name.String() == token
+				value, err := d.ReadValue()
+				if err != nil {
+					return nil, false
+				}
+				if here {
+					v = value.Clone()
+					break
+				}
+			}
+		case '[':
+			for i := 0; d.PeekKind() != ']'; i++ {
+				value, err := d.ReadValue()
+				if err != nil {
+					return nil, false
+				}
+				if fmt.Sprint(i) == token {
+					v = value.Clone()
+					break
+				}
+			}
+		}
+		if v == nil {
+			return nil, false
+		}
+	}
+	return v, v != nil
+}
+
+// Text is a JSON string's text; ok is false for anything else.
+func Text(v jsontext.Value) (text string, ok bool) {
+	if v.Kind() != '"' {
+		return "", false
+	}
+	b, err := jsontext.AppendUnquote(nil, v)
+	return string(b), err == nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,8 @@
 	"runtime/debug"
 	"sync"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"craneglade/internal/admission"
 	"craneglade/internal/boxlist"
 	"craneglade/internal/engine"
@@ -19,6 +21,8 @@
 	"craneglade/internal/httpfront"
 	"craneglade/internal/message"
 	"craneglade/internal/rooms"
+	"craneglade/internal/rpccarrier"
+	"craneglade/internal/rpcfront"
 )
 
 const (
@@ -33,6 +37,8 @@
 	bodies  *message.Store
 	carrier *httpcarrier.Carrier
 	front   *httpfront.Front
+	rpc     *rpccarrier.Carrier
+	rpcs    *rpcfront.Front    // nil where the settings name no address
 	stop    context.CancelFunc // ends what hangs on no part
 	wg      sync.WaitGroup     // and this is that
 
@@ -71,7 +77,30 @@
 			}
 		}
 	}()
-	return n.front.Serve(ctx, ln)
+	if n.rpcs == nil {
+		return n.front.Serve(ctx, ln)
+	}
+	second, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Own.JSONRPC.Listen)
+	if err != nil {
+		return errors.Join(fmt.Errorf("jsonrpc.listen: %w", err), ln.Close())
+	}
+	return n.serve(ctx, ln, second)
+}
+
+// serve answers the clients of both fronts until ctx ends and all that was taken is answered; where one front fails, the
+// other one leaves too.
+func (n *node) serve(ctx context.Context, first, second net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		err := n.rpcs.Serve(ctx, second)
+		cancel()
+		failed <- err
+	}()
+	err := n.front.Serve(ctx, first)
+	cancel()
+	return errors.Join(err, <-failed)
 }
 
 // start brings up all of a node but its listener.
@@ -97,11 +126,18 @@
 		}
 	}
 	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
+	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle,
 		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now,
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }})
+		Dial: dial})
+	var carrier engine.Carrier = n.carrier
+	if own != nil && own.JSONRPC.Listen != "" {
+		n.rpc = rpccarrier.New(rpccarrier.Config{Conns: own.JSONRPC.Conns, Room: boxes, Beside: own.JSONRPC.Beside, Reports: cfg.Settings.Reports,
+			Dial: dial, Log: log})
+		carrier = carriers{n.carrier, n.rpc}
+	}
 	n.engine, err = engine.New(engine.Config{Settings: cfg.Settings.Policy, Seed: cfg.Seed, Clock: clock,
-		Carrier: n.carrier, Log: log})
+		Carrier: carrier, Log: log})
 	if err != nil {
 		n.bodies.Stop()
 		return nil, err
@@ -110,6 +146,10 @@
 		Room: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Log: log})
 	both.Yields(admission.ClientSide, n.front.Yield)
 	both.Yields(admission.BoxSide, n.carrier.Yield)
+	if n.rpc != nil {
+		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Room: both.Side(admission.ClientSide),
+			Methods: cfg.methods(), Inflight: own.JSONRPC.Inflight, Batch: own.JSONRPC.Batch, Idle: own.JSONRPC.Idle.D(), Log: log})
+	}
 	n.list = n.source(cfg.Discovery, false)
 	n.engine.Follow(n.list, &cfg.Known)
 	var ctx context.Context
@@ -130,9 +170,46 @@
 	defer n.mu.Unlock()
 	n.list.Stop()
 	n.carrier.Stop()
+	if n.rpc != nil {
+		n.rpc.Stop()
+	}
 	n.bodies.Stop()
 }
 
+// carriers carries each request by the protocol that it came in.
+type carriers struct {
+	http *httpcarrier.Carrier
+	rpc  *rpccarrier.Carrier
+}
+
+func (c carriers) Carry(ctx context.Context, a *engine.Attempt) engine.Result {
+	if _, ok := a.Request.Payload.(*rpccarrier.Call); ok {
+		return c.rpc.Carry(ctx, a)
+	}
+	return c.http.Carry(ctx, a)
+}
+
+func (c carriers) Retire(b *engine.Box) {
+	c.http.Retire(b)
+	c.rpc.Retire(b)
+}
+
+// methods are those of JSON-RPC that the settings name.
+func (cfg *Config) methods() map[string]rpcfront.Method {
+	out := map[string]rpcfront.Method{}
+	for _, m := range cfg.Own.JSONRPC.Methods {
+		patience := m.Patience.D()
+		for _, c := range cfg.Settings.Policy.Classes {
+			if c.Name == m.Class && patience == 0 {
+				patience = c.Deadline
+			}
+		}
+		out[m.Name] = rpcfront.Method{Class: m.Class, Patience: patience, Tenant: jsontext.Pointer(m.Tenant),
+			Key: jsontext.Pointer(m.Key), Deadline: jsontext.Pointer(m.Deadline)}
+	}
+	return out
+}
+
 // extra is how many connections of clients may be open beyond the room, to be told that there is none.
 func (cfg *Config) extra() int {
 	if cfg.Sockets == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,16 +4,41 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"time"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"craneglade/internal/bodies"
 	"craneglade/internal/tomlfile"
 )
 
 // File is all that the file may hold.
 type File struct {
-	Bodies Bodies `toml:"bodies"`
+	Bodies  Bodies  `toml:"bodies"`
+	JSONRPC JSONRPC `toml:"jsonrpc"`
+}
+
+// JSONRPC is the second front. Without an address there is none.
+type JSONRPC struct {
+	Listen   string            `toml:"listen"`
+	Inflight int               `toml:"inflight"` // open calls on one connection of a client
+	Batch    int               `toml:"batch"`    // members of a batch
+	Conns    int               `toml:"conns"`    // connections to a box
+	Idle     tomlfile.Duration `toml:"idle"`     // a client's connection with no open call is closed after this
+	Beside   bool              `toml:"beside"`   // boxes are told id, deadline, key and tenant in a member of the node's own
+	Methods  []Method          `toml:"method"`
+}
+
+// Method maps one JSON-RPC method to a class. Pointers are RFC 6901's, into the call's params.
+type Method struct {
+	Name     string            `toml:"name"`
+	Class    string            `toml:"class"`
+	Patience tomlfile.Duration `toml:"patience"` // of a call that tells none
+	Tenant   string            `toml:"tenant"`
+	Key      string            `toml:"key"`      // idempotency key; a class that may go again by its key needs one
+	Deadline string            `toml:"deadline"` // milliseconds
 }
 
 // Bodies say how long bodies are kept for a second attempt, and how large they may be.
@@ -89,6 +114,9 @@
 			return nil, keys.Problem("bodies.disk.folder", "%v", err)
 		}
 	}
+	if err := f.JSONRPC.check(keys); err != nil {
+		return nil, err
+	}
 	seen := map[string]bool{}
 	for i := range f.Bodies.Classes {
 		c, p := &f.Bodies.Classes[i], fmt.Sprintf("bodies.class[%d].", i)
@@ -114,3 +142,63 @@
 	}
 	return f, nil
 }
+
+const (
+	defaultInflight = 64
+	defaultBatch    = 1000
+	defaultConns    = 4
+	maxConns        = 76 // a box's limit, by PROTOCOL
+	defaultIdle     = 5 * time.Minute
+)
+
+// check fills in what is left out and says what is wrong.
+func (j *JSONRPC) check(keys *tomlfile.Keys) error {
+	if j.Listen == "" {
+		if len(j.Methods) > 0 || keys.Has("jsonrpc.inflight") || keys.Has("jsonrpc.batch") || keys.Has("jsonrpc.conns") {
+			return keys.Problem("jsonrpc.listen", "it is missing, and the rest of jsonrpc does nothing without it")
+		}
+		return nil
+	}
+	for _, d := range []struct {
+		key   string
+		value *int
+		usual int
+		most  int
+	}{{"inflight", &j.Inflight, defaultInflight, 10000}, {"batch", &j.Batch, defaultBatch, 10000}, {"conns", &j.Conns, defaultConns, maxConns}} {
+		if !keys.Has("jsonrpc." + d.key) {
+			*d.value = d.usual
+		}
+		if *d.value < 1 || *d.value > d.most {
+			return keys.Problem("jsonrpc."+d.key, "%d is outside 1 to %d", *d.value, d.most)
+		}
+	}
+	if !keys.Has("jsonrpc.idle") {
+		j.Idle = tomlfile.Duration(defaultIdle)
+	}
+	if _, _, err := net.SplitHostPort(j.Listen); err != nil {
+		return keys.Problem("jsonrpc.listen", "%q is not host:port", j.Listen)
+	}
+	if j.Idle.D() < 2*time.Second {
+		return keys.Problem("jsonrpc.idle", "%v is under 2s", j.Idle.D())
+	}
+	seen := map[string]bool{}
+	for i, m := range j.Methods {
+		p := fmt.Sprintf("jsonrpc.method[%d].", i)
+		if m.Name == "" || seen[m.Name] {
+			return keys.Problem(p+"name", "%q is empty or there twice", m.Name)
+		}
+		seen[m.Name] = true
+		if m.Class == "" {
+			return keys.Problem(p+"class", "it is missing")
+		}
+		for _, at := range []struct{ key, pointer string }{{"tenant", m.Tenant}, {"key", m.Key}, {"deadline", m.Deadline}} {
+			if at.pointer != "" && !jsontext.Pointer(at.pointer).IsValid() {
+				return keys.Problem(p+at.key, "%q is no JSON pointer (RFC 6901): it begins with /", at.pointer)
+			}
+		}
+	}
+	if len(j.Methods) == 0 {
+		return keys.Problem("jsonrpc.method", "none is named: every call would be told that there is no such method")
+	}
+	return nil
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -182,6 +182,7 @@
 	Kind     string        // machine kind; only ever compared for equality
 	Launched time.Duration // clock time of its last start; 0 means long ago
 	State    State
+	Speaks   uint8 // protocols beside the first one, a bit for each
 }
 
 // Event is one thing that happened at this node. Only the fields of its kind are read.
@@ -191,6 +192,7 @@
 	Class   string        // EvRequest
 	Tenant  string        // EvRequest
 	Left    time.Duration // EvRequest: the client gives up after this
+	Needs   uint8         // EvRequest: bits of Entry.Speaks that a backend must have
 	Repeat  bool          // EvRequest: a client's repeat of its earlier try, where clients say so
 	Server  uint32        // EvOutcome
 	Attempt int           // EvOutcome: number of the attempt, from 0 in the order of the sends
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -129,7 +129,7 @@
 	}
 	c.requests++
 	left := ev.Left.Seconds()
-	r := &request{id: ev.ID, class: c, until: now + left, aim: now + left}
+	r := &request{id: ev.ID, class: c, needs: ev.Needs, until: now + left, aim: now + left}
 	if aim := c.Aim.Seconds(); aim > 0 && c.LateWorth == 0 {
 		// A repeat with less time left than any first try lately has what is left of the deadline: that tells
 		// the age of its request. Work for one past its aim would only make others late.
@@ -511,7 +511,8 @@
 
 // usable tells whether a request may go to a backend at all, whatever its mode.
 func (b *Balancer) usable(now float64, r *request, s *server) bool {
-	if s.State != Active && now >= s.grace || now < s.ejected || s.trial && s.own > 0 || s == r.avoid {
+	if s.State != Active && now >= s.grace || now < s.ejected || s.trial && s.own > 0 || s == r.avoid ||
+		s.Speaks&r.needs != r.needs {
 		return false
 	}
 	if s.classes != nil && now < s.of(b, r.class).ejected {
--- a/policy/state.go
+++ b/policy/state.go
@@ -45,6 +45,7 @@
 	id       string
 	class    *class
 	lesser   bool    // diverted first
+	needs    uint8   // protocols that its backend must speak
 	until    float64 // when the client gives up
 	aim      float64 // when its answer stops being worth anything
 	attempts []*attempt
