JSON-RPC reads without copies; fuzzing, benchmarks of calls and of saves on a full disk

Need: a call cost 206 allocations, client and box included, where an HTTP request costs 140. Change: JSON texts are read in place by decoders that are kept; frames and messages have tests of their own and a fuzz target with a corpus; benchmarks beside HTTP in one run, and of saves whose disk is full.

--- /dev/null
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -0,0 +1,120 @@
+package jsonrpc
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+func reader(text string) *Reader { return NewReader(bufio.NewReader(strings.NewReader(text))) }
+
+// Frames of both kinds on one stream, wherever its bytes are split.
+func TestFrames(t *testing.T) {
+	want := []string{`{"a":"}\"]"}`, `[1,{"b":[]}]`, `17`, `"x y"`, `{}`, `{"c":1}`, `true`}
+	text := "\r\n " + want[0] + want[1] + "17 \"x y\" \n" + string(Append(nil, Headed, []byte(want[4]))) +
+		"content-type: x\r\n"[:0] + "Content-Type: application/json\r\ncontent-length:  7\r\n\r\n" + want[5] + "true"
+	for size := 1; size < 20; size++ {
+		r := NewReader(bufio.NewReader(&chunks{[]byte(text), size}))
+		for i, w := range want {
+			got, err := r.Next()
+			if err != nil || string(got) != w {
+				t.Fatalf("by %d bytes: frame %d is %q, %v; want %q", size, i, got, err, w)
+			}
+			if headed := i == 4 || i == 5; (r.Framing() == Headed) != headed {
+				t.Errorf("frame %d: framing %v", i, r.Framing())
+			}
+		}
+		if _, err := r.Next(); err != io.EOF {
+			t.Errorf("at the end: %v", err)
+		}
+	}
+}
+
+// chunks gives its bytes a few at a time.
+type chunks struct {
+	left []byte
+	size int
+}
+
+func (c *chunks) Read(p []byte) (int, error) {
+	if len(c.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, c.left[:min(len(c.left), c.size)])
+	c.left = c.left[n:]
+	return n, nil
+}
+
+func TestFramesThatAreNone(t *testing.T) {
+	for _, text := range []string{"{]", "]", "{\"a\n\":1}", "{", `"`, strings.Repeat("[", MaxFrame+1), "Content-Length: x\r\n\r\n{}",
+		"Content-Length: 2\r\n{}", "Content-Length: 5\r\n\r\n{}", "C", "Cookie: x\r\n\r\n{}", "Content-Length: 65537\r\n\r\n",
+		strings.Repeat("Content-Type: x\r\n", 100), "Content-Length: -1\r\n\r\n", "\r\n\r\nContent-Type: x\r\n\r\n{}"} {
+		if frame, err := reader(text).Next(); !errors.Is(err, ErrFrame) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.30q: %q, %v", text, frame, err)
+		}
+	}
+}
+
+func TestFind(t *testing.T) {
+	v := jsontext.Value(`{"a":{"b~/c":[1,"two",{"d":null}]},"x":"\u00e9"}`)
+	for _, c := range []struct{ at, want string }{{"/a/b~0~1c/1", `"two"`}, {"/a/b~0~1c/2/d", "null"}, {"/a/b~0~1c/3", ""},
+		{"/x", `"\u00e9"`}, {"/x/y", ""}, {"/none", ""}, {"/a/b~0~1c/01", ""}} {
+		got, ok := Find(v, jsontext.Pointer(c.at))
+		if ok != (c.want != "") || string(got) != c.want {
+			t.Errorf("%s: %s, %v; want %s", c.at, got, ok, c.want)
+		}
+	}
+	if _, ok := Find(nil, "/a"); ok {
+		t.Error("found something in no params")
+	}
+}
+
+// What is read and written again means the same, and nothing makes the reader fail in another way than with an error.
+func FuzzMessages(f *testing.F) {
+	for _, s := range []string{`{"jsonrpc":"2.0","method":"sum","params":[1],"id":"1"}`, `[{"jsonrpc":"2.0","id":null,"result":1},3]`,
+		"Content-Length: 2\r\n\r\n{}", `{"jsonrpc":"2.0","id":1.50,"error":{"code":-1,"message":"\ud83d\ude00"}}`, "[]", "{]", "17 ", `"\ud800"`,
+		`{"jsonrpc":"2.0","id":1,"id":2,"method":"x"}`, "\xff", "Content-Length: 99999999999\r\n\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bufio.NewReader(bytes.NewReader(text)))
+		for range 100 {
+			frame, err := r.Next()
+			if err != nil {
+				if err != io.EOF && !errors.Is(err, ErrFrame) {
+					t.Fatalf("%v", err)
+				}
+				return
+			}
+			if len(frame) > MaxFrame {
+				t.Fatalf("a frame of %d bytes", len(frame))
+			}
+			members, _, err := Split(frame)
+			if err != nil {
+				continue
+			}
+			if !json.Valid(frame) {
+				t.Fatalf("%q passes for JSON", frame)
+			}
+			for _, v := range members {
+				m, err := Parse(v, "x")
+				if err != nil {
+					continue
+				}
+				if m.Method == "" {
+					continue
+				}
+				again, err := Parse(AppendCall(nil, "7", m.Method, m.Params, "", nil), "")
+				if err != nil || again.Method != m.Method || !bytes.Equal(again.Params, m.Params) || string(again.ID) != `"7"` {
+					t.Fatalf("%q became %+v, %v", v, again, err)
+				}
+			}
+		}
+	})
+}
--- a/internal/jsonrpc/message.go
+++ b/internal/jsonrpc/message.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/go-json-experiment/json/jsontext"
 )
@@ -34,22 +35,33 @@
 // Notification tells whether a request wants no answer.
 func (m *Message) Notification() bool { return m.ID == nil }
 
+// decoders are kept for their bookkeeping of names, which costs more to make than a call to read.
+var decoders = sync.Pool{New: func() any { return new(jsontext.Decoder) }}
+
+// newDecoder returns a decoder of a text that nobody changes: what it reads are parts of that text, and stay good when it is
+// given back to decoders.
+func newDecoder(text []byte) *jsontext.Decoder {
+	d := decoders.Get().(*jsontext.Decoder)
+	d.Reset(bytes.NewBuffer(text))
+	return d
+}
+
 // Split returns the members of a batch, or the frame itself where it is none. An error is one of JSON: nothing in the frame
 // can be trusted.
 func Split(frame []byte) (members []jsontext.Value, batch bool, err error) {
-	d := jsontext.NewDecoder(bytes.NewReader(frame))
+	d := newDecoder(frame)
+	defer func() { decoders.Put(d) }()
 	whole, err := d.ReadValue()
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrFrame, err)
 	}
-	whole = whole.Clone()
 	if _, err := d.ReadToken(); err != io.EOF {
 		return nil, false, fmt.Errorf("%w: something stands behind it", ErrFrame)
 	}
 	if whole.Kind() != '[' {
 		return []jsontext.Value{whole}, false, nil
 	}
-	d.Reset(bytes.NewReader(whole))
+	d.Reset(bytes.NewBuffer(whole))
 	if _, err := d.ReadToken(); err != nil {
 		return nil, true, fmt.Errorf("%w: %w", ErrFrame, err)
 	}
@@ -58,7 +70,7 @@
 		if err != nil {
 			return nil, true, fmt.Errorf("%w: %w", ErrFrame, err)
 		}
-		members = append(members, v.Clone())
+		members = append(members, v)
 	}
 	return members, true, nil
 }
@@ -70,7 +82,8 @@
 	if v.Kind() != '{' {
 		return m, errors.New("a message is an object")
 	}
-	d := jsontext.NewDecoder(bytes.NewReader(v))
+	d := newDecoder(v)
+	defer decoders.Put(d)
 	if _, err := d.ReadToken(); err != nil {
 		return m, err
 	}
@@ -85,7 +98,6 @@
 		if err != nil {
 			return m, err
 		}
-		value = value.Clone()
 		switch key {
 		case "jsonrpc":
 			version = value
@@ -178,8 +190,10 @@
 
 // Find returns the value that an RFC 6901 pointer leads to within an object or array; ok is false where there is none.
 func Find(v jsontext.Value, p jsontext.Pointer) (found jsontext.Value, ok bool) {
+	d := newDecoder(nil)
+	defer decoders.Put(d)
 	for token := range p.Tokens() {
-		d := jsontext.NewDecoder(bytes.NewReader(v))
+		d.Reset(bytes.NewBuffer(v))
 		open, err := d.ReadToken()
 		if err != nil {
 			return nil, false
@@ -198,7 +212,7 @@
 					return nil, false
 				}
 				if here {
-					v = value.Clone()
+					v = value
 					break
 				}
 			}
@@ -209,7 +223,7 @@
 					return nil, false
 				}
 				if fmt.Sprint(i) == token {
-					v = value.Clone()
+					v = value
 					break
 				}
 			}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -4,7 +4,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"craneglade/internal/bodies"
+	"craneglade/internal/settings"
+	"craneglade/internal/tomlfile"
 )
 
 // BenchmarkRequest is one request after the other from one client through a node to a box, all in this process: what a
@@ -44,3 +52,95 @@
 		x.mu.Unlock()
 	}
 }
+
+// BenchmarkSavesOnAFullDisk is saves of 100 KiB, whose class may be kept on disk or else streamed, one after the other: with
+// no disk, with one that works and with one that is full. What p99 a full disk adds is the last less the first.
+func BenchmarkSavesOnAFullDisk(b *testing.B) {
+	for _, x := range []struct {
+		name string
+		disk *disk
+	}{{"none", nil}, {"works", &disk{}}, {"full", &disk{create: syscall.ENOSPC}}} {
+		b.Run(x.name, func(b *testing.B) {
+			t := &testing.T{}
+			box := newBox(t, echo)
+			r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) {
+				c.Own = &settings.File{Bodies: settings.Bodies{Memory: 300 << 10,
+					Classes: []settings.Class{{Name: "save", Most: 1 << 20, Memory: 1, Disk: x.disk != nil, Once: true}}}}
+			}, box.entry("s-1"))
+			if x.disk != nil {
+				r.bodies.UseDisk(x.disk, settings.Disk{Workers: 4, Deadline: tomlfile.Duration(20 * time.Millisecond)})
+				r.bodies.SetLimits(bodies.Limits{Memory: 300 << 10, Heads: 1 << 20, Disk: 64 << 20})
+			}
+			c := r.dial(t)
+			took := make([]float64, 0, b.N)
+			for i := range b.N {
+				q := big(fmt.Sprint("r", i), 100<<10)
+				begun := time.Now()
+				if resp, body := c.ask(q); resp.StatusCode != 200 || body != q.echoed() {
+					b.Fatalf("answered %d", resp.StatusCode)
+				}
+				took = append(took, time.Since(begun).Seconds()*1000)
+				c.SetDeadline(time.Now().Add(patience))
+			}
+			slices.Sort(took)
+			b.ReportMetric(took[len(took)*99/100], "p99-ms")
+			b.ReportMetric(took[len(took)/2], "p50-ms")
+		})
+	}
+}
+
+// BenchmarkCalls is one call after the other through a node to a box, over JSON-RPC beside HTTP, and in batches of 20.
+func BenchmarkCalls(b *testing.B) {
+	run := func(name string, per int, ask func(c *client, i int)) {
+		b.Run(name, func(b *testing.B) {
+			t := &testing.T{}
+			x := newRPCBox(t, works)
+			x.http.answer = served
+			r, addr := rpcRig(t, nil, x.entry("s-1"))
+			c := dialRPC(t, addr)
+			if name == "http" {
+				c = r.dial(t)
+			}
+			b.ReportAllocs()
+			before := cpu()
+			for i := 0; i < b.N; i += per {
+				ask(c, i)
+				if i%1000 == 0 {
+					c.SetDeadline(time.Now().Add(patience))
+					x.mu.Lock()
+					x.got = x.got[:0]
+					x.mu.Unlock()
+					x.http.mu.Lock()
+					x.http.got = x.http.got[:0]
+					x.http.mu.Unlock()
+				}
+			}
+			b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+	call := func(i int) string {
+		return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sendQuote","params":{"design":"a door"}}`, i)
+	}
+	run("http", 1, func(c *client, i int) { c.ask(quote(fmt.Sprint("r", i))) })
+	run("jsonrpc", 1, func(c *client, i int) {
+		c.send(call(i) + "\n")
+		c.line()
+	})
+	run("batch", 20, func(c *client, i int) {
+		var text strings.Builder
+		for k := range 20 {
+			text.WriteString([]string{"[", ","}[min(k, 1)] + call(i+k))
+		}
+		c.send(text.String() + "]\n")
+		c.line()
+	})
+}
+
+// cpu is the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
