H of a cold backend is its part of its kind's

Need (issue on thresholds): cold boxes had their kind's whole H, so that each new one showed a hump in the moment in which all nodes learnt of it, until their share fell. Change: H is multiplied by what the box can do at least while it is cold, and stays over its floor (policy.go, high). The test fails without the factor.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -471,7 +471,8 @@
 	if b.tune.H > 0 {
 		return b.tune.H
 	}
-	return max(min(onset*r, roomPart*s.room, b.tune.AimPart*b.aim/b.service(s)), s.least())
+	h := max(min(onset*r, roomPart*s.room, b.tune.AimPart*b.aim/b.service(s)), s.least())
+	return max(minH, h*b.ramp(s, b.now)) // a cold backend clears its part of that
 }
 
 // least is what H never falls below: as many requests as a backend was seen to have in work at once. Until
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1310,3 +1310,28 @@
 		}
 	}
 }
+
+// A cold backend clears a part of what a warm one of its kind does, and its H is that part of theirs: with the warm one's it
+// would be filled in the moment in which all nodes learn of it.
+func TestColdBackendHasItsPartOfH(t *testing.T) {
+	set := settings()
+	b := node(t, set, Entry{ID: 1, Zone: "a", Kind: "k"})
+	for i := range 200 { // its kind answers in a time that leaves H well over its floor
+		now := t0 + time.Duration(i)*20*time.Millisecond
+		outcome(b, now+2*time.Millisecond, ask(b, now, now.String(), "low"), OK, Load{Known: true, Queue: 1, Held: 1})
+	}
+	start := t0 + 4*time.Second
+	b.Handle(start, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{{ID: 2, Zone: "a", Kind: "k", Launched: start}}}, nil)
+	at := func(age time.Duration) (warm, cold Belief) {
+		all := b.Snapshot(start + age)
+		return all[0], all[1]
+	}
+	warm, cold := at(0)
+	if want := max(minH, set.ColdShare*warm.H); set.ColdShare*warm.H <= minH || math.Abs(cold.H-want) > 0.05*want {
+		t.Errorf("H of a cold backend is %.2f, want %.2f, the cold part of %.2f", cold.H, want, warm.H)
+	}
+	b.Handle(start+set.ColdFor, &Event{Kind: EvTimer, Token: "tick"}, nil)
+	if warm, cold = at(set.ColdFor); math.Abs(cold.H-warm.H) > 0.2*warm.H {
+		t.Errorf("once warm its H is %.2f, beside %.2f", cold.H, warm.H)
+	}
+}
