--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -108,6 +108,20 @@
 		new: `		r.done <- Answer{Payload: e.planted(r.ID, res.Reply)}`},
 }
 
+// rpcFaults are lines of the JSON-RPC side, played on its own day.
+var rpcFaults = []fault{
+	{name: "a connection that broke counts as never run", names: []string{judge.UnsafeTwice, judge.FalseRefusal, judge.OutsideGroup, judge.AfterWindow},
+		file: "internal/rpccarrier/carrier.go", day: "jsonrpc.toml",
+		old: `			return engine.Result{Outcome: policy.Reset} // its last byte was written: it may have run`,
+		new: `			n.cfg.Log.Info("planted", "id", "-"); return engine.Result{Outcome: policy.ConnectFailed}`},
+	{name: "drains not taken in where a box speaks JSON-RPC", names: []string{judge.Drained}, file: "internal/engine/list.go", day: "jsonrpc.toml",
+		old: `			x.State = policy.Leaving`,
+		new: `			x.State = policy.Leaving; if s.RPC != "" { x.State = policy.Active; ` + engineLogged + `"-", "box", s.ID) }`},
+	{name: "an answer given to another's id", names: []string{judge.WrongAnswer}, file: "internal/rpccarrier/carrier.go", day: "jsonrpc.toml",
+		old: `	c := l.calls[id]`,
+		new: `	c := l.calls[id]; for other, to := range l.calls { if other != id && len(id) > 0 && id[len(id)-1] == '7' { l.carrier.cfg.Log.Info("planted", "id", "-"); id, c = other, to; break } }`},
+}
+
 // helpers is what the changed lines of a package call to say what they do; each is a file of its own in the overlay.
 var helpers = map[string]string{
 	"policy/policy.go": `package policy
@@ -385,7 +399,7 @@
 			return blamed(t, f, p), p.runs
 		})
 	}
-	for i, f := range daemonFaults {
+	for i, f := range slices.Concat(daemonFaults, rpcFaults) {
 		sow("daemon: "+f.name, func(t *testing.T, seed int) (time.Duration, int) {
 			bin := filepath.Join(dir, fmt.Sprintf("broken%d", i))
 			if seed == 1 {
@@ -402,7 +416,8 @@
 	for _, x := range []struct {
 		name, day string
 		node      []string
-	}{{"the sound proxy", "proof.toml", []string{proxy}}, {"the sound daemon", "proof.toml", nil}, {"the sound daemon, large bodies", "limits.toml", nil}} {
+	}{{"the sound proxy", "proof.toml", []string{proxy}}, {"the sound daemon", "proof.toml", nil}, {"the sound daemon, large bodies", "limits.toml", nil},
+		{"the sound daemon, JSON-RPC", "jsonrpc.toml", nil}} {
 		sow(x.name, func(t *testing.T, seed int) (time.Duration, int) {
 			p := rehearse(t, craneglade, filepath.Join(filepath.Dir(day), x.day), seed, nil, x.node...)
 			unblamed(t, p)
--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -38,6 +38,7 @@
 
 	mu     sync.Mutex
 	addr   string
+	rpc    string // where it speaks JSON-RPC; "" for a scenario without
 	cmd    *exec.Cmd
 	ended  chan struct{} // closed when the process has ended
 	meant  bool          // it is to end
@@ -57,10 +58,19 @@
 			n.addr = ln.Addr().String()
 			ln.Close()
 		}
+		if n.rpc == "" && n.r.plan.Scenario.Clients.RPC > 0 {
+			ln, e := n.r.listen("")
+			if e != nil {
+				return e
+			}
+			n.rpc = ln.Addr().String()
+			ln.Close()
+			n.r.clients.RPCNode(n.index, n.rpc)
+		}
 		if err = n.launch(ctx); err == nil || ctx.Err() != nil || n.starts > 1 {
 			return err
 		}
-		n.addr = ""
+		n.addr, n.rpc = "", ""
 	}
 	return err
 }
@@ -153,7 +163,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return "", err
 	}
-	return path, os.WriteFile(path, []byte(strings.ReplaceAll(text, "{dir}", dir)), 0o600)
+	return path, os.WriteFile(path, []byte(strings.NewReplacer("{dir}", dir, "{rpc}", n.rpc).Replace(text)), 0o600)
 }
 
 func (n *node) note(state, text string) {
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -499,8 +499,12 @@
 }
 
 func (r *Rehearsal) entry(b *boxSeat, node int, state string) stand.Entry {
-	return stand.Entry{ID: b.plan.ID, Addr: b.addrs[node], Zone: b.plan.Site, Kind: b.plan.Kind, Cell: b.plan.Cell, State: state, Weight: 1,
+	e := stand.Entry{ID: b.plan.ID, Addr: b.addrs[node], Zone: b.plan.Site, Kind: b.plan.Kind, Cell: b.plan.Cell, State: state, Weight: 1,
 		Started: b.begun}
+	if r.plan.Scenario.Clients.RPC > 0 {
+		e.RPC = e.Addr // boxes tell the protocol by a connection's first byte
+	}
+	return e
 }
 
 // publish sends a change on its way to every node. What one node is told arrives in the order of the changes.
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -58,7 +58,7 @@
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
 	Sockets  int     `toml:"sockets"` // descriptors a node may hold
-	Own      string  `toml:"own"`     // settings of the node's own, as serve --config reads them; {dir} is a folder of its own
+	Own      string  `toml:"own"`     // settings of the node's own, as serve --config reads them; {dir} is a folder, {rpc} an address of its own
 }
 
 // Traffic is the load. Rates are first tries a second, over all sites.
@@ -98,6 +98,7 @@
 	Impatient float64  `toml:"impatient"` // part that leaves long before its time is up
 	Notice    Duration `toml:"front_notice"`
 	Once      float64  `toml:"ask_once"`    // part that asks on a connection of its own, and then keeps it for good
+	RPC       float64  `toml:"jsonrpc"`     // part that asks over JSON-RPC; nodes.own says what the nodes do with it
 	Conns     int      `toml:"connections"` // that all clients together hold to a node for requests; 0 for any number
 }
 
@@ -338,6 +339,7 @@
 		{"clients.try_share", s.Clients.TryShare, 0.05, 1, ""},
 		{"clients.impatient", s.Clients.Impatient, 0, 1, ""},
 		{"clients.ask_once", s.Clients.Once, 0, 1, ""},
+		{"clients.jsonrpc", s.Clients.RPC, 0, 1, ""},
 		{"clients.connections", float64(s.Clients.Conns), 0, 1 << 20, ""},
 		{"clients.front_notice", s.Clients.Notice.S(), 0, 30, "s"},
 		{"rules.drain_grace", s.Rules.DrainGrace.S(), 0.1, 60, "s"},
@@ -416,7 +418,7 @@
 	if err := s.names(); err != nil {
 		return err
 	}
-	if _, err := settings.Parse("nodes.own", []byte(strings.ReplaceAll(s.Nodes.Own, "{dir}", os.TempDir()))); err != nil {
+	if _, err := settings.Parse("nodes.own", []byte(strings.NewReplacer("{dir}", os.TempDir(), "{rpc}", "127.0.0.1:1").Replace(s.Nodes.Own))); err != nil {
 		return s.keys.Problem("nodes.own", "%v", err)
 	}
 	return s.events()
--- a/internal/kit/stand/box.go
+++ b/internal/kit/stand/box.go
@@ -83,6 +83,9 @@
 	extra bool // past the number that the box accepts
 	cut   bool // it was open when the box came back from silence; guarded by Box.mu
 	busy  atomic.Pointer[call]
+
+	shared *boxConn // of a JSON-RPC call: the connection that it shares with others,
+	rpc    string   // and its id there
 }
 
 // NewBox starts a box that listens nowhere yet. atts numbers the requests at all boxes of a rehearsal.
@@ -136,7 +139,7 @@
 		reset(conn)
 		return
 	}
-	c := &boxConn{Conn: conn, node: node, fresh: true, extra: b.cfg.MaxConns > 0 && len(b.conns) >= b.cfg.MaxConns}
+	c := &boxConn{Conn: conn, node: node, fresh: true, extra: b.cfg.MaxConns > 0 && b.holds() >= b.cfg.MaxConns}
 	b.conns[c] = struct{}{}
 	b.wg.Add(1)
 	go func() {
@@ -149,6 +152,17 @@
 	}()
 }
 
+// holds is the number of connections. b.mu is held.
+func (b *Box) holds() int {
+	n := 0
+	for c := range b.conns {
+		if c.shared == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Drain makes the box finish what it has and turn new requests away.
 func (b *Box) Drain() {
 	b.mu.Lock()
@@ -184,10 +198,20 @@
 
 // lost resets a connection, and notes so for the request on it. b.mu is held.
 func (b *Box) lost(c *boxConn) {
+	for o := range b.conns { // all calls that share it
+		if o != c && c.shared != nil && o.shared == c.shared {
+			b.noteLost(o)
+		}
+	}
+	b.noteLost(c)
+	reset(c.Conn)
+}
+
+// noteLost notes that a connection's request is reset. b.mu is held.
+func (b *Box) noteLost(c *boxConn) {
 	if k := c.busy.Swap(nil); k != nil {
 		b.out.Add(&trace.Record{Kind: trace.Reply, T: b.clock.us(), Box: b.cfg.ID, Att: k.att, ID: k.id, How: trace.Reset})
 	}
-	reset(c.Conn)
 }
 
 // Silence cuts the box off; Return brings it back, with every connection from before reset.
@@ -386,6 +410,12 @@
 		if !k.conn.busy.CompareAndSwap(k, nil) {
 			return // the node has gone, or the box has
 		}
+		if k.conn.shared != nil {
+			text = rpcText(k.conn.rpc, text)
+			b.mu.Lock()
+			delete(b.conns, k.conn)
+			b.mu.Unlock()
+		}
 		rec := trace.Record{Kind: trace.Reply, T: b.clock.us(), Box: b.cfg.ID, Att: k.att, ID: k.id, Status: status, How: how}
 		if how == trace.Served {
 			rec.Sum = digest([]byte(k.body))
@@ -422,7 +452,7 @@
 		if b.cfg.Idle > 0 && c.busy.Load() == nil {
 			c.SetReadDeadline(time.Now().Add(b.cfg.Idle))
 		}
-		_, err := in.Peek(1)
+		next, err := in.Peek(1)
 		first := b.clock.us()
 		if !b.wait(c) {
 			return // what came while it was cut off came nowhere
@@ -432,6 +462,10 @@
 			return
 		}
 		c.SetReadDeadline(time.Time{})
+		if next[0] == '{' {
+			b.talkRPC(c, in)
+			return
+		}
 		if !b.request(c, in, first) {
 			return
 		}
@@ -504,7 +538,11 @@
 	if bad != "" {
 		b.out.Add(&trace.Record{Kind: trace.Reply, T: b.clock.us(), Box: b.cfg.ID, Att: k.att, ID: k.id, Status: 400, How: trace.Refused, Why: bad})
 		c.busy.Store(nil)
-		_, err := io.WriteString(c, b.answer(400, "", bad+"\n"))
+		text := b.answer(400, "", bad+"\n")
+		if c.shared != nil {
+			text = rpcText(c.rpc, text)
+		}
+		_, err := io.WriteString(c, text)
 		return err == nil
 	}
 	if b.draining || c.extra {
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -60,9 +60,11 @@
 // front is what the front layer knows of a node.
 type front struct {
 	trace.Node
-	addr  string
-	alive bool
-	idle  []*clientConn
+	addr    string
+	rpcAddr string
+	alive   bool
+	idle    []*clientConn
+	idleRPC []*clientConn
 
 	dialing int
 	all     map[*clientConn]struct{}
@@ -186,12 +188,13 @@
 	key := strconv.FormatUint(rng.Uint64()%100000, 36)
 	var res result
 	this := first
+	rpc := rand.New(rand.NewPCG(n.Seed, 6)).Float64() < s.Clients.RPC
 	for try := 0; ; try++ {
 		wait := c.plan.Patience(&n, c.clock.Now())
 		if wait == 0 {
 			break
 		}
-		t := &sending{need: &n, class: class, id: this, of: first, try: try, wait: wait, key: key, idem: idem, rec: rec}
+		t := &sending{rpc: rpc, need: &n, class: class, id: this, of: first, try: try, wait: wait, key: key, idem: idem, rec: rec}
 		res = c.attempt(ctx, t)
 		pause, again := c.plan.Again(&n, try, res.how, res.retryAfter)
 		if !again || ctx.Err() != nil || c.clock.Now()+pause >= end {
@@ -247,6 +250,7 @@
 	wait   time.Duration
 	key    string
 	idem   string
+	rpc    bool // it goes as a JSON-RPC call
 	rec    trace.Record
 	conn   *clientConn
 	ended  chan ending // holds one
@@ -267,7 +271,7 @@
 		if f == nil {
 			return result{how: "unreachable"}
 		}
-		conn, reused, err := c.connect(ctx, f, again || t.need.Once)
+		conn, reused, err := c.connect(ctx, f, again || t.need.Once, t.rpc)
 		if err != nil {
 			return result{how: "unreachable"}
 		}
@@ -298,7 +302,11 @@
 	defer c.note(conn.front, t.id, false)
 	c.out.Add(&sent)
 	conn.SetWriteDeadline(time.Now().Add(t.wait))
-	_, err := io.WriteString(conn, t.text(c.pads[t.need.Class]))
+	text := t.text
+	if t.rpc {
+		text = t.call
+	}
+	_, err := io.WriteString(conn, text(c.pads[t.need.Class]))
 	over := time.NewTimer(t.wait + c.slack + overtime)
 	defer over.Stop()
 	var leave <-chan time.Time
@@ -397,6 +405,7 @@
 type clientConn struct {
 	net.Conn
 	n     int64
+	rpc   bool
 	c     *Clients
 	front *front
 	used  bool
@@ -410,11 +419,12 @@
 }
 
 // connect returns a connection to a node: one that is kept, unless fresh, or a new one.
-func (c *Clients) connect(ctx context.Context, f *front, fresh bool) (*clientConn, bool, error) {
+func (c *Clients) connect(ctx context.Context, f *front, fresh, rpc bool) (*clientConn, bool, error) {
 	c.mu.Lock()
-	for !fresh && len(f.idle) > 0 {
-		k := f.idle[len(f.idle)-1]
-		f.idle = f.idle[:len(f.idle)-1]
+	idle := f.resting(rpc)
+	for !fresh && len(*idle) > 0 {
+		k := (*idle)[len(*idle)-1]
+		*idle = (*idle)[:len(*idle)-1]
 		k.mu.Lock()
 		dead := k.dead
 		k.mu.Unlock()
@@ -423,7 +433,11 @@
 			return k, true, nil
 		}
 	}
-	addr, full := f.addr, c.most > 0 && len(f.all)+f.dialing >= c.most
+	addr := f.addr
+	if rpc {
+		addr = f.rpcAddr
+	}
+	full := c.most > 0 && len(f.all)+f.dialing >= c.most
 	if !full {
 		f.dialing++
 	}
@@ -442,7 +456,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	k := &clientConn{Conn: conn, n: c.conns.Add(1), c: c, front: f, done: make(chan struct{})}
+	k := &clientConn{Conn: conn, n: c.conns.Add(1), rpc: rpc, c: c, front: f, done: make(chan struct{})}
 	c.mu.Lock()
 	f.all[k] = struct{}{}
 	c.mu.Unlock()
@@ -457,14 +471,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.used, k.since = true, time.Now()
-	k.front.idle = append(k.front.idle, k)
+	idle := k.front.resting(k.rpc)
+	*idle = append(*idle, k)
 	// Those that have not been needed for long are closed, the oldest first.
-	for len(k.front.idle) > 0 && time.Since(k.front.idle[0].since) > idleKeep {
-		k.front.idle[0].Close()
-		k.front.idle = k.front.idle[1:]
+	for len(*idle) > 0 && time.Since((*idle)[0].since) > idleKeep {
+		(*idle)[0].Close()
+		*idle = (*idle)[1:]
 	}
 }
 
+// resting are the connections of a protocol that carry nothing. Clients.mu is held.
+func (f *front) resting(rpc bool) *[]*clientConn {
+	if rpc {
+		return &f.idleRPC
+	}
+	return &f.idle
+}
+
 func (k *clientConn) begin(t *sending) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -500,6 +523,10 @@
 	}()
 	counted := &counter{r: k.Conn}
 	in := bufio.NewReaderSize(counted, 4096)
+	if k.rpc {
+		k.readRPC(in, counted)
+		return
+	}
 	for {
 		_, err := in.Peek(1)
 		first := k.c.clock.us()
--- a/internal/kit/stand/list.go
+++ b/internal/kit/stand/list.go
@@ -22,7 +22,8 @@
 	Cell    int     `json:"cell"`
 	State   string  `json:"state"` // Ready, Terminating or Gone
 	Weight  float64 `json:"weight"`
-	Started int64   `json:"started_ms"` // Unix time; 0 for long ago
+	Started int64   `json:"started_ms"`    // Unix time; 0 for long ago
+	RPC     string  `json:"rpc,omitempty"` // where it speaks JSON-RPC
 }
 
 // Whole is a list or a change of one, as PROTOCOL's discovery writes it.
--- /dev/null
+++ b/internal/kit/stand/rpc.go
@@ -0,0 +1,205 @@
+package stand
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"craneglade/internal/jsonrpc"
+	"craneglade/internal/kit/trace"
+)
+
+// JSON-RPC at the stand-ins. A box tells a connection's protocol by its first byte, and takes a call for the HTTP request
+// that it would be; a client's try goes as a call on a connection of its own kind. So the trace and the judge need to know
+// nothing of it: a call is a request, an error "refused" is a 503, any other error of the node a 500.
+
+const (
+	rpcMember  = "craneglade" // what node and box tell one another beside a call
+	rpcRefused = -32001       // of the node: nothing has run
+)
+
+// rpcParams are a call's params. Body is as HTTP's, byte for byte.
+type rpcParams struct {
+	Body     json.RawMessage `json:"body,omitempty"`
+	Request  string          `json:"request"`
+	Class    string          `json:"class"`
+	Key      string          `json:"key"`
+	Work     int64           `json:"w"`
+	Tenant   string          `json:"tenant"`
+	Deadline float64         `json:"deadline_ms"`
+	Idem     string          `json:"idem,omitempty"`
+}
+
+// talkRPC reads the calls of one connection, which share it. Each has a place of its own among the connections for as long
+// as it is open.
+func (b *Box) talkRPC(c *boxConn, in *bufio.Reader) {
+	r := jsonrpc.NewReader(in)
+	defer func() {
+		b.mu.Lock()
+		var left []*boxConn
+		for o := range b.conns {
+			if o.shared == c {
+				left = append(left, o)
+				delete(b.conns, o)
+			}
+		}
+		b.mu.Unlock()
+		for _, o := range left {
+			b.gone(o)
+		}
+	}()
+	for {
+		if err := r.Wait(); err != nil {
+			return
+		}
+		first := b.clock.us()
+		frame, err := r.Next()
+		if !b.wait(c) {
+			return // what came while it was cut off came nowhere
+		}
+		if err != nil {
+			b.out.Add(&trace.Record{Kind: trace.Part, T: b.clock.us(), T0: first, Box: b.cfg.ID, Node: c.node.Name})
+			return
+		}
+		m, err := jsonrpc.Parse(frame, rpcMember)
+		var p rpcParams
+		var beside struct {
+			DeadlineUS int64 `json:"deadline_us"`
+		}
+		if err == nil {
+			err = json.Unmarshal(m.Params, &p)
+		}
+		if err == nil && m.Extra != nil {
+			err = json.Unmarshal(m.Extra, &beside)
+		}
+		if err != nil {
+			return
+		}
+		v := &boxConn{Conn: c.Conn, node: c.node, fresh: c.fresh, extra: c.extra, shared: c, rpc: string(m.ID)}
+		c.fresh = false
+		b.mu.Lock()
+		b.conns[v] = struct{}{}
+		b.mu.Unlock()
+		method := http.MethodPost
+		if p.Body == nil {
+			method = http.MethodGet
+		}
+		text := fmt.Sprintf("%s /api?key=%s&w=%d HTTP/1.1\r\nHost: box\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %du\r\nContent-Length: %d\r\n\r\n%s",
+			method, p.Key, p.Work, p.Request, p.Class, beside.DeadlineUS, len(p.Body), p.Body)
+		if !b.request(v, bufio.NewReader(strings.NewReader(text)), first) {
+			return
+		}
+	}
+}
+
+// rpcText turns an answer of HTTP into one of JSON-RPC. What is no answer of HTTP stays as it is.
+func rpcText(id, text string) string {
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	if err != nil {
+		return text
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return text
+	}
+	beside := ""
+	if load := resp.Header.Get("X-Load"); load != "" {
+		beside = `"load":` + load
+	}
+	if resp.Header.Get("X-Not-Run") == "1" {
+		beside = strings.TrimPrefix(beside+`,"not_run":true`, ",")
+	}
+	if beside != "" {
+		beside = `,"` + rpcMember + `":{` + beside + "}"
+	}
+	if resp.StatusCode == http.StatusOK {
+		return fmt.Sprintf(`{"jsonrpc":"2.0","id":%s,"result":%s%s}`+"\n", id, body, beside)
+	}
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%s,"error":{"code":-32000,"message":%q}%s}`+"\n", id, strings.TrimSpace(string(body)), beside)
+}
+
+// call is the request as a JSON-RPC call.
+func (t *sending) call(pad string) string {
+	p := rpcParams{Request: t.id, Class: t.class.Name, Key: t.key, Work: t.need.Work.Microseconds(), Tenant: t.rec.Tenant,
+		Deadline: float64(t.wait.Microseconds()) / 1000}
+	if t.class.Effect != "safe" {
+		p.Body = json.RawMessage(fmt.Sprintf(`{"id":%q,"of":%q,"pad":%q}`, t.id, t.of, pad))
+	}
+	if t.class.Effect == "keyed" {
+		p.Idem = t.idem
+	}
+	params, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // nothing in it can fail
+	}
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"method":%q,"params":%s}`+"\n", t.id, t.class.Name, params)
+}
+
+// readRPC reads answers; see read.
+func (k *clientConn) readRPC(in *bufio.Reader, counted *counter) {
+	r := jsonrpc.NewReader(in)
+	for {
+		err := r.Wait()
+		first := k.c.clock.us()
+		counted.n = int64(in.Buffered())
+		k.mu.Lock()
+		idle, last, dead := k.open == nil, k.last, k.dead
+		k.mu.Unlock()
+		if err == nil && idle {
+			if !dead {
+				k.c.out.Add(&trace.Record{Kind: trace.Extra, T: first, Node: k.front.Name, Conn: k.n, ID: last, Bytes: int64(in.Buffered())})
+			}
+			k.end(nil, 0)
+			return
+		}
+		var frame []byte
+		if err == nil {
+			frame, err = r.Next()
+		}
+		var m jsonrpc.Message
+		if err == nil {
+			m, err = jsonrpc.Parse(frame, "")
+		}
+		if err != nil {
+			k.end(err, counted.n)
+			return
+		}
+		t := k.take()
+		if t == nil {
+			return // its client has left at this moment
+		}
+		e := ending{status: http.StatusOK, bytes: counted.n, why: "keep"}
+		body := []byte(m.Result)
+		if m.Error != nil {
+			var object struct {
+				Code int
+				Data struct {
+					After float64 `json:"retry_after_s"`
+				}
+			}
+			e.status = http.StatusInternalServerError
+			if json.Unmarshal(m.Error, &object) == nil && object.Code == rpcRefused {
+				e.status, e.retryAfter = http.StatusServiceUnavailable, time.Duration(object.Data.After*float64(time.Second))
+			}
+		}
+		id := t.id
+		if told, ok := jsonrpc.Text(m.ID); !ok || told != id {
+			id = string(m.ID) // an answer that is not this call's
+			body = append(body, id...)
+		}
+		k.c.out.Add(&trace.Record{Kind: trace.Got, T: k.c.clock.us(), T0: first, Node: k.front.Name, Conn: k.n, ID: t.id,
+			Status: e.status, Sum: digest(body), Bytes: int64(len(body))})
+		t.ended <- e
+	}
+}
+
+// RPCNode gives the front of a node's address for JSON-RPC.
+func (c *Clients) RPCNode(i int, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[i].rpcAddr = addr
+}
