JSON-RPC connections without an open call make room, the longest first; figures of the front

Need (issue on one engine): thousands of silent connections of JSON-RPC clients could take all of the clients' descriptors. Change: connections without an open call stand in a line and are closed for new ones, for HTTP's and for boxes' sake where descriptors are lent; settings of [jsonrpc] have a test that names each wrong key. Benchmarks of idle connections and of what the node adds.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"syscall"
@@ -144,3 +146,62 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkIdleCallers is what one of 5,000 connections without an open call holds in memory, the client's end of it in the
+// same process included.
+func BenchmarkIdleCallers(b *testing.B) {
+	for range b.N {
+		t := &testing.T{}
+		_, addr := rpcRig(t, nil, newRPCBox(t, works).entry("s-1"))
+		inUse := func() uint64 {
+			runtime.GC()
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return m.HeapInuse + m.StackInuse
+		}
+		before := inUse()
+		const n = 5000
+		var all []net.Conn
+		for i := range n {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				b.Fatal(err)
+			}
+			all = append(all, c)
+			fmt.Fprintf(c, `{"jsonrpc":"2.0","id":%d,"method":"sum","params":[1]}`, i)
+			if _, err := c.Read(make([]byte, 200)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(inUse()-before)/n, "bytes/conn")
+		for _, c := range all {
+			c.Close()
+		}
+	}
+}
+
+// BenchmarkAdded is a call straight to a box beside the same through a node, one after the other: what the node adds.
+func BenchmarkAdded(b *testing.B) {
+	t := &testing.T{}
+	x := newRPCBox(t, works)
+	_, addr := rpcRig(t, nil, x.entry("s-1"))
+	for _, to := range []struct{ name, addr string }{{"straight", x.ln.Addr().String()}, {"node", addr}} {
+		b.Run(to.name, func(b *testing.B) {
+			c := dialRPC(t, to.addr)
+			took := make([]float64, 0, b.N)
+			for i := range b.N {
+				begun := time.Now()
+				c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sum","params":[1]}`, i))
+				c.line()
+				took = append(took, float64(time.Since(begun).Nanoseconds())/1000)
+				if i%1000 == 0 {
+					c.SetDeadline(time.Now().Add(patience))
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(took[len(took)*99/100], "p99-us")
+			b.ReportMetric(took[len(took)/2], "p50-us")
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,7 +144,7 @@
 	}
 	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock,
 		Room: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Log: log})
-	both.Yields(admission.ClientSide, n.front.Yield)
+	both.Yields(admission.ClientSide, func() bool { return n.front.Yield() || n.rpcs != nil && n.rpcs.Yield() })
 	both.Yields(admission.BoxSide, n.carrier.Yield)
 	if n.rpc != nil {
 		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Room: both.Side(admission.ClientSide),
--- a/internal/node/rpc_test.go
+++ b/internal/node/rpc_test.go
@@ -146,6 +146,11 @@
 
 // rpcRig is a node with both fronts.
 func rpcRig(t *testing.T, change func(*settings.JSONRPC), known ...engine.Listed) (*rig, string) {
+	t.Helper()
+	return rpcRigWith(t, func(*Config) {}, change, known...)
+}
+
+func rpcRigWith(t *testing.T, more func(*Config), change func(*settings.JSONRPC), known ...engine.Listed) (*rig, string) {
 	t.Helper()
 	own := &settings.File{JSONRPC: settings.JSONRPC{Listen: "127.0.0.1:0", Inflight: 64, Batch: 100, Conns: 2, Beside: true}}
 	own.JSONRPC.Idle.UnmarshalText([]byte("1m"))
@@ -162,7 +167,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Own = own }, known...)
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) {
+		c.Own = own
+		more(c)
+	}, known...)
 	ctx, leave := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.rpcs.Serve(ctx, ln) }()
@@ -609,3 +617,47 @@
 		t.Errorf("HTTP beside it: %d", resp.StatusCode)
 	}
 }
+
+// Connections with no open call make room, the longest first, and one with an open call stays.
+func TestSilentCallersMakeRoom(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let()
+	b := newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
+		if m.Method == "view" {
+			go func() {
+				<-release
+				works(c, m)
+			}()
+			return true
+		}
+		return works(c, m)
+	})
+	own := func(c *Config) { c.Sockets = 80 }
+	r, addr := rpcRigWith(t, own, nil, b.entry("s-1"))
+	busy := dialRPC(t, addr)
+	busy.send(`{"jsonrpc":"2.0","id":1,"method":"view","params":[1]}`)
+	wait(t, "the call at the box", func() bool { return b.calls("view") == 1 })
+	silent := []*client{}
+	for range 100 { // says nothing
+		silent = append(silent, dialRPC(t, addr))
+	}
+	for i := range 20 {
+		c := dialRPC(t, addr)
+		c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sum","params":[%d]}`, i, i))
+		if got := c.line(); !same(got, fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"result":%d}`, i, i)) {
+			t.Errorf("call %d behind a hundred silent connections: %s", i, got)
+		}
+	}
+	if !silent[0].closed() {
+		t.Error("the longest silent one stays")
+	}
+	if resp, _ := r.dial(t).ask(view("v")); resp.StatusCode != 200 && resp.StatusCode != 503 {
+		t.Errorf("HTTP beside them: %d", resp.StatusCode)
+	}
+	let()
+	if got := busy.line(); !same(got, `{"jsonrpc":"2.0","id":1,"result":[1]}`) {
+		t.Errorf("the call that was open: %s", got)
+	}
+}
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -70,6 +71,7 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	rest  list.List // of *conn: those with no open call, the longest first
 }
 
 // New returns a front that answers nobody yet.
@@ -85,6 +87,10 @@
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 
+	// Guarded by Front.mu.
+	place   *list.Element // in rest
+	granted bool          // it has a descriptor of the room
+
 	mu      sync.Mutex
 	open    map[string]bool // ids of open calls, as they came
 	count   int             // open calls
@@ -150,13 +156,14 @@
 		}
 		c := &conn{Conn: nc, front: f, slots: make(chan struct{}, f.cfg.Inflight), open: map[string]bool{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
-		if !f.cfg.Room.Claim() {
+		if !f.cfg.Room.Take() && !(f.Yield() && f.cfg.Room.Take()) && !f.cfg.Room.Claim() {
 			c.write(jsonrpc.AppendError(nil, jsonrpc.Null, Refused, "no room for a connection", refusal(refuseWait)))
 			c.Close()
 			continue
 		}
 		f.mu.Lock()
-		f.conns[c] = struct{}{}
+		f.conns[c], c.granted = struct{}{}, true
+		c.place = f.rest.PushBack(c)
 		f.mu.Unlock()
 		f.wg.Go(func() {
 			c.talk()
@@ -165,12 +172,43 @@
 			c.Close()
 			f.mu.Lock()
 			delete(f.conns, c)
+			f.drop(c)
 			f.mu.Unlock()
-			f.cfg.Room.Give()
 		})
 	}
 }
 
+// Yield closes the connection that has had no open call for longest, for another's sake, and tells whether there was one.
+func (f *Front) Yield() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := f.rest.Front()
+	if first == nil {
+		return false
+	}
+	c := first.Value.(*conn)
+	f.drop(c)
+	c.Close()
+	return true
+}
+
+// drop takes a connection off those that rest and gives its descriptor back. f.mu is held.
+func (f *Front) drop(c *conn) {
+	f.wake(c)
+	if c.granted {
+		c.granted = false
+		f.cfg.Room.Give()
+	}
+}
+
+// wake takes a connection off those that rest. f.mu is held.
+func (f *Front) wake(c *conn) {
+	if c.place != nil {
+		f.rest.Remove(c.place)
+		c.place = nil
+	}
+}
+
 // end has a connection end once no call on it is open.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -185,13 +223,28 @@
 func (c *conn) begin() {
 	c.mu.Lock()
 	c.count++
+	first := c.count == 1
 	c.mu.Unlock()
+	if first {
+		c.front.mu.Lock()
+		c.front.wake(c)
+		c.front.mu.Unlock()
+	}
 }
 
 func (c *conn) done() {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.count--; c.count == 0 && c.ending {
+	if c.count--; c.count > 0 {
+		return
+	}
+	if c.granted && c.place == nil {
+		c.place = f.rest.PushBack(c)
+	}
+	if c.ending {
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,3 +49,36 @@
 		}
 	}
 }
+
+func TestJSONRPC(t *testing.T) {
+	good := `[jsonrpc]
+listen = "127.0.0.1:7070"
+[[jsonrpc.method]]
+name = "saveConfig"
+class = "save"
+key = "/key"
+`
+	f, err := Parse("own.toml", []byte(good))
+	if err != nil || f.JSONRPC.Inflight != 64 || f.JSONRPC.Conns != 4 || f.JSONRPC.Batch != 1000 || f.JSONRPC.Idle.D() != 5*time.Minute {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	for _, x := range []struct{ old, new, want string }{
+		{`"127.0.0.1:7070"`, `"nowhere"`, "jsonrpc.listen"},
+		{`listen = "127.0.0.1:7070"`, ``, "jsonrpc.listen"},
+		{`[[jsonrpc`, "conns = 77\n[[jsonrpc", "jsonrpc.conns"},
+		{`[[jsonrpc`, "inflight = 0\n[[jsonrpc", "jsonrpc.inflight"},
+		{`[[jsonrpc`, "idle = \"1s\"\n[[jsonrpc", "jsonrpc.idle"},
+		{`"/key"`, `"key"`, "jsonrpc.method[0].key"},
+		{`"saveConfig"`, `""`, "jsonrpc.method[0].name"},
+		{`class = "save"`, ``, "jsonrpc.method[0].class"},
+		{good[strings.Index(good, "[[jsonrpc"):], ``, "jsonrpc.method"},
+	} {
+		text := strings.Replace(good, x.old, x.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the file", x.old)
+		}
+		if _, err := Parse("own.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want one line that names %s", x.new, err, x.want)
+		}
+	}
+}
