--- a/internal/node/rpc_test.go
+++ b/internal/node/rpc_test.go
@@ -173,6 +173,11 @@
 	}, known...)
 	ctx, leave := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
+	first := r.leave
+	r.leave = func() {
+		first()
+		leave()
+	}
 	go func() { ended <- r.rpcs.Serve(ctx, ln) }()
 	t.Cleanup(func() {
 		leave()
@@ -661,3 +666,42 @@
 		t.Errorf("the call that was open: %s", got)
 	}
 }
+
+// A node that is told to end answers the calls that are open, refuses new ones harmlessly, and ends its connections once
+// nothing is open on them.
+func TestLeavingWithCalls(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let()
+	b := newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
+		go func() {
+			<-release
+			works(c, m)
+		}()
+		return true
+	})
+	r, addr := rpcRig(t, nil, b.entry("s-1"))
+	c, idle := dialRPC(t, addr), dialRPC(t, addr)
+	c.send(`{"jsonrpc":"2.0","id":1,"method":"sendQuote","params":{"n":1}}`)
+	wait(t, "the quote at the box", func() bool { return b.calls("sendQuote") == 1 })
+	r.leave()
+	wait(t, "the front's leaving", r.rpcs.Leaving)
+	c.send(`{"jsonrpc":"2.0","id":2,"method":"sendQuote","params":{"n":2}}`)
+	if got := c.line(); !strings.Contains(got, `"code":-32001`) || !strings.Contains(got, `"id":2`) {
+		t.Errorf("a call after SIGTERM: %s", got)
+	}
+	if !idle.closed() {
+		t.Error("an idle connection goes on")
+	}
+	let()
+	if got := c.line(); !same(got, `{"jsonrpc":"2.0","id":1,"result":{"n":1}}`) {
+		t.Errorf("the call that was open: %s", got)
+	}
+	if !c.closed() {
+		t.Error("the connection goes on with nothing open")
+	}
+	if n := b.calls("sendQuote"); n != 1 {
+		t.Errorf("the box got %d quotes", n)
+	}
+}
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -132,6 +132,9 @@
 	return err
 }
 
+// Leaving tells whether the front was told to end.
+func (f *Front) Leaving() bool { return f.leaving.Load() }
+
 func (f *Front) each(do func(*conn)) {
 	f.mu.Lock()
 	all := make([]*conn, 0, len(f.conns))
