--- a/internal/node/rpc_test.go
+++ b/internal/node/rpc_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -144,6 +145,24 @@
 	return say(c, `{"jsonrpc":"2.0","id":%s,"result":%s,"craneglade":{"load":{"inflight":1,"queue":0}}}`, m.ID, text)
 }
 
+// heldRPCBox works, but answers calls of some methods only once the returned function was called.
+func heldRPCBox(t *testing.T, methods ...string) (*rpcBox, func()) {
+	t.Helper()
+	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(let)
+	return newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
+		if !slices.Contains(methods, m.Method) {
+			return works(c, m)
+		}
+		go func() {
+			<-release
+			works(c, m)
+		}()
+		return true
+	}), let
+}
+
 // rpcRig is a node with both fronts.
 func rpcRig(t *testing.T, change func(*settings.JSONRPC), known ...engine.Listed) (*rig, string) {
 	t.Helper()
@@ -435,19 +454,7 @@
 // Ids come back byte for byte, one that is open is refused without ending the first, and two clients' ids never meet.
 func TestIDsOfCalls(t *testing.T) {
 	t.Parallel()
-	release := make(chan struct{})
-	let := sync.OnceFunc(func() { close(release) })
-	defer let()
-	b := newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
-		if m.Method == "view" {
-			go func() {
-				<-release
-				works(c, m)
-			}()
-			return true
-		}
-		return works(c, m)
-	})
+	b, let := heldRPCBox(t, "view")
 	_, addr := rpcRig(t, nil, b.entry("s-1"))
 	c, other := dialRPC(t, addr), dialRPC(t, addr)
 	c.send(`{"jsonrpc":"2.0","id":"same","method":"view","params":["first"]}`)
@@ -534,16 +541,7 @@
 // A box is drained while many calls share its connection: they are answered, and nothing new goes out on it.
 func TestDrainOnASharedConnection(t *testing.T) {
 	t.Parallel()
-	release := make(chan struct{})
-	let := sync.OnceFunc(func() { close(release) })
-	defer let()
-	held := newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
-		go func() {
-			<-release
-			works(c, m)
-		}()
-		return true
-	})
+	held, let := heldRPCBox(t, "sendQuote", "saveConfig")
 	r, addr := rpcRig(t, func(j *settings.JSONRPC) { j.Inflight, j.Conns = 300, 1 }, held.entry("s-1"))
 	c := dialRPC(t, addr)
 	for i := range 200 {
@@ -626,19 +624,7 @@
 // Connections with no open call make room, the longest first, and one with an open call stays.
 func TestSilentCallersMakeRoom(t *testing.T) {
 	t.Parallel()
-	release := make(chan struct{})
-	let := sync.OnceFunc(func() { close(release) })
-	defer let()
-	b := newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
-		if m.Method == "view" {
-			go func() {
-				<-release
-				works(c, m)
-			}()
-			return true
-		}
-		return works(c, m)
-	})
+	b, let := heldRPCBox(t, "view")
 	own := func(c *Config) { c.Sockets = 80 }
 	r, addr := rpcRigWith(t, own, nil, b.entry("s-1"))
 	busy := dialRPC(t, addr)
@@ -671,16 +657,7 @@
 // nothing is open on them.
 func TestLeavingWithCalls(t *testing.T) {
 	t.Parallel()
-	release := make(chan struct{})
-	let := sync.OnceFunc(func() { close(release) })
-	defer let()
-	b := newRPCBox(t, func(c net.Conn, m jsonrpc.Message) bool {
-		go func() {
-			<-release
-			works(c, m)
-		}()
-		return true
-	})
+	b, let := heldRPCBox(t, "sendQuote", "saveConfig")
 	r, addr := rpcRig(t, nil, b.entry("s-1"))
 	c, idle := dialRPC(t, addr), dialRPC(t, addr)
 	c.send(`{"jsonrpc":"2.0","id":1,"method":"sendQuote","params":{"n":1}}`)
