--- a/policy/policy.go
+++ b/policy/policy.go
@@ -484,21 +484,27 @@
 func (s *server) update(now float64, b *Balancer) {
 	n, r := b.waiting(s, now), b.limit(s)
 	h := b.high(s, r)
-	if s.mode == normal && n >= h {
-		s.mode = overload
+	s.mode = s.mode.next(n, h*abatement/onset, h, r)
+	if s.mode == discard && now-max(s.reportAt, s.fullAt) > r*b.service(s) {
+		s.mode = overload // passing sends bring a new report
 	}
-	if s.mode == overload && n >= r {
-		s.mode = discard
+}
+
+// next is the mode that follows at an occupancy of n.
+func (m mode) next(n, l, h, r float64) mode {
+	if m == normal && n >= h {
+		m = overload
 	}
-	if s.mode == discard && n < h {
-		s.mode = overload
+	if m == overload && n >= r {
+		m = discard
 	}
-	if s.mode == discard && now-max(s.reportAt, s.fullAt) > r*b.service(s) {
-		s.mode = overload // passing sends bring a new report
+	if m == discard && n < h {
+		m = overload
 	}
-	if s.mode == overload && n < h*abatement/onset {
-		s.mode = normal
+	if m == overload && n < l {
+		m = normal
 	}
+	return m
 }
 
 // ramp is the least part of its capacity that a backend has, by the time since its start.
