--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -361,7 +361,9 @@
 	for {
 		r, no := s.read(c)
 		if no != nil {
-			s.rejected(c)
+			if no.Status != http.StatusServiceUnavailable { // want of room here is not its client's doing
+				s.rejected(c)
+			}
 			c.reject(no)
 			return
 		}
--- a/internal/kit/stand/rpc.go
+++ b/internal/kit/stand/rpc.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"craneglade/internal/jsonrpc"
 	"craneglade/internal/kit/trace"
 )
@@ -136,7 +139,11 @@
 	if err != nil {
 		panic(err) // nothing in it can fail
 	}
-	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"method":%q,"params":%s}`+"\n", t.id, t.class.Name, params)
+	text := fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"method":%q,"params":%s}`, t.id, t.class.Name, params)
+	if t.need.Seed%2 == 0 { // half of them in a batch, beside a notification that is owed nothing
+		text = `[` + text + `,{"jsonrpc":"2.0","method":"nobody's"}]`
+	}
+	return text + "\n"
 }
 
 // readRPC reads answers; see read.
@@ -162,7 +169,13 @@
 		}
 		var m jsonrpc.Message
 		if err == nil {
-			m, err = jsonrpc.Parse(frame, "")
+			var members []jsontext.Value
+			if members, _, err = jsonrpc.Split(frame); err == nil && len(members) != 1 {
+				err = errors.New("not one answer for one call")
+			}
+			if err == nil {
+				m, err = jsonrpc.Parse(members[0], "")
+			}
 		}
 		if err != nil {
 			k.end(err, counted.n)
