--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -119,7 +119,7 @@
 		new: `			x.State = policy.Leaving; if s.RPC != "" { x.State = policy.Active; ` + engineLogged + `"-", "box", s.ID) }`},
 	{name: "an answer given to another's id", names: []string{judge.WrongAnswer}, file: "internal/rpccarrier/carrier.go", day: "jsonrpc.toml",
 		old: `	c := l.calls[id]`,
-		new: `	c := l.calls[id]; for other, to := range l.calls { if other != id && len(id) > 0 && id[len(id)-1] == '7' { l.carrier.cfg.Log.Info("planted", "id", "-"); id, c = other, to; break } }`},
+		new: `	c := l.calls[id]; for other, to := range l.calls { if other != id && len(id) > 0 && id[len(id)-1]%2 == 1 { l.carrier.cfg.Log.Info("planted", "id", "-"); id, c = other, to; break } }`},
 }
 
 // helpers is what the changed lines of a package call to say what they do; each is a file of its own in the overlay.
