--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -205,3 +205,29 @@
 		})
 	}
 }
+
+// BenchmarkCallsAtOneRate is the processor time of a request and of a call that come every 4 ms, over both fronts.
+func BenchmarkCallsAtOneRate(b *testing.B) {
+	for _, name := range []string{"http", "jsonrpc"} {
+		b.Run(name, func(b *testing.B) {
+			t := &testing.T{}
+			x := newRPCBox(t, works)
+			r, addr := rpcRig(t, nil, x.entry("s-1"))
+			c, h := dialRPC(t, addr), r.dial(t)
+			tick := time.NewTicker(4 * time.Millisecond)
+			defer tick.Stop()
+			b.ReportAllocs()
+			before := cpu()
+			for i := range b.N {
+				<-tick.C
+				if name == "http" {
+					h.ask(quote(fmt.Sprint("r", i)))
+					continue
+				}
+				c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sendQuote","params":{"design":"a door"}}`, i))
+				c.line()
+			}
+			b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
