Admission keeps its lists by one chain in place of three copies

Need: connections by state, connections by address and groups by size each had push and remove written out, and each connection carried two list ends that it never used. Change: chain and link serve all three; a group's link to its address, which nothing read, is gone. No decision changes.

--- a/internal/admission/clients.go
+++ b/internal/admission/clients.go
@@ -49,8 +49,8 @@
 	since time.Duration
 	peer  *peer
 	line  *line
-	all   links // among those of its state
-	own   links // and of its state and address
+	all   link[Conn] // among those of its state
+	own   link[Conn] // and of its state and address
 }
 
 // State tells what the connection is doing.
@@ -69,8 +69,7 @@
 
 // NewClients returns the account of a node that holds none.
 func NewClients(l Limits) *Clients {
-	a := &Clients{limits: l}
-	a.peers.init()
+	a := &Clients{limits: l, peers: peers{known: map[string]*peer{}}}
 	for s := range a.lines {
 		a.lines[s].state = State(s)
 	}
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -1,29 +1,61 @@
 package admission
 
-// links is a place in a queue, or, as the queue itself, its two ends.
-type links struct{ first, last, prev, next *Conn }
+// link is a place in a chain.
+type link[T any] struct{ prev, next *T }
+
+// chain is a list whose places are held by what stands in it, so that nothing is allocated. at tells which of an element's
+// places is the chain's.
+type chain[T any] struct{ first, last *T }
+
+func (q *chain[T]) push(x *T, at func(*T) *link[T]) {
+	*at(x) = link[T]{prev: q.last}
+	if q.last != nil {
+		at(q.last).next = x
+	} else {
+		q.first = x
+	}
+	q.last = x
+}
+
+func (q *chain[T]) remove(x *T, at func(*T) *link[T]) {
+	l := at(x)
+	if l.prev != nil {
+		at(l.prev).next = l.next
+	} else {
+		q.first = l.next
+	}
+	if l.next != nil {
+		at(l.next).prev = l.prev
+	} else {
+		q.last = l.prev
+	}
+	*l = link[T]{}
+}
+
+func inAll(c *Conn) *link[Conn]      { return &c.all }
+func inOwn(c *Conn) *link[Conn]      { return &c.own }
+func inBucket(g *group) *link[group] { return &g.place }
 
 // group is the connections of one address in one state, the longest first.
 type group struct {
-	peer       *peer
-	conns      links
-	n          int
-	bucket     *bucket
-	prev, next *group // in its bucket
+	conns  chain[Conn]
+	n      int
+	bucket *bucket
+	place  link[group] // in its bucket
 }
 
 // bucket is the groups of one size, those that came to it first first.
 type bucket struct {
-	n           int
-	first, last *group
-	less, more  *bucket
+	n          int
+	groups     chain[group]
+	less, more *bucket
 }
 
 // line is the connections of one state, in the order in which they came to it, and by address. Every change and every
 // look is a constant amount of work: groups stand in buckets by their size, and change it by one at a time.
 type line struct {
 	state State
-	all   links
+	all   chain[Conn]
 	n     int
 	least *bucket // of the smallest groups,
 	most  *bucket // and of the largest
@@ -35,56 +67,24 @@
 	if l.most == nil {
 		return nil
 	}
-	return l.most.first.conns.first
+	return l.most.groups.first.conns.first
 }
 
 func (l *line) push(c *Conn) {
 	c.line = l
-	c.all = links{prev: l.all.last}
-	if l.all.last != nil {
-		l.all.last.all.next = c
-	} else {
-		l.all.first = c
-	}
-	l.all.last = c
+	l.all.push(c, inAll)
 	l.n++
-
 	g := &c.peer.groups[l.state]
-	c.own = links{prev: g.conns.last}
-	if g.conns.last != nil {
-		g.conns.last.own.next = c
-	} else {
-		g.conns.first = c
-	}
-	g.conns.last = c
+	g.conns.push(c, inOwn)
 	l.resize(g, g.n+1)
 }
 
 func (l *line) remove(c *Conn) {
-	if c.all.prev != nil {
-		c.all.prev.all.next = c.all.next
-	} else {
-		l.all.first = c.all.next
-	}
-	if c.all.next != nil {
-		c.all.next.all.prev = c.all.prev
-	} else {
-		l.all.last = c.all.prev
-	}
+	c.line = nil
+	l.all.remove(c, inAll)
 	l.n--
-
 	g := &c.peer.groups[l.state]
-	if c.own.prev != nil {
-		c.own.prev.own.next = c.own.next
-	} else {
-		g.conns.first = c.own.next
-	}
-	if c.own.next != nil {
-		c.own.next.own.prev = c.own.prev
-	} else {
-		g.conns.last = c.own.prev
-	}
-	c.all, c.own, c.line = links{}, links{}, nil
+	g.conns.remove(c, inOwn)
 	l.resize(g, g.n-1)
 }
 
@@ -107,39 +107,15 @@
 		}
 	}
 	if old != nil {
-		old.leave(g)
-		if old.first == nil {
+		old.groups.remove(g, inBucket)
+		if old.groups.first == nil {
 			l.drop(old)
 		}
 	}
 	g.n, g.bucket = n, to
 	if to != nil {
-		to.enter(g)
-	}
-}
-
-func (b *bucket) enter(g *group) {
-	g.prev, g.next = b.last, nil
-	if b.last != nil {
-		b.last.next = g
-	} else {
-		b.first = g
-	}
-	b.last = g
-}
-
-func (b *bucket) leave(g *group) {
-	if g.prev != nil {
-		g.prev.next = g.next
-	} else {
-		b.first = g.next
-	}
-	if g.next != nil {
-		g.next.prev = g.prev
-	} else {
-		b.last = g.prev
+		to.groups.push(g, inBucket)
 	}
-	g.prev, g.next = nil, nil
 }
 
 // insert puts a bucket behind another; nil for the front.
--- a/internal/admission/peers.go
+++ b/internal/admission/peers.go
@@ -43,15 +43,10 @@
 	rest   list.List // of *peer: that hold none, the longest first
 }
 
-func (ps *peers) init() { ps.known = map[string]*peer{} }
-
 func (ps *peers) open(from string) *peer {
 	p := ps.known[from]
 	if p == nil {
 		p = &peer{from: from}
-		for s := range p.groups {
-			p.groups[s].peer = p
-		}
 		ps.known[from] = p
 	}
 	if p.held == 0 {
