One way to claim a descriptor, and less said twice in fronts, carriers and assembly

Need: both fronts and the pool each wrote out "take one, else close one of our own, else ask the other side". Change: rooms.Room.Claim takes the side's own way of closing an idle connection, and all of them call it. The assembly has no branches for a missing file of our own, and tests hand in a room in place of a number with special values. In JSON-RPC the rule that notifications are owed no error stands in one place, a retired connection is closed by the same check as a doubted one, a time-out is told as elsewhere, and what nothing called is gone. The kit no longer appends to a part of a frame. The tests' two boxes share their listener. No assertion changes.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -60,11 +60,7 @@
 }
 
 // Yield closes the connection that has carried nothing for longest, and tells whether there was one.
-func (n *Carrier) Yield() bool {
-	n.pool.mu.Lock()
-	defer n.pool.mu.Unlock()
-	return n.pool.spare()
-}
+func (n *Carrier) Yield() bool { return n.pool.spare() }
 
 // Retire closes the connections to a box that carry nothing. Those that carry something follow.
 func (n *Carrier) Retire(b *engine.Box) { n.pool.clear(n.pool.of(b), true) }
@@ -93,9 +89,6 @@
 	case errors.Is(err, errSockets):
 		return engine.Result{Outcome: policy.Moot} // not the backend's doing, and not to be held against it
 	case err != nil && context.Cause(ctx) == nil, errors.Is(context.Cause(ctx), errTimeout):
-		if c != nil {
-			n.pool.put(c)
-		}
 		return engine.Result{Outcome: policy.ConnectFailed}
 	case err != nil:
 		return engine.Result{Outcome: policy.Canceled}
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -166,19 +166,12 @@
 
 // connect opens a connection, for which one to another box makes room where there are too many.
 func (p *pool) connect(ctx context.Context, k *kept, addr string) (*boxConn, error) {
-	taken := p.room.Take()
-	p.mu.Lock()
-	if !taken && p.spare() { // one to another box: this one has none
-		taken = p.room.Take()
+	if !p.room.Claim(p.spare) { // what it closes is another box's: this one has none
+		return nil, errSockets
 	}
+	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	if !taken && !p.room.Claim() {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
-		return nil, errSockets
-	}
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		p.mu.Lock()
@@ -223,8 +216,10 @@
 	p.room.Give()
 }
 
-// spare closes the connection that has rested for longest, if there is one. p.mu is held.
+// spare closes the connection that has rested for longest, and tells whether there was one.
 func (p *pool) spare() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	oldest := p.rest.Front()
 	if oldest != nil {
 		p.discard(oldest.Value.(*boxConn))
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -175,15 +175,7 @@
 		c := &clientConn{Conn: conn, start: time.Now()}
 		c.cap.R, c.account.Owner, c.account.From = conn, c, host(conn.RemoteAddr())
 		c.in = bufio.NewReader(&c.cap)
-		c.granted = s.room.Take()
-		s.mu.Lock()
-		if !c.granted && s.makeRoom() {
-			c.granted = s.room.Take()
-		}
-		s.mu.Unlock()
-		if !c.granted {
-			c.granted = s.room.Claim()
-		}
+		c.granted = s.room.Claim(s.Yield)
 		s.mu.Lock()
 		if c.extra = !c.granted; c.extra {
 			c.over = !s.account.Behind(c.account.From) // one of a client that holds little is served all the same
@@ -220,11 +212,15 @@
 	return a.String()
 }
 
-// Yield closes a connection that carries no request for another side's sake, if there is one.
+// Yield closes a connection that carries no request, for another's sake, and tells whether there was one.
 func (s *Front) Yield() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.makeRoom()
+	spare := s.account.Spare(s.now(), func(c *admission.Conn) bool { return sock.Pending(c.Owner.(*clientConn).Conn) != sock.Nothing })
+	if spare != nil {
+		s.drop(spare.Owner.(*clientConn))
+	}
+	return spare != nil
 }
 
 // release gives a connection's descriptor back. s.mu is held.
@@ -235,15 +231,6 @@
 	}
 }
 
-// makeRoom closes a connection that carries no request, if there is one. s.mu is held.
-func (s *Front) makeRoom() bool {
-	spare := s.account.Spare(s.now(), func(c *admission.Conn) bool { return sock.Pending(c.Owner.(*clientConn).Conn) != sock.Nothing })
-	if spare != nil {
-		s.drop(spare.Owner.(*clientConn))
-	}
-	return spare != nil
-}
-
 // sheds notes how long a request had waited to be read, and tells whether the node is so far behind that it should refuse
 // it at once.
 func (s *Front) sheds(late time.Duration, r *message.Request) bool {
--- a/internal/kit/stand/rpc.go
+++ b/internal/kit/stand/rpc.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -186,7 +187,7 @@
 			return // its client has left at this moment
 		}
 		e := ending{status: http.StatusOK, bytes: counted.n, why: "keep"}
-		body := []byte(m.Result)
+		body := m.Result
 		if m.Error != nil {
 			var object struct {
 				Code int
@@ -199,10 +200,8 @@
 				e.status, e.retryAfter = http.StatusServiceUnavailable, time.Duration(object.Data.After*float64(time.Second))
 			}
 		}
-		id := t.id
-		if told, ok := jsonrpc.Text(m.ID); !ok || told != id {
-			id = string(m.ID) // an answer that is not this call's
-			body = append(body, id...)
+		if told, ok := jsonrpc.Text(m.ID); !ok || told != t.id {
+			body = slices.Concat(body, m.ID) // an answer that is not this call's
 		}
 		k.c.out.Add(&trace.Record{Kind: trace.Got, T: k.c.clock.us(), T0: first, Node: k.front.Name, Conn: k.n, ID: t.id,
 			Status: e.status, Sum: digest(body), Bytes: int64(len(body))})
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"craneglade/internal/engine"
+	"craneglade/internal/rooms"
 	"craneglade/internal/settings"
 	"craneglade/internal/wire"
 	"craneglade/policy"
@@ -29,8 +30,8 @@
 	Settings  wire.Settings
 	Own       *settings.File // this program's own; nil where there is none
 
-	boxConns int              // connections to boxes at a time, in place of a part of Sockets; 0 for that
-	now      func() time.Time // what connections to boxes age by; nil for the system's clock
+	boxRoom *rooms.Room      // descriptors for connections to boxes, in place of the node's own
+	now     func() time.Time // what connections to boxes age by; nil for the system's clock
 }
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"craneglade/internal/rooms"
 	"craneglade/internal/rpccarrier"
 	"craneglade/internal/rpcfront"
+	"craneglade/internal/settings"
 )
 
 const (
@@ -107,31 +108,25 @@
 func start(cfg Config, log *slog.Logger) (*node, error) {
 	n := &node{cfg: cfg, log: log}
 	clock := engine.NewClock()
-	var err error
-	own := cfg.Own
-	if own != nil {
-		n.bodies, err = message.NewStore(cfg.MemoryMB, &own.Bodies, clock)
-	} else {
-		n.bodies, err = message.NewStore(cfg.MemoryMB, nil, clock)
+	own := &settings.File{}
+	if cfg.Own != nil {
+		own = cfg.Own
 	}
-	if err != nil {
+	var err error
+	if n.bodies, err = message.NewStore(cfg.MemoryMB, &own.Bodies, clock); err != nil {
 		return nil, fmt.Errorf("bodies: %w", err)
 	}
 	both := cfg.rooms()
 	boxes := both.Side(admission.BoxSide)
-	if cfg.boxConns != 0 {
-		fixed := rooms.New(2*max(cfg.boxConns, 1), max(cfg.boxConns, 0))
-		boxes = fixed.Side(admission.BoxSide)
-		for cfg.boxConns < 0 && fixed.Side(admission.ClientSide).Take() {
-		}
+	if cfg.boxRoom != nil {
+		boxes = cfg.boxRoom
 	}
 	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle,
-		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now,
-		Dial: dial})
+		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now, Dial: dial})
 	var carrier engine.Carrier = n.carrier
-	if own != nil && own.JSONRPC.Listen != "" {
+	if own.JSONRPC.Listen != "" {
 		n.rpc = rpccarrier.New(rpccarrier.Config{Conns: own.JSONRPC.Conns, Room: boxes, Beside: own.JSONRPC.Beside, Reports: cfg.Settings.Reports,
 			Dial: dial, Log: log})
 		carrier = carriers{n.carrier, n.rpc}
--- a/internal/node/rpc_test.go
+++ b/internal/node/rpc_test.go
@@ -39,33 +39,8 @@
 
 func newRPCBox(t *testing.T, answer func(c net.Conn, m jsonrpc.Message) bool) *rpcBox {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := &rpcBox{http: newBox(t, served), ln: ln, answer: answer}
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			b.mu.Lock()
-			b.conns = append(b.conns, c)
-			b.mu.Unlock()
-			wg.Go(func() { b.talk(c) })
-		}
-	})
-	t.Cleanup(func() {
-		ln.Close()
-		b.mu.Lock()
-		for _, c := range b.conns {
-			c.Close()
-		}
-		b.mu.Unlock()
-		wg.Wait()
-	})
+	b := &rpcBox{http: newBox(t, served), answer: answer}
+	b.ln = accept(t, &b.mu, &b.conns, b.talk)
 	return b
 }
 
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -14,8 +14,10 @@
 	"testing"
 	"time"
 
+	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
+	"craneglade/internal/rooms"
 	"craneglade/internal/wire"
 	"craneglade/policy"
 )
@@ -45,41 +47,42 @@
 }
 
 func newBox(t *testing.T, answer func(c net.Conn, r *http.Request, nth int) bool) *box {
+	t.Helper()
+	b := &box{answer: answer, ended: make(chan struct{}, 1000), shut: make(chan struct{}, 5000)}
+	b.ln = accept(t, &b.mu, &b.conns, b.talk)
+	return b
+}
+
+// accept listens and has each connection talked to until the test ends. The connections so far are kept under mu.
+func accept(t *testing.T, mu *sync.Mutex, conns *[]net.Conn, talk func(net.Conn)) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &box{ln: ln, answer: answer, ended: make(chan struct{}, 1000), shut: make(chan struct{}, 5000)}
 	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
+	wg.Go(func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			b.mu.Lock()
-			b.conns = append(b.conns, c)
-			b.mu.Unlock()
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				b.talk(c)
-			}()
+			mu.Lock()
+			*conns = append(*conns, c)
+			mu.Unlock()
+			wg.Go(func() { talk(c) })
 		}
-	}()
+	})
 	t.Cleanup(func() {
 		ln.Close()
-		b.mu.Lock()
-		for _, c := range b.conns {
+		mu.Lock()
+		for _, c := range *conns {
 			c.Close()
 		}
-		b.mu.Unlock()
+		mu.Unlock()
 		wg.Wait()
 	})
-	return b
+	return ln
 }
 
 func (b *box) talk(c net.Conn) {
@@ -187,6 +190,13 @@
 	return append([]string(nil), g.urls...)
 }
 
+// roomFor holds so many connections to boxes.
+func roomFor(n int) *rooms.Room {
+	r := rooms.New(n+1, 0)
+	r.Side(admission.ClientSide).Take() // a total of 0 would mean no bound
+	return r.Side(admission.BoxSide)
+}
+
 // attempt is one send to a box, without a request of a client.
 func (r *rig) attempt(ctx context.Context, b *engine.Box, q call, wait time.Duration) policy.Outcome {
 	in, _ := http.NewRequest(q.method, "http://x/api", nil)
--- a/internal/rooms/rooms.go
+++ b/internal/rooms/rooms.go
@@ -40,9 +40,10 @@
 	return r.rooms.count.Take(r.side)
 }
 
-// Claim is Take that has the other side close an idle connection where it holds more than it is sure of.
-func (r *Room) Claim() bool {
-	if r.Take() {
+// Claim is Take that has idle connections closed for its sake where there is none: first one of the side's own, by own,
+// which may be nil, then one of the other side where that holds more than it is sure of.
+func (r *Room) Claim(own func() bool) bool {
+	if r.Take() || own != nil && own() && r.Take() {
 		return true
 	}
 	other := 1 - r.side
@@ -58,10 +59,3 @@
 	defer r.rooms.mu.Unlock()
 	r.rooms.count.Give(r.side)
 }
-
-// Used is what the side holds.
-func (r *Room) Used() int {
-	r.rooms.mu.Lock()
-	defer r.rooms.mu.Unlock()
-	return r.rooms.count.Used(r.side)
-}
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -88,7 +88,7 @@
 	}
 	n.mu.Unlock()
 	for _, l := range all {
-		l.closeIdle()
+		l.done()
 	}
 }
 
@@ -107,17 +107,6 @@
 	n.wg.Wait()
 }
 
-// Conns is how many connections there are.
-func (n *Carrier) Conns() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	sum := 0
-	for _, ls := range n.boxes {
-		sum += len(ls.all)
-	}
-	return sum
-}
-
 // Carry sends a call once and waits for its answer. A call that was written whole can't be taken back: when its attempt
 // ends before, the answer that may still come is dropped. One that was not written whole never ran, and none of it is
 // written after Carry has returned.
@@ -261,7 +250,7 @@
 }
 
 func (n *Carrier) connect(ctx context.Context, ls *links, addr string) (*link, error) {
-	if !n.cfg.Room.Claim() {
+	if !n.cfg.Room.Claim(nil) {
 		return nil, errNoRoom
 	}
 	conn, err := n.cfg.Dial(ctx, addr)
@@ -322,15 +311,6 @@
 	}
 }
 
-func (l *link) closeIdle() {
-	l.mu.Lock()
-	idle := len(l.calls) == 0
-	l.mu.Unlock()
-	if idle {
-		l.Close()
-	}
-}
-
 // read hands answers to their calls until the connection ends; then every call that is left on it may have run.
 func (l *link) read() {
 	in := jsonrpc.NewReader(bufio.NewReader(l.Conn))
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -159,7 +160,7 @@
 		}
 		c := &conn{Conn: nc, front: f, slots: make(chan struct{}, f.cfg.Inflight), open: map[string]bool{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
-		if !f.cfg.Room.Take() && !(f.Yield() && f.cfg.Room.Take()) && !f.cfg.Room.Claim() {
+		if !f.cfg.Room.Claim(f.Yield) {
 			c.write(jsonrpc.AppendError(nil, jsonrpc.Null, Refused, "no room for a connection", refusal(refuseWait)))
 			c.Close()
 			continue
@@ -272,7 +273,7 @@
 		}
 		c.deadline(time.Now().Add(wait))
 		if err := r.Wait(); err != nil {
-			if errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err) {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
 				c.mu.Lock()
 				busy := c.count > 0 && !c.ending
 				c.mu.Unlock()
@@ -318,11 +319,6 @@
 	io.CopyN(io.Discard, c.Conn, lingerSize)
 }
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // one answers a message that stands by itself.
 func (c *conn) one(v jsontext.Value, arrived time.Time) {
 	call, id, no := c.parse(v, arrived)
@@ -419,13 +415,13 @@
 func (c *conn) parse(v jsontext.Value, arrived time.Time) (call *rpccarrier.Call, id jsontext.Value, no []byte) {
 	m, err := jsonrpc.Parse(v, "")
 	refuse := func(code int, text, why string) []byte {
-		id := m.ID
-		if id == nil {
-			id = jsonrpc.Null
+		if m.Notification() {
+			return []byte{} // it is owed no answer, and nothing is done
 		}
-		return jsonrpc.AppendError(nil, id, code, text, quote(why))
+		return jsonrpc.AppendError(nil, m.ID, code, text, quote(why))
 	}
 	if err != nil {
+		m.ID = idOf(m.ID) // what is no request is no notification
 		return nil, nil, refuse(jsonrpc.InvalidRequest, "Invalid Request", err.Error())
 	}
 	if m.Method == "" && (m.Result != nil || m.Error != nil) {
@@ -434,9 +430,6 @@
 	}
 	how, ok := c.front.cfg.Methods[m.Method]
 	if !ok {
-		if m.Notification() {
-			return nil, nil, []byte{} // it is owed no answer, and nothing is done
-		}
 		return nil, nil, refuse(jsonrpc.MethodNotFound, "Method not found", m.Method)
 	}
 	call = &rpccarrier.Call{Method: m.Method, Params: m.Params, Request: engine.Request{Class: how.Class,
@@ -456,13 +449,13 @@
 	}
 	effect, _ := c.front.cfg.Engine.Effect(how.Class)
 	if effect == policy.Keyed && call.Key == "" {
-		return nil, nil, c.unless(m, refuse(jsonrpc.InvalidParams, "Invalid params", "no idempotency key at "+string(how.Key)))
+		return nil, nil, refuse(jsonrpc.InvalidParams, "Invalid params", "no idempotency key at "+string(how.Key))
 	}
 	if how.Deadline != "" {
 		if d, ok := jsonrpc.Find(m.Params, how.Deadline); ok {
 			ms, err := strconv.ParseFloat(string(d), 64)
 			if err != nil || !(ms > 0 && ms <= 1e9) {
-				return nil, nil, c.unless(m, refuse(jsonrpc.InvalidParams, "Invalid params", "the deadline is milliseconds above 0"))
+				return nil, nil, refuse(jsonrpc.InvalidParams, "Invalid params", "the deadline is milliseconds above 0")
 			}
 			call.Patience = min(call.Patience, time.Duration(ms*float64(time.Millisecond)))
 		}
@@ -483,14 +476,6 @@
 	return call, m.ID, nil
 }
 
-// unless is an answer for all but notifications, which are owed none.
-func (c *conn) unless(m jsonrpc.Message, no []byte) []byte {
-	if m.Notification() {
-		return []byte{}
-	}
-	return no
-}
-
 // start hands a call to the engine, once fewer than Inflight are open: until then nothing more is read, and the client is
 // slowed at its socket. answer is called once, with nil for a notification or a client that has left.
 func (c *conn) start(call *rpccarrier.Call, id jsontext.Value, answer func([]byte)) {
