--- a/internal/admission/clients.go
+++ b/internal/admission/clients.go
@@ -182,14 +182,21 @@
 // Spare returns a connection to close for another's sake, or nil where all are at work. Those go first whose address is
 // in doubt, then those that have said nothing for long, those whose request takes long to come, those that only ask for
 // the node's readiness, those that their clients keep, tenants past their share first, and at last new ones; of each sort
-// the longest so, of the address that holds most of them. busy tells that something has come on a connection that the
-// account does not know of yet: such a one is left, and few are asked about.
-func (a *Clients) Spare(now time.Duration, busy func(*Conn) bool) *Conn {
+// the longest so, of the address that holds most of them. For a box's sake, client telling that it is not, the last few new
+// ones stay: requests are on their way on them, and one that has no room at a box is refused with an answer, which they
+// would not get. Where there are more, most of them are silent.
+// busy tells that something has come on a connection that the account does not know of yet: such a one is left, and few
+// are asked about.
+func (a *Clients) Spare(now time.Duration, client bool, busy func(*Conn) bool) *Conn {
 	a.now = max(a.now, now)
+	last := time.Duration(0)
+	if !client && a.lines[Unspoken].n <= spares {
+		last = a.limits.Silent
+	}
 	for _, from := range []struct {
 		s   State
 		age time.Duration
-	}{{Doubted, 0}, {Unspoken, a.limits.Silent}, {Reading, a.limits.Slow}, {Health, 0}, {Lesser, 0}, {Kept, 0}, {Unspoken, 0}} {
+	}{{Doubted, 0}, {Unspoken, a.limits.Silent}, {Reading, a.limits.Slow}, {Health, 0}, {Lesser, 0}, {Kept, 0}, {Unspoken, last}} {
 		l := &a.lines[from.s]
 		asked := 0
 		// That of the address with most; where those are too young, the longest of all.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Rehearse rehearseCmd      `cmd:"" help:"Play a scenario on this machine: nodes, boxes, a box list and clients; judge the four rules."`
 	Lab      labCmd           `cmd:"" help:"Play a scenario in virtual time, over seeds and settings of the decision module, and compare them."`
 	Judge    judgeCmd         `cmd:"" help:"Judge the trace of a rehearsal again."`
+	Fleet    fleetCmd         `cmd:"" help:"Print what a running node believes of each box, and why."`
 	Check    checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
 }
 
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -29,6 +29,8 @@
 	Only     bool     `help:"Leave out the setting that is in service."`
 	Workers  int      `placeholder:"N" help:"Play so many days at a time; without it one for each processor."`
 	Trace    string   `placeholder:"FILE" type:"path" help:"Play only the first seed with the first setting, and keep its trace, for craneglade judge."`
+	Counts   bool     `help:"Play only the first seed with the first setting, and write what all nodes did together, second by second."`
+	Chart    string   `placeholder:"FILE" type:"path" help:"The same, drawn as SVG."`
 	Beliefs  string   `placeholder:"FILE" type:"path" help:"The same, and keep what each node believes of each box, once a second beside what is true, in JSON lines."`
 
 	outputs `embed:""`
@@ -48,7 +50,7 @@
 		return err
 	}
 	sweep := &lab.Sweep{Name: strings.TrimSuffix(filepath.Base(c.Scenario), ".toml"), Scenario: s, Settings: sets, Workers: c.Workers}
-	if c.Trace != "" || c.Beliefs != "" {
+	if c.Trace != "" || c.Beliefs != "" || c.Counts || c.Chart != "" {
 		return c.one(a, sweep)
 	}
 	for i := range c.Seeds {
@@ -110,6 +112,14 @@
 		}
 		fmt.Fprintln(t)
 	}
+	fmt.Fprint(t, "\n")
+	for i := range out[0].Costs {
+		fmt.Fprintf(t, "%s", out[0].Costs[i].Name)
+		for _, o := range out {
+			fmt.Fprintf(t, "\t%v", o.Costs[i].Is)
+		}
+		fmt.Fprintln(t)
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
@@ -150,12 +160,33 @@
 		}
 		defer func() { err = errors.Join(err, bad, buf.Flush(), f.Close()) }()
 	}
+	o.Counts = &lab.Counts{}
 	if err := lab.Play(o); err != nil {
 		return exit{ExitUsage, err}
 	}
+	if c.Chart != "" {
+		if err := save(c.Chart, o.Counts.Chart); err != nil {
+			return exit{ExitUsage, err}
+		}
+	}
+	if c.Counts {
+		return counted(a.out, o.Counts)
+	}
 	return nil
 }
 
+// counted writes what the nodes did by second, for a terminal.
+func counted(w io.Writer, c *lab.Counts) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "second\tattempts\tnew conns\tshaken s\tacross\tcold s\tbudget\tuntried\ttried\tlist\twhole\taway\treport s\tno report\topen\topen p99\theld\tbelieved\t")
+	for i := range c.Seconds {
+		s := &c.Seconds[i]
+		fmt.Fprintf(t, "%d\t%d\t%d\t%.1f\t%d\t%.1f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\t%.1f\t%.0f\t%.2f\t%.2f\t\n", s.At, s.Attempts, s.NewConns, s.Shaken,
+			s.Crossing, s.Cold, s.ColdUsed, s.Untried, s.Tried, s.Asked, s.Whole, s.Away, s.Age, s.Unheard, s.Open, s.OpenP99, s.Held, s.Believed)
+	}
+	return t.Flush()
+}
+
 // figures are what a setting can change.
 var figures = []struct {
 	name     string
--- a/internal/cli/rehearse.go
+++ b/internal/cli/rehearse.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if s.List.Calls > 0 {
+		return usage("list.calls: only the laboratory plays a list of fixed capacity: use lab, or leave it out")
+	}
 	seed := c.Seed
 	if seed == 0 {
 		seed = s.Seed
--- /dev/null
+++ b/internal/decay/decay.go
@@ -0,0 +1,39 @@
+// Package decay keeps sums and means that forget. Times are in seconds, of any clock that never steps back.
+package decay
+
+import "math"
+
+// Tally is a sum and the count behind it, both of which fade. Its zero value is empty.
+type Tally struct{ Sum, N float64 }
+
+// Add counts x once.
+func (t *Tally) Add(x float64) { t.Sum, t.N = t.Sum+x, t.N+1 }
+
+// Fade leaves the part f of both.
+func (t *Tally) Fade(f float64) { t.Sum, t.N = t.Sum*f, t.N*f }
+
+// Level is the mean of what came lately. Its zero value is a level of 0 that nothing told of.
+type Level struct {
+	Mean float64
+	n    float64 // values behind it, decayed
+	at   float64
+}
+
+// Add takes in x. Values count for about tau, and prior values of 0 stand before the first, which would else be all.
+func (l *Level) Add(now, x, tau, prior float64) {
+	l.n = l.n*math.Exp((l.at-now)/tau) + 1
+	l.at = now
+	l.Mean += (x - l.Mean) / (l.n + prior)
+}
+
+// Swing tells by how much a count stands over or under what it was lately. Its zero value starts from 0.
+type Swing struct{ mean, at float64 }
+
+// Of is n over its mean of the last tau, within 1/most and most. Where it is near 0, one more is chance and tells nothing;
+// prior is added to the mean so that small counts swing little.
+func (s *Swing) Of(now, n, tau, prior, most float64) float64 {
+	s.mean += (n - s.mean) * (1 - math.Exp((s.at-now)/tau))
+	s.at = now
+	beyond := math.Copysign(max(0, math.Abs(n-s.mean)-1/(1+s.mean)), n-s.mean)
+	return min(most, max(1/most, 1+beyond/(s.mean+prior)))
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"craneglade/internal/membership"
 	"craneglade/policy"
 )
 
@@ -109,7 +110,8 @@
 type Result struct {
 	Outcome policy.Outcome
 	Load    policy.Load
-	Reply   any // of one that was served, unless it was delivered; told by Release, if it has that, where nobody gets it
+	Fresh   bool // a connection was opened for it, whether or not that came up
+	Reply   any  // of one that was served, unless it was delivered; told by Release, if it has that, where nobody gets it
 }
 
 // Carrier carries attempts to boxes.
@@ -134,6 +136,7 @@
 	Seed     uint64
 	Clock    Clock
 	Carrier  Carrier
+	Members  *membership.Fleet // what other sources than the list say counts too; nil for the list alone
 	Log      *slog.Logger
 }
 
@@ -142,6 +145,7 @@
 	set     policy.Settings
 	clock   Clock
 	log     *slog.Logger
+	tells   bool // the log takes a line for each attempt
 	carrier Carrier
 
 	ctx  context.Context // ends when the engine does; attempts hang on it
@@ -160,6 +164,9 @@
 	nextNum  uint32
 	version  int64 // of the list
 	ready    bool  // some box is listed as ready
+
+	members     *membership.Fleet // nil for the list alone
+	memberTimer *time.Timer
 }
 
 // New returns an engine that knows no box. An error names the setting that makes no sense.
@@ -168,9 +175,10 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{set: cfg.Settings, clock: cfg.Clock, log: cfg.Log, carrier: cfg.Carrier, bal: bal,
+	e := &Engine{set: cfg.Settings, clock: cfg.Clock, log: cfg.Log, carrier: cfg.Carrier, bal: bal, members: cfg.Members,
 		requests: map[string]*Request{}, names: map[string]*Box{}, boxes: map[uint32]*Box{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.tells = cfg.Log.Enabled(e.ctx, slog.LevelDebug)
 	return e, nil
 }
 
@@ -178,6 +186,9 @@
 func (e *Engine) Stop() {
 	e.mu.Lock() // each attempt is added under it, and none after this
 	e.stop()
+	if e.memberTimer != nil {
+		e.memberTimer.Stop()
+	}
 	e.mu.Unlock()
 	e.wg.Wait()
 }
@@ -288,6 +299,11 @@
 		release(res.Reply)
 	}
 	now := e.clock.Now()
+	if e.tells {
+		e.log.LogAttrs(e.ctx, slog.LevelDebug, "attempt", slog.String("backend", a.Box.ID), slog.String("zone", a.Box.Zone),
+			slog.String("class", r.Class), slog.Int("nth", a.index), slog.Any("outcome", res.Outcome), slog.Duration("took", now-a.sent),
+			slog.Bool("fresh", res.Fresh), slog.Float64("held", res.Load.Held), slog.Float64("queue", res.Load.Queue))
+	}
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.Box.Number, Attempt: a.index,
 		Took: now - a.sent, Last: r.answered, Outcome: res.Outcome, Load: res.Load})
 	e.forget(r)
@@ -331,6 +347,9 @@
 				r.attempts[a.Attempt].cancel()
 			}
 		case policy.ActRefuse:
+			if e.tells {
+				e.log.LogAttrs(e.ctx, slog.LevelDebug, "refused", slog.Duration("retry_after", a.Wait))
+			}
 			e.finish(a.ID, Answer{Kind: Refused, RetryAfter: a.Wait})
 		case policy.ActFail:
 			e.finish(a.ID, Answer{Kind: Failed})
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -4,20 +4,13 @@
 	"sync/atomic"
 	"time"
 
+	"craneglade/internal/membership"
+	"craneglade/internal/subset"
 	"craneglade/policy"
 )
 
 // Listed is one box in a list.
-type Listed struct {
-	ID        string `json:"id"`
-	Addr      string `json:"addr"`
-	Zone      string `json:"zone"`
-	Kind      string `json:"kind"`
-	Cell      int64  `json:"cell"`
-	State     string `json:"state"`
-	StartedMS int64  `json:"started_ms"`
-	RPC       string `json:"rpc"` // where it speaks JSON-RPC; "" for a box that does not. Beyond PROTOCOL
-}
+type Listed = membership.Box
 
 // SpeaksRPC is the bit of policy.Entry's Speaks and of Request's Needs for JSON-RPC.
 const SpeaksRPC = 1
@@ -34,22 +27,44 @@
 	Number uint32 // the module's name for it
 	ID     string // the list's
 	Addr   string
+	Zone   string
 	RPC    string
 	Kept   any // the HTTP carrier's own; only it touches this
 
+	addrs   atomic.Pointer[[]string]
 	started int64
 	left    bool         // off the list; guarded by the engine's lock
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
 
+// Addrs are all addresses of the box where it has several; nil for Addr alone.
+func (b *Box) Addrs() []string {
+	if p := b.addrs.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// SetAddrs sets all addresses of the box; with less than two it answers at Addr alone.
+func (b *Box) SetAddrs(addrs []string) {
+	if len(addrs) < 2 {
+		b.addrs.Store(nil)
+		return
+	}
+	b.addrs.Store(&addrs)
+}
+
 // Shut tells whether nothing new may be written to the box any more: its drain's grace is over.
 func (b *Box) Shut() bool {
 	stop := b.stop.Load()
 	return stop != 0 && time.Now().UnixNano() >= stop
 }
 
-// ShutFrom has nothing new written to the box from t on. One that is shut already keeps its moment.
-func (b *Box) ShutFrom(t time.Time) { b.stop.CompareAndSwap(0, t.UnixNano()) }
+// ShutFrom has nothing new written to the box from t on, or from an earlier moment that was told before.
+func (b *Box) ShutFrom(t time.Time) {
+	for old := b.stop.Load(); (old == 0 || t.UnixNano() < old) && !b.stop.CompareAndSwap(old, t.UnixNano()); old = b.stop.Load() {
+	}
+}
 
 // Reopen takes a ShutFrom back.
 func (b *Box) Reopen() { b.stop.Store(0) }
@@ -88,7 +103,11 @@
 func (e *Engine) News(s Source, l *List, kind policy.ListKind, fresh func(known int64) bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.source == s && e.ctx.Err() == nil && fresh(e.version) {
+	if e.source != s || e.ctx.Err() != nil {
+		return
+	}
+	e.listHeard()
+	if fresh(e.version) {
 		e.take(l, kind)
 	}
 }
@@ -109,10 +128,19 @@
 	return e.ready
 }
 
-// take brings the boxes up to date and hands the list to the module. e.mu is held.
+// take takes in a list, with what other sources say. e.mu is held.
 func (e *Engine) take(l *List, kind policy.ListKind) {
-	now := e.clock.Now()
 	e.version = l.Version
+	if e.members == nil {
+		e.apply(l, kind)
+	} else {
+		e.merge(l, kind)
+	}
+}
+
+// apply brings the boxes up to date and hands the list to the module. e.mu is held.
+func (e *Engine) apply(l *List, kind policy.ListKind) {
+	now := e.clock.Now()
 	entries := make([]policy.Entry, 0, len(l.Servers))
 	seen := map[string]bool{}
 	for i := range l.Servers {
@@ -120,7 +148,7 @@
 	}
 	for i := range l.Servers {
 		s := &l.Servers[i]
-		x := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
+		x := policy.Entry{Place: subset.Hash(s.ID), Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
 		if s.RPC != "" {
 			x.Speaks = SpeaksRPC
 		}
@@ -150,12 +178,15 @@
 				}
 			}
 			e.nextNum++
-			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, RPC: s.RPC, started: s.StartedMS}
+			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS}
 		case b.started != s.StartedMS:
 			old := b
-			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, RPC: s.RPC, started: s.StartedMS} // the module tells the two apart by the start
+			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS} // the module tells the two apart by the start
 			e.carrier.Retire(old)
 		}
+		if len(s.Addrs) > 1 || x.State == policy.Active { // news of a drain need not tell them
+			b.SetAddrs(s.Addrs)
+		}
 		e.names[s.ID], e.boxes[b.Number] = b, b
 		x.ID = b.Number
 		entries = append(entries, x)
--- /dev/null
+++ b/internal/engine/members.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"time"
+
+	"craneglade/internal/membership"
+	"craneglade/policy"
+)
+
+// Names takes in the whole answer of a source that names boxes beside the list. It returns whether the source is to be asked
+// again at once. Without Config.Members nothing changes.
+func (e *Engine) Names(source string, boxes []Listed) (again bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.members == nil || e.ctx.Err() != nil {
+		return false
+	}
+	changed, again := e.members.Names(e.clock.Now(), source, boxes)
+	e.change(changed)
+	return again
+}
+
+// Members is where each box stands and why, by its address; nil without Config.Members.
+func (e *Engine) Members() []membership.Standing {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.members == nil {
+		return nil
+	}
+	return e.members.All()
+}
+
+// merge takes in a list with what other sources say of its boxes. e.mu is held.
+func (e *Engine) merge(l *List, kind policy.ListKind) {
+	stands := e.members.List(e.clock.Now(), kind != policy.ListDelta, l.Servers)
+	out := List{Version: l.Version, Servers: make([]Listed, 0, len(stands))}
+	for i := range stands {
+		// What a whole list leaves out is gone by that, and one that is empty must look so.
+		if kind == policy.ListDelta || stands[i].Box.State != membership.Gone {
+			out.Servers = append(out.Servers, stands[i].Box)
+		}
+	}
+	e.apply(&out, kind)
+	e.shut(stands)
+	e.remind()
+}
+
+// change applies what has changed beside the list. e.mu is held.
+func (e *Engine) change(stands []membership.Standing) {
+	if len(stands) > 0 {
+		l := List{Version: e.version}
+		for i := range stands {
+			l.Servers = append(l.Servers, stands[i].Box)
+			e.log.Info("a box stands anew", "box", stands[i].Box.ID, "addr", stands[i].Box.Addr, "used", stands[i].Use,
+				"why", stands[i].Why, "source", stands[i].Source)
+		}
+		e.apply(&l, policy.ListDelta)
+		e.shut(stands)
+	}
+	e.remind()
+}
+
+// shut has the grace of boxes that are out run from the moment at which the first source told. e.mu is held.
+func (e *Engine) shut(stands []membership.Standing) {
+	for i := range stands {
+		s := &stands[i]
+		if b := e.names[s.Box.ID]; b != nil && !s.Use && b.Addr == s.Box.Addr {
+			b.ShutFrom(time.Now().Add(s.Told - e.clock.Now() + e.set.DrainGrace*9/10))
+		}
+	}
+}
+
+// listHeard notes that the list's source has answered, also where it had nothing new. e.mu is held.
+func (e *Engine) listHeard() {
+	if e.members != nil {
+		e.change(e.members.Heard(e.clock.Now()))
+	}
+}
+
+// remind sets the timer for what changes by time alone. e.mu is held.
+func (e *Engine) remind() {
+	next := e.members.Next()
+	if e.memberTimer != nil {
+		e.memberTimer.Stop()
+	}
+	if next == 0 {
+		return
+	}
+	e.memberTimer = time.AfterFunc(max(0, next-e.clock.Now())+time.Millisecond, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.ctx.Err() == nil {
+			e.change(e.members.Tick(e.clock.Now()))
+		}
+	})
+}
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -18,6 +18,7 @@
 	"craneglade/internal/bodies"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
+	"craneglade/internal/reach"
 	"craneglade/internal/rooms"
 	"craneglade/internal/wire"
 	"craneglade/policy"
@@ -35,7 +36,8 @@
 	Reports bool           // answers may hold load reports
 	Bodies  *message.Store // room for answers; one that has none, or is over message.MaxBody, is passed on while it comes
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
-	Now     func() time.Time // what connections age by; nil for time.Now
+	DialOn  func(ctx context.Context, network, addr string) (net.Conn, error) // for boxes with several addresses, of any kind
+	Now     func() time.Time                                                  // what connections age by; nil for time.Now
 	Log     *slog.Logger
 }
 
@@ -71,41 +73,66 @@
 // Carry sends the request once and waits for what comes back. It returns only after a connection that it gave up is
 // closed, so that an attempt that follows is never a second copy.
 func (n *Carrier) Carry(ctx context.Context, a *engine.Attempt) engine.Result {
+	fresh := false
+	res := n.carry(ctx, a, &fresh)
+	res.Fresh = fresh
+	return res
+}
+
+// carry is Carry. It sets fresh where it opens a connection.
+func (n *Carrier) carry(ctx context.Context, a *engine.Attempt, fresh *bool) engine.Result {
 	ctx, cancel := context.WithTimeoutCause(ctx, a.Wait, errTimeout)
 	defer cancel()
 	r, ok := a.Request.Payload.(*message.Request)
 	if !ok {
 		return engine.Result{Outcome: policy.Moot} // another protocol's: never sent
 	}
-	text, err := encode(r, a.Wait)
+	b := n.pool.of(a.Box)
+	heard := b.heard.Load()
+	// A request whose last byte was not written goes on to the box's next address, within the same time.
+	wait := a.Wait
+	for again := len(a.Box.Addrs()); ; again-- {
+		res, part := n.send(ctx, a, r, wait, b, heard, fresh)
+		if !part || again <= 1 {
+			return res
+		}
+		if end, ok := ctx.Deadline(); ok { // the box is told what is left
+			wait = max(time.Until(end), time.Microsecond)
+		}
+	}
+}
+
+// send is one try of carry on one connection. part tells that the request can't have reached the box whole, and may go out on another
+// connection of the same attempt.
+func (n *Carrier) send(ctx context.Context, a *engine.Attempt, r *message.Request, wait time.Duration, b *kept, heard int64, fresh *bool) (res engine.Result, part bool) {
+	text, err := encode(r, wait)
 	if err != nil {
 		n.log.Warn("a request can't be written", "err", err)
-		return engine.Result{Outcome: policy.Moot}
+		return engine.Result{Outcome: policy.Moot}, false
 	}
-	b := n.pool.of(a.Box)
-	heard := b.heard.Load()
-	c, err := n.pool.get(ctx, b, a.Box.Addr, a.Effect == policy.Unsafe)
+	c, err := n.pool.get(ctx, b, a.Box, a.Effect == policy.Unsafe)
+	*fresh = *fresh || c == nil && !errors.Is(err, errSockets) || c != nil && c.rested == 0
 	switch {
-	case errors.Is(err, errSockets):
-		return engine.Result{Outcome: policy.Moot} // not the backend's doing, and not to be held against it
+	case errors.Is(err, errSockets), errors.Is(err, reach.ErrStopped):
+		return engine.Result{Outcome: policy.Moot}, false // not the backend's doing, and not to be held against it
 	case err != nil && context.Cause(ctx) == nil, errors.Is(context.Cause(ctx), errTimeout):
-		return engine.Result{Outcome: policy.ConnectFailed}
+		return engine.Result{Outcome: policy.ConnectFailed}, false
 	case err != nil:
-		return engine.Result{Outcome: policy.Canceled}
+		return engine.Result{Outcome: policy.Canceled}, false
 	}
 	// A send is stopped that was given up, or whose backend's drain grace ended, while it waited for a connection.
 	if a.Box.Shut() {
 		n.pool.put(c)
-		return engine.Result{Outcome: policy.Moot}
+		return engine.Result{Outcome: policy.Moot}, false
 	}
 	if ctx.Err() != nil {
 		n.pool.put(c)
-		return engine.Result{Outcome: policy.Canceled}
+		return engine.Result{Outcome: policy.Canceled}, false
 	}
 	p := r.Body
 	if p != nil && p.Tier == bodies.Once && !p.Begun.CompareAndSwap(false, true) {
 		n.pool.put(c)
-		return engine.Result{Outcome: policy.Moot} // it is not kept, and an earlier attempt has begun to send it
+		return engine.Result{Outcome: policy.Moot}, false // it is not kept, and an earlier attempt has begun to send it
 	}
 	giveUp := context.AfterFunc(ctx, func() { c.Close() })
 	sent, err := c.Write(text)
@@ -119,7 +146,7 @@
 			if errors.Is(err, message.ErrClient) {
 				a.Abort(message.CutShort(err))
 			}
-			return engine.Result{Outcome: policy.Moot}
+			return engine.Result{Outcome: policy.Moot}, false
 		}
 	}
 	var resp *http.Response
@@ -142,9 +169,19 @@
 	case context.Cause(ctx) == nil: // it ended by the backend's doing, before a byte
 		n.pool.learn(c, false)
 	}
+	if c.addr != "" {
+		switch {
+		case err == nil, errors.Is(err, errSpoilt):
+			n.pool.reach.Answered(c.addr)
+		case !whole:
+			n.pool.reach.Failed(c.addr)
+		case errors.Is(context.Cause(ctx), errTimeout):
+			n.pool.reach.Silent(c.addr)
+		}
+	}
 	if err == nil && stream {
 		b.heard.Add(1)
-		return n.flow(ctx, a, c, resp, giveUp)
+		return n.flow(ctx, a, c, resp, giveUp), false
 	}
 	// The answer stands, however its connection ends; but only a sound one is used again.
 	if giveUp() && err == nil && !resp.Close && len(resp.TransferEncoding) == 0 && c.in.Buffered() == 0 {
@@ -162,7 +199,7 @@
 		outcome := policy.Reset // unless shown otherwise it may have run
 		switch cause := context.Cause(ctx); {
 		case cause != nil && !errors.Is(cause, errTimeout):
-			return engine.Result{Outcome: policy.Canceled}
+			return engine.Result{Outcome: policy.Canceled}, false
 		case !whole:
 			outcome = policy.ConnectFailed // its last byte was never written
 		case cause != nil:
@@ -174,15 +211,15 @@
 			n.pool.clear(b, false)
 		}
 		n.log.Debug("an attempt broke off", "box", a.Box.ID, "err", err)
-		return engine.Result{Outcome: outcome}
+		return engine.Result{Outcome: outcome}, c.addr != "" && !whole && ctx.Err() == nil && (p == nil || p.Memory != nil)
 	}
-	res := n.judge(a.Box, resp, body)
+	res = n.judge(a.Box, resp, body)
 	if p, ok := res.Reply.(*message.Reply); ok && held > 0 {
 		p.Holds(n.bodies, held)
 	} else if held > 0 {
 		n.bodies.Free(held)
 	}
-	return res
+	return res, false
 }
 
 // encode is the request as it goes out, with the headers that PROTOCOL knows.
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -14,6 +14,7 @@
 
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
+	"craneglade/internal/reach"
 	"craneglade/internal/rooms"
 	"craneglade/internal/sock"
 )
@@ -28,6 +29,7 @@
 // a time, and comes back only after an answer that was read whole with nothing behind it.
 type pool struct {
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
+	reach *reach.Dialer // for boxes with several addresses
 	room  *rooms.Room
 	idle  time.Duration // a connection that stood for this long is closed
 	told  time.Duration // for how long boxes keep them, as the settings have it
@@ -46,6 +48,8 @@
 	if p.now == nil {
 		p.now = time.Now
 	}
+	begun := time.Now()
+	p.reach = &reach.Dialer{Base: cfg.DialOn, Now: func() time.Duration { return time.Since(begun) }, Take: p.room.Take, Give: p.room.Give}
 	// A request written to a connection that the box has just closed ends as a reset: retire it before.
 	p.idle = cfg.Idle * 9 / 10
 	p.told, p.start = cfg.Idle, p.now()
@@ -86,6 +90,7 @@
 	cap    io.LimitedReader // between the socket and in: no answer goes on without end
 	in     *bufio.Reader
 	box    *kept
+	addr   string         // of a box that has several; "" for others
 	rested time.Duration  // for how long it had when it was taken; 0 for one that has carried nothing yet
 	since  time.Time      // when it came to rest,
 	place  *lists.Element // and where; nil while it has an owner. Guarded by pool.mu
@@ -93,11 +98,11 @@
 
 // get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close. What must
 // not be sent twice goes only on a connection that the box is sure to have kept.
-func (p *pool) get(ctx context.Context, k *kept, addr string, once bool) (*boxConn, error) {
+func (p *pool) get(ctx context.Context, k *kept, box *engine.Box, once bool) (*boxConn, error) {
 	for {
 		c := p.take(k, once)
 		if c == nil {
-			return p.connect(ctx, k, addr)
+			return p.connect(ctx, k, box)
 		}
 		if wait := restTime - p.now().Sub(c.since); wait > 0 {
 			rested := time.NewTimer(wait)
@@ -165,21 +170,28 @@
 }
 
 // connect opens a connection, for which one to another box makes room where there are too many.
-func (p *pool) connect(ctx context.Context, k *kept, addr string) (*boxConn, error) {
+func (p *pool) connect(ctx context.Context, k *kept, box *engine.Box) (*boxConn, error) {
 	if !p.room.Claim(p.spare) { // what it closes is another box's: this one has none
 		return nil, errSockets
 	}
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	conn, err := p.dial(ctx, addr)
+	var conn net.Conn
+	var err error
+	addr := ""
+	if addrs := box.Addrs(); len(addrs) > 1 {
+		conn, addr, err = p.reach.Dial(ctx, addrs, func() bool { return !box.Shut() })
+	} else {
+		conn, err = p.dial(ctx, box.Addr)
+	}
 	if err != nil {
 		p.mu.Lock()
 		p.gone()
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &boxConn{Conn: conn, box: k}
+	c := &boxConn{Conn: conn, box: k, addr: addr}
 	c.cap.R = conn
 	c.in = bufio.NewReader(&c.cap)
 	return c, nil
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -51,10 +51,11 @@
 	Engine *engine.Engine
 	Bodies *message.Store
 	Clock  engine.Clock
-	Room   *rooms.Room        // descriptors for connections of clients,
-	Extra  int                // and so many beyond them, for telling clients that there is no room
-	Asking int                // connections that carry requests at a time
-	Shares map[string]float64 // requests a second that each tenant has a share in this node of
+	Room   *rooms.Room                  // descriptors for connections of clients,
+	Extra  int                          // and so many beyond them, for telling clients that there is no room
+	Asking int                          // connections that carry requests at a time
+	Shares map[string]float64           // requests a second that each tenant has a share in this node of
+	Waited func(net.Conn) time.Duration // how long a connection's latest bytes lay in the kernel; nil for sock.Waited
 	Log    *slog.Logger
 }
 
@@ -65,6 +66,7 @@
 	engine  *engine.Engine
 	bodies  *message.Store
 	clock   engine.Clock
+	waited  func(net.Conn) time.Duration
 	log     *slog.Logger
 	leaving atomic.Bool     // the node is to end
 	closing atomic.Bool     // and connections are to
@@ -105,6 +107,9 @@
 		room: cfg.Room, extra: make(chan struct{}, max(1, cfg.Extra)), conns: map[*clientConn]struct{}{},
 		tenants: admission.NewTenants(cfg.Shares),
 		account: admission.NewClients(admission.Limits{Asking: cfg.Asking, Silent: silentTime, Slow: readTime})}
+	if s.waited = cfg.Waited; s.waited == nil {
+		s.waited = sock.Waited
+	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -212,11 +217,16 @@
 	return a.String()
 }
 
-// Yield closes a connection that carries no request, for another's sake, and tells whether there was one.
-func (s *Front) Yield() bool {
+// Yield closes a connection that carries no request, for another client's sake, and tells whether there was one.
+func (s *Front) Yield() bool { return s.yield(true) }
+
+// Lend is Yield for a box's sake: the last few new connections stay.
+func (s *Front) Lend() bool { return s.yield(false) }
+
+func (s *Front) yield(client bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	spare := s.account.Spare(s.now(), func(c *admission.Conn) bool { return sock.Pending(c.Owner.(*clientConn).Conn) != sock.Nothing })
+	spare := s.account.Spare(s.now(), client, func(c *admission.Conn) bool { return sock.Pending(c.Owner.(*clientConn).Conn) != sock.Nothing })
 	if spare != nil {
 		s.drop(spare.Owner.(*clientConn))
 	}
@@ -397,7 +407,7 @@
 	// Its client's time has run since it came to this machine, not since it was read here.
 	late := time.Duration(0)
 	if !behind {
-		late = sock.Waited(c.Conn)
+		late = s.waited(c.Conn)
 	}
 	r.Arrived = r.Arrived.Add(-late)
 	s.reading(c, end)
--- a/internal/kit/boxmodel/budget.go
+++ b/internal/kit/boxmodel/budget.go
@@ -16,6 +16,7 @@
 	window time.Duration
 	sends  []send
 	caps   []level
+	worst  float64
 }
 
 type send struct {
@@ -76,6 +77,7 @@
 		}
 	}
 	limit := b.factor*b.able(at-b.window, at) + 3*math.Sqrt(square)
+	b.worst = max(b.worst, sum/limit)
 	if sum <= limit {
 		return nil
 	}
@@ -86,6 +88,9 @@
 	return e
 }
 
+// Worst is the largest part of its budget that any window so far was sent: above 1 it was overspent.
+func (b *Budget) Worst() float64 { return b.worst }
+
 // able is the work that the box could do between two moments. Before its first level it counts as that level: the
 // window of a box that has just started is not cut short by its start.
 func (b *Budget) able(from, to time.Duration) float64 {
--- a/internal/kit/judge/judge.go
+++ b/internal/kit/judge/judge.go
@@ -145,8 +145,9 @@
 }
 
 type node struct {
-	killed  int64 // when it was last killed or was seen to have crashed; -1 for never
-	told    map[string]told
+	killed  int64           // when it was last killed or was seen to have crashed; -1 for never
+	told    map[string]told // by the list
+	names   map[string]told // boxes that DNS took back
 	started int64
 }
 
@@ -217,7 +218,7 @@
 func (j *Judge) node(name string) *node {
 	n := j.nodes[name]
 	if n == nil {
-		n = &node{killed: -1, told: map[string]told{}}
+		n = &node{killed: -1, told: map[string]told{}, names: map[string]told{}}
 		j.nodes[name] = n
 	}
 	return n
@@ -284,7 +285,18 @@
 	case trace.Reply:
 		j.reply(r)
 	case trace.Told:
-		j.node(r.Node).told[r.Box] = told{r.State, r.T, r.line}
+		n := j.node(r.Node)
+		switch _, out := n.names[r.Box]; {
+		case r.How != trace.ByNames:
+			n.told[r.Box] = told{r.State, r.T, r.line}
+			if r.State == trace.Ready { // a new process, of which DNS has taken nothing back
+				delete(n.names, r.Box)
+			}
+		case r.State == trace.Ready:
+			delete(n.names, r.Box)
+		case !out:
+			n.names[r.Box] = told{r.State, r.T, r.line}
+		}
 	case trace.Box:
 		j.box(r)
 	case trace.Cap:
@@ -326,6 +338,7 @@
 	switch r.State {
 	case trace.Started:
 		n.started = r.T
+		clear(n.names) // it has asked nobody yet
 		for id, t := range n.told {
 			t.at = max(t.at, r.T) // what it was told before it lived counts from its start
 			n.told[id] = t
@@ -586,6 +599,10 @@
 // drain holds an attempt's first byte against what its node was told.
 func (j *Judge) drain(r lineRec, first int64) {
 	t, ok := j.node(r.Node).told[r.Box]
+	// The grace runs from the first source that told.
+	if d, out := j.node(r.Node).names[r.Box]; out && (!ok || t.state == trace.Ready || d.at < t.at) {
+		t, ok = d, true
+	}
 	if !ok || t.state == trace.Ready {
 		return
 	}
--- /dev/null
+++ b/internal/kit/lab/counts.go
@@ -0,0 +1,197 @@
+package lab
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Counts are what a play's nodes did together: second by second, and over the whole of it.
+type Counts struct {
+	Seconds []Second `json:"seconds"`
+
+	NewConns  float64 `json:"new_connections_an_attempt"`
+	Handshake float64 `json:"handshake_part_of_work"` // of all work sent
+	OpenMean  float64 `json:"open_connections_mean"`  // at a box, over boxes and seconds
+	OpenP99   float64 `json:"open_connections_p99"`
+	OpenMost  float64 `json:"open_connections_most"`
+	ListCalls float64 `json:"list_calls_a_node"` // in the 10 s after each start of nodes but the first, or in the whole play without one
+	ListAway  float64 `json:"list_calls_turned_away_a_node"`
+	ColdWorst float64 `json:"cold_budget_worst"` // largest part of a cold box's budget that any window was sent; 1 is all of it
+	Spread    float64 `json:"work_p99_to_mean"`  // of the work that warm boxes got in a second, for each core's speed
+
+	starts  []time.Duration
+	opens   []float64
+	uneven  []float64
+	calls   float64 // after starts
+	away    float64
+	sentAll time.Duration
+	shaken  time.Duration
+	got     map[*box]time.Duration // work sent in this second
+}
+
+// Second is one second of a play, over the whole fleet.
+type Second struct {
+	At       int     `json:"at"` // seconds since the traffic began
+	Attempts int     `json:"attempts"`
+	NewConns int     `json:"new_connections"`
+	Shaken   float64 `json:"handshake_core_seconds"`
+	Crossing int     `json:"across_sites"`
+	Cold     float64 `json:"cold_core_seconds"` // work sent to boxes that warm up
+	ColdUsed float64 `json:"cold_budget_used"`  // the largest part of a cold box's budget at any time so far today
+	Untried  int     `json:"refused_untried"`   // refusals by what went before: no attempt,
+	Tried    int     `json:"refused_tried"`     // or some, none of which ran
+	Asked    int     `json:"list_calls"`
+	Whole    int     `json:"whole_lists"` // of them, those for the whole list
+	Away     int     `json:"list_calls_turned_away"`
+	Age      float64 `json:"report_age_s"` // mean age of the report by which a box was chosen
+	Unheard  int     `json:"without_report"`
+	Open     float64 `json:"open_connections"` // at a box, mean of those in service
+	OpenP99  float64 `json:"open_connections_p99"`
+	Held     float64 `json:"held"` // requests at a box, in truth: mean
+	Believed float64 `json:"held_believed"`
+
+	ages float64
+}
+
+func (c *Counts) begin(w *world) {
+	for at := range int((w.plan.Scenario.Length.D() + settle) / time.Second) {
+		c.Seconds = append(c.Seconds, Second{At: at})
+	}
+	c.got = map[*box]time.Duration{}
+}
+
+// now is the second that a play is in.
+func (c *Counts) now(w *world) *Second {
+	return &c.Seconds[min(int(w.now/time.Second), len(c.Seconds)-1)]
+}
+
+// sent counts an attempt whose connection has been chosen.
+func (c *Counts) sent(a *attempt) {
+	w, s := a.node.w, c.now(a.node.w)
+	s.Attempts++
+	work := a.req.need.Work
+	if a.fresh {
+		shake := w.plan.Scenario.Conn.Handshake.D()
+		s.NewConns++
+		s.Shaken += shake.Seconds()
+		c.shaken += shake
+		work += shake
+	}
+	c.sentAll += work
+	c.got[a.box] += work
+	if a.box.plan.Site != a.node.Site {
+		s.Crossing++
+	}
+	if at, ok := a.node.heard[a.box]; ok {
+		s.ages += (w.now - at).Seconds()
+	} else {
+		s.Unheard++
+	}
+}
+
+func (c *Counts) cold(b *box, work time.Duration) {
+	s := c.now(b.w)
+	s.Cold += work.Seconds()
+	c.ColdWorst = max(c.ColdWorst, b.budget.Worst())
+}
+
+func (c *Counts) refused(n *node, id string) {
+	r, s := n.requests[id], c.now(n.w)
+	if r != nil && len(r.attempts) > 0 {
+		s.Tried++
+	} else {
+		s.Untried++
+	}
+}
+
+func (c *Counts) asked(l *listCall) {
+	s := c.now(l.n.w)
+	s.Asked++
+	if l.since < 0 {
+		s.Whole++
+	}
+	if c.starting(l.n.w.now) {
+		c.calls++
+	}
+}
+
+func (c *Counts) turned(l *listCall) {
+	c.now(l.n.w).Away++
+	if c.starting(l.n.w.now) {
+		c.away++
+	}
+}
+
+// starting tells whether nodes have started in the last 10 s; in a play in which none does, it always holds.
+func (c *Counts) starting(now time.Duration) bool {
+	return len(c.starts) == 0 || now-c.starts[len(c.starts)-1] < 10*time.Second
+}
+
+// sample looks at all boxes once a second.
+func (w *world) sample() {
+	c := w.counts
+	s := c.now(w)
+	var open, load []float64
+	held, up := 0.0, 0.0
+	for _, b := range w.boxes {
+		if b == nil || !b.up || b.silent {
+			continue
+		}
+		b.sweep()
+		open = append(open, float64(b.conns))
+		held, up = held+float64(b.model.Held()), up+1
+		if b.budget == nil && !b.draining && !b.slow {
+			load = append(load, c.got[b].Seconds()/b.model.Full())
+		}
+	}
+	clear(c.got)
+	if len(open) > 0 {
+		slices.Sort(open)
+		s.Open, s.OpenP99, s.Held = stat.Mean(open, nil), stat.Quantile(0.99, stat.Empirical, open, nil), held/up
+		c.opens = append(c.opens, open...)
+	}
+	if mean := stat.Mean(load, nil); len(load) > 0 && mean > 0 && w.now <= w.plan.Scenario.Length.D() {
+		slices.Sort(load)
+		c.uneven = append(c.uneven, stat.Quantile(0.99, stat.Empirical, load, nil)/mean)
+	}
+	s.ColdUsed = c.ColdWorst
+	believed, seen := 0.0, 0.0
+	for _, n := range w.nodes {
+		if !n.up {
+			continue
+		}
+		for _, x := range n.bal.Snapshot(epoch + w.now) {
+			if !x.Wide {
+				believed, seen = believed+x.Held, seen+1
+			}
+		}
+	}
+	s.Believed = believed / max(1, seen)
+	w.after(time.Second, w.sample)
+}
+
+// finish works out what is over the whole play.
+func (c *Counts) finish(w *world) {
+	attempts, conns := 0, 0
+	for i := range c.Seconds {
+		s := &c.Seconds[i]
+		attempts, conns = attempts+s.Attempts, conns+s.NewConns
+		if heard := s.Attempts - s.Unheard; heard > 0 {
+			s.Age = s.ages / float64(heard)
+		}
+	}
+	c.NewConns = float64(conns) / float64(max(1, attempts))
+	c.Handshake = c.shaken.Seconds() / math.Max(1e-9, c.sentAll.Seconds())
+	slices.Sort(c.opens)
+	if len(c.opens) > 0 {
+		c.OpenMean, c.OpenP99, c.OpenMost = stat.Mean(c.opens, nil), stat.Quantile(0.99, stat.Empirical, c.opens, nil), c.opens[len(c.opens)-1]
+	}
+	if len(c.uneven) > 0 {
+		c.Spread = stat.Mean(c.uneven, nil)
+	}
+	c.ListCalls, c.ListAway = c.calls/float64(len(w.nodes)), c.away/float64(len(w.nodes))
+	c.opens, c.uneven, c.got = nil, nil, nil
+}
--- /dev/null
+++ b/internal/kit/lab/plot.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+
+	charts "github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
+)
+
+// line is one line of a panel.
+type line struct {
+	name string
+	of   func(*Second) float64
+}
+
+// panels are the charts of a play's counts, one below the other over the same seconds.
+var panels = []struct {
+	unit  string
+	lines []line
+}{
+	{"a second", []line{
+		{"attempts", func(s *Second) float64 { return float64(s.Attempts) }},
+		{"new connections", func(s *Second) float64 { return float64(s.NewConns) }},
+		{"refused", func(s *Second) float64 { return float64(s.Untried + s.Tried) }},
+		{"across sites", func(s *Second) float64 { return float64(s.Crossing) }}}},
+	{"at a box", []line{
+		{"requests held", func(s *Second) float64 { return s.Held }},
+		{"held, as believed", func(s *Second) float64 { return s.Believed }},
+		{"open connections", func(s *Second) float64 { return s.Open }},
+		{"open connections, p99", func(s *Second) float64 { return s.OpenP99 }}}},
+	{"core-seconds a second", []line{
+		{"handshakes", func(s *Second) float64 { return s.Shaken }},
+		{"work at cold boxes", func(s *Second) float64 { return s.Cold }}}},
+	{"list calls a second", []line{
+		{"asked", func(s *Second) float64 { return float64(s.Asked) }},
+		{"turned away", func(s *Second) float64 { return float64(s.Away) }}}},
+}
+
+const panelW, panelH = 1040, 260
+
+// Chart draws the counts by second as SVG.
+func (c *Counts) Chart(w io.Writer) error {
+	var out bytes.Buffer
+	var ticks []charts.Tick
+	for i := 0; i < len(c.Seconds); i += 2 {
+		ticks = append(ticks, charts.Tick{Value: float64(i), Label: strconv.Itoa(i)})
+	}
+	fmt.Fprintf(&out, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %d %d">`, panelW, panelH*len(panels))
+	for i, panel := range panels {
+		g := charts.Chart{Width: panelW, Height: panelH, Background: charts.Style{Padding: charts.Box{Top: 16, Left: 170, Right: 16, Bottom: 8}},
+			XAxis: charts.XAxis{Name: "seconds since the traffic began", Ticks: ticks},
+			YAxis: charts.YAxis{Name: panel.unit, Range: &charts.ContinuousRange{}, ValueFormatter: charts.IntValueFormatter}}
+		most := 1.0
+		for k, l := range panel.lines {
+			s := charts.ContinuousSeries{Name: l.name, Style: charts.Style{StrokeColor: drawing.ColorFromHex(colours[k][1:]), StrokeWidth: 2}}
+			for j := range c.Seconds {
+				v := l.of(&c.Seconds[j])
+				s.XValues, s.YValues, most = append(s.XValues, float64(c.Seconds[j].At)), append(s.YValues, v), max(most, v)
+			}
+			g.Series = append(g.Series, s)
+		}
+		g.YAxis.Range.SetMax(most * 1.05)
+		g.Elements = []charts.Renderable{charts.LegendLeft(&g)}
+		fmt.Fprintf(&out, `<svg y="%d" width="%d" height="%d">`, i*panelH, panelW, panelH)
+		if err := g.Render(charts.SVG, &out); err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+		out.WriteString(`</svg>`)
+	}
+	out.WriteString(`</svg>`)
+	_, err := out.WriteTo(w)
+	return err
+}
--- a/internal/kit/plan/plan.go
+++ b/internal/kit/plan/plan.go
@@ -31,7 +31,7 @@
 // The steps of a time table.
 const (
 	Start    = "start"    // Box starts, cold
-	Drain    = "drain"    // Box finishes what it has
+	Drain    = "drain"    // Box is taken off the list and, after By seconds, only finishes what it has
 	Exit     = "exit"     // its process ends
 	Crash    = "crash"    // its process dies
 	Restart  = "restart"  // and starts again under its id, cold
@@ -205,7 +205,7 @@
 				}
 				lives[id] = life{lives[id].from, t}
 				lives[n.ID] = life{begin, forever}
-				step(Step{At: t, Do: Drain, Box: id})
+				step(Step{At: t, Do: Drain, Box: id, By: e.Serves.S()})
 				step(Step{At: exit, Do: Exit, Box: id})
 				step(Step{At: begin, Do: Start, Box: n.ID})
 			}
@@ -270,9 +270,30 @@
 			step(Step{At: end, Do: do})
 		case "kill", "term":
 			do := map[string]string{"kill": Kill, "term": Term}[e.Do]
-			announce("%s node %d", e.Do, e.Node)
-			step(Step{At: at, Do: do, Node: e.Node})
-			step(Step{At: at + e.Down.D(), Do: Revive, Node: e.Node})
+			nodes := []int{e.Node}
+			if e.Part > 0 {
+				nodes = rng.Perm(s.Nodes.Count)[:max(1, int(math.Round(e.Part*float64(s.Nodes.Count))))]
+				slices.Sort(nodes)
+				for i := range nodes {
+					nodes[i]++
+				}
+				announce("%s %d nodes", e.Do, len(nodes))
+			} else {
+				announce("%s node %d", e.Do, e.Node)
+			}
+			for _, n := range nodes {
+				step(Step{At: at, Do: do, Node: n})
+				step(Step{At: at + e.Down.D(), Do: Revive, Node: n})
+			}
+		case "lose-site":
+			announce("site %s is lost for %v", e.Site, e.For)
+			for _, i := range there(at, at) {
+				if id := p.Boxes[i].ID; p.Boxes[i].Site == e.Site {
+					step(Step{At: at, Do: Silence, Box: id})
+					step(Step{At: at + scenario.LostKnown, Do: Crash, Box: id})
+					step(Step{At: end, Do: Restart, Box: id})
+				}
+			}
 		case "reload":
 			announce("another discovery and SIGHUP")
 			for n := 1; n <= s.Nodes.Count; n++ {
--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -34,6 +34,7 @@
 	index   int
 	r       *Rehearsal
 	agent   *stand.Agent
+	names   *names // nil without DNS
 	agentAt *stand.AgentServer
 
 	mu     sync.Mutex
@@ -51,20 +52,14 @@
 	var err error
 	for range startTry {
 		if n.addr == "" {
-			ln, e := n.r.listen("")
-			if e != nil {
-				return e
+			if n.addr, err = n.r.nodeAddr(); err != nil {
+				return err
 			}
-			n.addr = ln.Addr().String()
-			ln.Close()
 		}
 		if n.rpc == "" && n.r.plan.Scenario.Clients.RPC > 0 {
-			ln, e := n.r.listen("")
-			if e != nil {
-				return e
+			if n.rpc, err = n.r.nodeAddr(); err != nil {
+				return err
 			}
-			n.rpc = ln.Addr().String()
-			ln.Close()
 			n.r.clients.RPCNode(n.index, n.rpc)
 		}
 		if err = n.launch(ctx); err == nil || ctx.Err() != nil || n.starts > 1 {
@@ -157,13 +152,21 @@
 	return path, os.Rename(path+".new", path)
 }
 
+// dns is where the node's DNS server answers; "" without one.
+func (n *node) dns() string {
+	if n.names == nil {
+		return ""
+	}
+	return n.names.server.Addr
+}
+
 // own writes the node's own settings, and makes the folder that they name.
 func (n *node) own(text string) (string, error) {
 	dir, path := filepath.Join(n.r.dir, n.Name), filepath.Join(n.r.dir, n.Name+".toml")
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return "", err
 	}
-	return path, os.WriteFile(path, []byte(strings.NewReplacer("{dir}", dir, "{rpc}", n.rpc).Replace(text)), 0o600)
+	return path, os.WriteFile(path, []byte(strings.NewReplacer("{dir}", dir, "{rpc}", n.rpc, "{dns}", n.dns()).Replace(text)), 0o600)
 }
 
 func (n *node) note(state, text string) {
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -81,6 +82,8 @@
 	resets float64
 	spoils float64
 	errs   []error
+
+	lastPort int // given to a node
 }
 
 // boxSeat is a box and the addresses at which the nodes see it.
@@ -110,6 +113,36 @@
 	return net.Listen("tcp", net.JoinHostPort(r.host, "0"))
 }
 
+// nodePorts are the ports from which nodes get theirs: below those that Linux hands out by itself (ip_local_port_range,
+// from 32768 as it comes) and above those of well-known services. A node's port is free before its process binds it and
+// while the process is down; one that the kernel gives to whoever asks could be a box's or another node's by then.
+const (
+	nodePortFrom = 12000
+	nodePortTo   = 32000
+)
+
+// nodeAddr is an address for a node to listen on, which nothing else of this rehearsal is given.
+func (r *Rehearsal) nodeAddr() (addr string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastPort == 0 {
+		r.lastPort = nodePortFrom + rand.IntN(nodePortTo-nodePortFrom)
+	}
+	for range nodePortTo - nodePortFrom {
+		if r.lastPort++; r.lastPort >= nodePortTo {
+			r.lastPort = nodePortFrom
+		}
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", net.JoinHostPort(r.host, strconv.Itoa(r.lastPort))); err == nil {
+			return ln.Addr().String(), ln.Close()
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
+	return "", fmt.Errorf("no port for a node at %s: %w", r.host, err)
+}
+
 // someHost draws an address of 127.0.0.0/8 (RFC 1122, 3.2.1.3). Some systems have only the usual one.
 func someHost() string {
 	host := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))}).String()
@@ -164,6 +197,16 @@
 			return err
 		}
 		n.agentAt = stand.ServeAgent(n.agent, ln)
+		if r.plan.Scenario.Names.TTL > 0 {
+			if n.names, err = r.newNames(n); err != nil {
+				return err
+			}
+			for _, b := range r.plan.Boxes[:r.plan.Initial] {
+				if err := n.names.set(b.ID, b.Site, r.boxes[b.ID].addrs[n.index], true); err != nil {
+					return err
+				}
+			}
+		}
 	}
 	errs := make(chan error, len(r.nodes))
 	for _, n := range r.nodes {
@@ -351,20 +394,28 @@
 			return err
 		}
 		r.publish(s.Box, trace.Ready, r.plan.Scenario.List.Add.D())
+		r.rename(s.Box, true)
 	case plan.Drain:
-		seat.box.Drain()
+		r.rename(s.Box, false)
+		if st := s.By; st > 0 {
+			r.after(time.Duration(st*float64(time.Second)), seat.box.Drain)
+		} else {
+			seat.box.Drain()
+		}
 		r.publish(s.Box, trace.Terminating, r.plan.Scenario.List.Lag.D())
 	case plan.Exit, plan.Crash:
 		r.mu.Lock()
 		seat.up = false
 		r.mu.Unlock()
 		seat.box.Stop()
+		r.rename(s.Box, false)
 		r.publish(s.Box, trace.Gone, r.plan.Scenario.List.Lag.D())
 	case plan.Restart:
 		if err := r.startBox(seat.plan, false, seat.addrs); err != nil {
 			return err
 		}
 		r.publish(s.Box, trace.Ready, r.plan.Scenario.List.Add.D())
+		r.rename(s.Box, true)
 	case plan.Slow:
 		seat.box.Slow(s.By)
 	case plan.Silence:
@@ -547,6 +598,11 @@
 		if n.agentAt != nil {
 			n.agentAt.Close()
 		}
+		if n.names != nil {
+			if err := n.names.server.Stop(); err != nil {
+				r.errs = append(r.errs, fmt.Errorf("DNS: %w", err))
+			}
+		}
 	}
 	r.out.Add(&trace.Record{Kind: trace.End, T: trace.US(r.clock().Now())})
 	if err := r.out.Close(); err != nil {
--- a/internal/kit/scenario/default.go
+++ b/internal/kit/scenario/default.go
@@ -82,7 +82,9 @@
 		case "slow", "vanish", "crash":
 			d = Event{Boxes: 1}
 		case "kill", "term":
-			d = Event{Node: 1}
+			if s.Events[i].Part == 0 {
+				d = Event{Node: 1}
+			}
 		}
 		mergeEntry(&s.Events[i], &d, indexed("event", i), s.keys)
 	}
--- a/internal/kit/trace/trace.go
+++ b/internal/kit/trace/trace.go
@@ -66,27 +66,29 @@
 
 // The kinds of records.
 const (
-	Want   = "want"   // a client's need: its first try is planned for T
-	Sent   = "sent"   // the last byte of a request is written to a node
-	Got    = "got"    // a whole answer is read; T0 is its first byte
-	Broke  = "broke"  // the connection ended, or gave what is no answer, before a whole answer was there
-	GaveUp = "gaveup" // the client left: its time was up, or it lost patience (Why)
-	Extra  = "extra"  // bytes came on a client's connection on which no request was open
-	Done   = "done"   // what became of a need: How and Took
-	Recv   = "recv"   // the last byte of a request is read at a box; T0 is its first byte
-	Part   = "part"   // a request began at a box and its connection ended before the last byte
-	Reply  = "reply"  // a box is about to write an answer, or does away with the connection (How)
-	Drop   = "drop"   // a node closed a connection on which a box had a request in hand
-	Told   = "told"   // the list has told a node of a box's State
-	Box    = "box"    // a box changes: State
-	Cap    = "cap"    // what a box that warms up can do at T, in cores of speed 1
-	Load   = "load"   // what a box holds at T
-	Proc   = "proc"   // a node's process changes: State
-	Use    = "use"    // what a node's process holds: Bytes of memory, Conns descriptors
-	Event  = "event"  // an entry of the time table takes place
-	Bad    = "bad"    // a client that sends what is no request is done: How
-	Lag    = "lag"    // the kit itself was late by Late
-	End    = "end"    // the rehearsal is over; a trace without this line is cut short
+	Want    = "want"   // a client's need: its first try is planned for T
+	Sent    = "sent"   // the last byte of a request is written to a node
+	Got     = "got"    // a whole answer is read; T0 is its first byte
+	Broke   = "broke"  // the connection ended, or gave what is no answer, before a whole answer was there
+	GaveUp  = "gaveup" // the client left: its time was up, or it lost patience (Why)
+	Extra   = "extra"  // bytes came on a client's connection on which no request was open
+	Done    = "done"   // what became of a need: How and Took
+	Recv    = "recv"   // the last byte of a request is read at a box; T0 is its first byte
+	Part    = "part"   // a request began at a box and its connection ended before the last byte
+	Reply   = "reply"  // a box is about to write an answer, or does away with the connection (How)
+	Drop    = "drop"   // a node closed a connection on which a box had a request in hand
+	ByNames = "names"  // How of a Told record: DNS has told a node so, by an answer; without it, the list has
+
+	Told  = "told"  // the list has told a node of a box's State
+	Box   = "box"   // a box changes: State
+	Cap   = "cap"   // what a box that warms up can do at T, in cores of speed 1
+	Load  = "load"  // what a box holds at T
+	Proc  = "proc"  // a node's process changes: State
+	Use   = "use"   // what a node's process holds: Bytes of memory, Conns descriptors
+	Event = "event" // an entry of the time table takes place
+	Bad   = "bad"   // a client that sends what is no request is done: How
+	Lag   = "lag"   // the kit itself was late by Late
+	End   = "end"   // the rehearsal is over; a trace without this line is cut short
 )
 
 // States of boxes in Box and Told records.
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -35,6 +35,6 @@
 func (x belief) LogValue() slog.Value {
 	return slog.GroupValue(slog.String("mode", x.Mode), slog.Float64("held", x.Held), slog.Float64("own", x.Own),
 		slog.Float64("h", x.H), slog.Float64("r", x.R), slog.Float64("q", x.Q), slog.Float64("service_s", x.Service),
-		slog.Float64("bad", x.Bad), slog.Bool("ejected", x.Ejected), slog.Float64("ramp", x.Ramp),
+		slog.Float64("bad", x.Bad), slog.Bool("wide", x.Wide), slog.Bool("ejected", x.Ejected), slog.Float64("ramp", x.Ramp),
 		slog.Duration("report_of", x.ReportOf))
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,8 +30,9 @@
 	Settings  wire.Settings
 	Own       *settings.File // this program's own; nil where there is none
 
-	boxRoom *rooms.Room      // descriptors for connections to boxes, in place of the node's own
-	now     func() time.Time // what connections to boxes age by; nil for the system's clock
+	boxRoom *rooms.Room                  // descriptors for connections to boxes, in place of the node's own
+	waited  func(net.Conn) time.Duration // how long bytes of clients lay unread; nil for what the kernel says
+	now     func() time.Time             // what connections to boxes age by; nil for the system's clock
 }
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 
 type node struct {
 	cfg     Config
+	clock   engine.Clock
 	log     *slog.Logger
 	engine  *engine.Engine
 	bodies  *message.Store
@@ -106,8 +107,8 @@
 
 // start brings up all of a node but its listener.
 func start(cfg Config, log *slog.Logger) (*node, error) {
-	n := &node{cfg: cfg, log: log}
 	clock := engine.NewClock()
+	n := &node{cfg: cfg, log: log, clock: clock}
 	own := &settings.File{}
 	if cfg.Own != nil {
 		own = cfg.Own
@@ -124,7 +125,7 @@
 	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle,
-		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now, Dial: dial})
+		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now, Dial: dial, DialOn: dialer.DialContext})
 	var carrier engine.Carrier = n.carrier
 	if own.JSONRPC.Listen != "" {
 		n.rpc = rpccarrier.New(rpccarrier.Config{Conns: own.JSONRPC.Conns, Room: boxes, Beside: own.JSONRPC.Beside, Reports: cfg.Settings.Reports,
@@ -132,14 +133,14 @@
 		carrier = carriers{n.carrier, n.rpc}
 	}
 	n.engine, err = engine.New(engine.Config{Settings: cfg.Settings.Policy, Seed: cfg.Seed, Clock: clock,
-		Carrier: carrier, Log: log})
+		Carrier: carrier, Members: sources(own, cfg.Settings.Policy.DrainGrace), Log: log})
 	if err != nil {
 		n.bodies.Stop()
 		return nil, err
 	}
 	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock,
-		Room: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Log: log})
-	both.Yields(admission.ClientSide, func() bool { return n.front.Yield() || n.rpcs != nil && n.rpcs.Yield() })
+		Room: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Waited: cfg.waited, Log: log})
+	both.Yields(admission.ClientSide, func() bool { return n.front.Lend() || n.rpcs != nil && n.rpcs.Yield() })
 	both.Yields(admission.BoxSide, n.carrier.Yield)
 	if n.rpc != nil {
 		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Room: both.Side(admission.ClientSide),
@@ -149,6 +150,11 @@
 	n.engine.Follow(n.list, &cfg.Known)
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
+	if err := n.local(ctx, own.Fleet.Socket); err != nil {
+		n.end()
+		return nil, err
+	}
+	n.names(ctx, &own.DNS)
 	if log.Enabled(ctx, slog.LevelDebug) {
 		log.Debug("settings", "policy", fmt.Sprintf("%+v", cfg.Settings.Policy))
 		n.wg.Go(func() { n.beliefs(ctx) })
--- /dev/null
+++ b/internal/resolve/resolve_test.go
@@ -0,0 +1,209 @@
+package resolve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"craneglade/internal/kit/nameserver"
+)
+
+const name = "_config._tcp.tacoma.example.org."
+
+var site = Site{Name: name, Zone: "tacoma"}
+
+func server(t *testing.T, records ...string) *nameserver.Server {
+	t.Helper()
+	s, err := nameserver.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Stop() })
+	if err := s.Set(records...); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func boxes(n, ttl int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s %d IN SRV 0 1 %d box%d.example.org.", name, ttl, 9000+i, i), fmt.Sprintf("box%d.example.org. %d IN A 127.0.0.1", i, ttl))
+	}
+	return out
+}
+
+func client(servers ...*nameserver.Server) *Client {
+	c := &Client{Timeout: 150 * time.Millisecond}
+	for _, s := range servers {
+		c.Servers = append(c.Servers, s.Addr)
+	}
+	return c
+}
+
+// Each fault of a server, and what comes of it.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		fault nameserver.Fault
+		want  error // nil for the sound answer
+	}{
+		{nameserver.Sound, nil}, {nameserver.Cut, nil}, {nameserver.Poison, nil}, {nameserver.Garbage, nil},
+		{nameserver.Lose, context.DeadlineExceeded}, {nameserver.CutHang, context.DeadlineExceeded}, {nameserver.WrongID, context.DeadlineExceeded},
+		{nameserver.Servfail, ErrServer}, {nameserver.Refused, ErrRefused}, {nameserver.Lame, ErrLame},
+	} {
+		bad, good := server(t, boxes(3, 7)...), server(t, boxes(3, 7)...)
+		bad.Script(func(dns.Question, bool) nameserver.Fault { return c.fault }, 0)
+		got, life, err := client(bad).Boxes(t.Context(), site)
+		if c.want != nil {
+			if !errors.Is(err, c.want) {
+				t.Errorf("fault %d: %v, %v; want %v", c.fault, got, err, c.want)
+			}
+			got, life, err = client(bad, good).Boxes(t.Context(), site) // another server answers
+		}
+		if err != nil || len(got) != 3 || life != 7*time.Second || got[0].Addr != "127.0.0.1:9000" || got[0].Zone != "tacoma" {
+			t.Errorf("fault %d: %v, %v, %v", c.fault, got, life, err)
+		}
+	}
+}
+
+func TestAnswersThatNameNothing(t *testing.T) {
+	s := server(t, "there.example.org. 5 IN A 127.0.0.1", name+" 5 IN SRV 0 0 0 .",
+		"loop.example.org. 5 IN CNAME loop2.example.org.", "loop2.example.org. 5 IN CNAME loop.example.org.",
+		"alias.example.org. 3 IN CNAME real.example.org.", "real.example.org. 9 IN SRV 0 0 9000 there.example.org.")
+	c := client(s)
+	for q, want := range map[string]error{"nowhere.example.org.": ErrNoName, "there.example.org.": ErrNoData, "loop.example.org.": ErrOther} {
+		_, _, err := c.Boxes(t.Context(), Site{Name: q})
+		if !errors.Is(err, want) {
+			t.Errorf("%s: %v, want %v", q, err, want)
+		}
+		var no *Negative
+		if errors.As(err, &no) && no.Life != 2*time.Second {
+			t.Errorf("%s: kept for %v, want the SOA's least, 2 s", q, no.Life)
+		}
+	}
+	if got, life, err := c.Boxes(t.Context(), Site{Name: "alias.example.org"}); err != nil || len(got) != 1 || life != 3*time.Second {
+		t.Errorf("behind an alias: %v, %v, %v", got, life, err)
+	}
+	if got, _, err := c.Boxes(t.Context(), site); err != nil || len(got) != 0 {
+		t.Errorf(`a service that is said not to be there ("."): %v, %v; want none and no error`, got, err)
+	}
+}
+
+// Boxes that do not fit into a datagram come over TCP; where their addresses do not fit beside them, those are asked for one by
+// one. More than fit into a message of 64 KiB come under several names: an SRV record takes 18 bytes and its target.
+func TestLargeAnswers(t *testing.T) {
+	s := server(t, boxes(1200, 60)...)
+	c := client(s)
+	c.Timeout = 10 * time.Second
+	got, _, err := c.Boxes(t.Context(), site)
+	if err != nil || len(got) != 1200 || s.Asked(dns.TypeA) < 500 {
+		t.Errorf("%d boxes, %v; %d addresses were asked for", len(got), err, s.Asked(dns.TypeA))
+	}
+	if err := s.Set(boxes(5000, 60)...); err != nil {
+		t.Fatal(err)
+	}
+	if got, _, err := c.Boxes(t.Context(), site); !errors.Is(err, ErrCut) {
+		t.Errorf("5,000 boxes under one name: %d, %v; want that it is cut over TCP too", len(got), err)
+	}
+}
+
+// A target that can't be looked up must not look like one that was withdrawn.
+func TestHalfAnAnswerIsNone(t *testing.T) {
+	s := server(t, name+" 5 IN SRV 0 0 9000 one.example.org.", "one.example.org. 5 IN A 127.0.0.1", "one.example.org. 5 IN AAAA ::1")
+	if got, _, err := client(s).Boxes(t.Context(), site); err != nil || len(got) != 2 {
+		t.Fatalf("%v, %v", got, err)
+	}
+	far := server(t, name+" 5 IN SRV 0 0 9000 one.elsewhere.org.")
+	far.Script(func(q dns.Question, _ bool) nameserver.Fault {
+		if q.Qtype == dns.TypeAAAA {
+			return nameserver.Servfail
+		}
+		return nameserver.Sound
+	}, 0)
+	if got, _, err := client(far).Boxes(t.Context(), site); !errors.Is(err, ErrServer) {
+		t.Errorf("%v, %v", got, err)
+	}
+}
+
+func TestLifetimesAreClamped(t *testing.T) {
+	for ttl, want := range map[uint32]time.Duration{0: MinLife, 1: time.Second, 30: 30 * time.Second, 1 << 30: MaxLife, 1<<32 - 1: MinLife} {
+		if got := Clamp(ttl); got != want {
+			t.Errorf("%d: %v, want %v", ttl, got, want)
+		}
+	}
+	var s Schedule
+	for _, chance := range []float64{0, 0.5, 0.999} {
+		if got := s.Good(MinLife, chance); got < 500*time.Millisecond || got > 800*time.Millisecond {
+			t.Errorf("a record of no life is asked again after %v", got)
+		}
+	}
+	last := time.Duration(0)
+	for range 40 {
+		wait := s.Bad(0.999)
+		if wait < last || wait > retryMost {
+			t.Errorf("again after %v, before %v", wait, last)
+		}
+		last = wait
+	}
+}
+
+func TestTargetsByPriority(t *testing.T) {
+	var rrs []dns.RR
+	for _, text := range []string{"2 0 1 b.", "1 0 2 A.", "1 0 2 a.", "1 5 1 a.", "0 0 0 zero."} {
+		rr, err := dns.NewRR(name + " 5 IN SRV " + text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rrs = append(rrs, rr)
+	}
+	got, err := Targets(rrs)
+	if want := []Target{{"a.", 1, 1, 5}, {"a.", 2, 1, 0}, {"b.", 1, 2, 0}}; err != nil || !slices.Equal(got, want) {
+		t.Errorf("%v, %v; want %v", got, err, want)
+	}
+	if _, err := Targets(make([]dns.RR, MaxBoxes+1)); err == nil || !strings.Contains(err.Error(), "20000 at most") {
+		t.Errorf("too many: %v", err)
+	}
+}
+
+// Whatever is read, nothing panics, and an answer's life is within the bounds.
+func FuzzRecords(f *testing.F) {
+	q := new(dns.Msg)
+	q.SetQuestion(name, dns.TypeSRV)
+	m := q.Copy()
+	m.Response = true
+	for _, text := range boxes(2, 9) {
+		rr, _ := dns.NewRR(text)
+		m.Answer = append(m.Answer, rr)
+	}
+	wire, err := m.Pack()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(wire)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m := new(dns.Msg)
+		if m.Unpack(text) != nil || len(m.Question) != 1 {
+			return
+		}
+		rrs, life, err := Records(m)
+		if err == nil && (len(rrs) == 0 || life < MinLife || life > MaxLife) {
+			t.Errorf("%d records for %v", len(rrs), life)
+		}
+		targets, _ := Targets(rrs)
+		for _, x := range targets {
+			addrs, _ := Beside(m.Extra, x.Name)
+			for _, a := range addrs {
+				if _, err := netip.ParseAddrPort(HostPort(a, x.Port)); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"craneglade/internal/bodies"
+	"craneglade/internal/reach"
 	"craneglade/internal/tomlfile"
 )
 
@@ -18,6 +19,28 @@
 type File struct {
 	Bodies  Bodies  `toml:"bodies"`
 	JSONRPC JSONRPC `toml:"jsonrpc"`
+	DNS     DNS     `toml:"dns"`
+	Fleet   Fleet   `toml:"fleet"`
+}
+
+// Fleet is where a running node says what it believes of each box. Without a socket it says so nowhere.
+type Fleet struct {
+	Socket string `toml:"socket"` // the path of a Unix socket, which the node makes
+}
+
+// DNS is a second source of boxes beside the list. Without a site there is none.
+type DNS struct {
+	Servers []string          `toml:"servers"` // host:port, UDP and TCP
+	Timeout tomlfile.Duration `toml:"timeout"` // for each question to each server
+	Hold    tomlfile.Duration `toml:"hold"`    // a source that was silent for so long loses its say
+	Calm    tomlfile.Duration `toml:"calm"`    // how long a box that comes and goes stays out at first
+	Sites   []Site            `toml:"site"`
+}
+
+// Site is one SRV name, whose targets are the boxes of a zone.
+type Site struct {
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
 }
 
 // JSONRPC is the second front. Without an address there is none.
@@ -117,6 +140,14 @@
 	if err := f.JSONRPC.check(keys); err != nil {
 		return nil, err
 	}
+	if err := f.DNS.check(keys); err != nil {
+		return nil, err
+	}
+	if p := f.Fleet.Socket; p != "" {
+		if _, _, err := reach.Network("unix:" + p); err != nil {
+			return nil, keys.Problem("fleet.socket", "%q is not a path from / of at most 107 bytes", p)
+		}
+	}
 	seen := map[string]bool{}
 	for i := range f.Bodies.Classes {
 		c, p := &f.Bodies.Classes[i], fmt.Sprintf("bodies.class[%d].", i)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -82,3 +82,27 @@
 		}
 	}
 }
+
+func TestDNS(t *testing.T) {
+	good := "[dns]\nservers = [\"127.0.0.1:53\", \"[::1]:53\"]\n[[dns.site]]\nname = \"_config._tcp.tacoma.example.org\"\nzone = \"tacoma\"\n"
+	f, err := Parse("own.toml", []byte(good))
+	if err != nil || f.DNS.Timeout.D() != 500*time.Millisecond || f.DNS.Hold.D() != time.Minute || f.DNS.Calm.D() != 2*time.Second {
+		t.Errorf("%+v, %v", f, err)
+	}
+	for _, c := range []struct{ text, want string }{
+		{"[dns]\nservers = [\"127.0.0.1:53\"]", "dns.site: none is named"},
+		{strings.Replace(good, "127.0.0.1:53", "ns.example.org:53", 1), `dns.servers: "ns.example.org:53" (number 1) is not an IP address and a port`},
+		{strings.Replace(good, "servers = [\"127.0.0.1:53\", \"[::1]:53\"]", "", 1), "dns.servers: it is missing"},
+		{strings.Replace(good, "[dns]", "[dns]\nhold = \"5s\"", 1), "own.toml:2: dns.hold: 5s is outside 30s to 24h0m0s"},
+		{strings.Replace(good, "[dns]", "[dns]\ntimeout = \"0s\"", 1), "own.toml:2: dns.timeout: 0s is outside 10ms to 10s"},
+		{strings.Replace(good, "_config._tcp.", strings.Repeat("a", 64)+".", 1), "dns.site[0].name"},
+		{strings.Replace(good, "zone = \"tacoma\"", "", 1), "dns.site[0].zone: it is missing"},
+		{good + "[[dns.site]]\nname = \"_CONFIG._tcp.tacoma.example.org.\"\nzone = \"x\"", "dns.site[1].name"},
+		{"[fleet]\nsocket = \"n.sock\"", `own.toml:2: fleet.socket: "n.sock" is not a path from /`},
+	} {
+		_, err := Parse("own.toml", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"craneglade/internal/subset"
 	"craneglade/policy"
 )
 
@@ -321,6 +322,7 @@
 		d.row = row
 		e := policy.Entry{Zone: d.text(1, "az", false), Kind: d.text(3, "shape", false),
 			Launched: d.seconds(4, "launched_s", false), ID: d.server(6)}
+		e.Place = place(e.ID)
 		if d.has(2) {
 			e.Cell = d.integer(2, "unit_group")
 		}
@@ -340,6 +342,9 @@
 	ev.Entries = d.entries
 }
 
+// place is a backend's place on the ring: its number is the same at every instance.
+func place(id uint32) uint64 { return subset.Hash(strconv.FormatUint(uint64(id), 10)) }
+
 // Settings is what the settings object holds for the decisions and for the node that carries them out.
 type Settings struct {
 	Policy         policy.Settings
@@ -351,6 +356,7 @@
 // info is the settings object of a create message; keys that are not named here are skipped.
 type info struct {
 	Balancers *int   `json:"balancers"`
+	Ordinal   int    `json:"ordinal"`
 	Zone      string `json:"zone"`
 	Tariffs   struct {
 		CrossZone float64 `json:"cross_zone"`
@@ -414,7 +420,7 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Settings{}, err
 	}
-	s := policy.Settings{Zone: in.Zone, CrossPrice: in.Tariffs.CrossZone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
+	s := policy.Settings{Zone: in.Zone, CrossPrice: in.Tariffs.CrossZone, OverShare: in.OverShare, Nodes: 1, Number: max(0, in.Ordinal), MaxAttempts: 1,
 		Cancel: in.Limits.Cancel, Copies: in.Limits.Copies, MustAskIn: seconds(in.Rules.MustAskIn),
 		QueueOnly: in.Report.How == "piggyback" && slices.Contains(in.Report.Names, "depth") &&
 			!slices.Contains(in.Report.Names, "concurrent"),
--- a/policy/copy.go
+++ b/policy/copy.go
@@ -38,7 +38,8 @@
 // neither, and a copy would only add to it. It goes to a backend in normal mode, from the budget of further attempts.
 func (b *Balancer) copy(now float64, a *attempt) {
 	s, r := a.server, a.request
-	lost := a.stray && now-s.lostAt < oldTau || s.lastOK < a.at
+	// Nothing since tells only where something was due: a node of many that has one request there hears of no other.
+	lost := a.stray && now-s.lostAt < oldTau || s.lastOK < a.at && s.served/rateTau*(now-a.at) >= 1
 	if !a.open || !lost || r.final || r.open != 1 || !b.again(r.class) || now-a.at < r.class.tooLong() {
 		return
 	}
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -44,6 +44,7 @@
 
 	list[0].State = policy.Leaving
 	step(policy.Event{Kind: policy.EvList, List: policy.ListDelta, Entries: list})
+	now += 2 * time.Second // its grace is over
 	answer := step(policy.Event{Kind: policy.EvRequest, ID: "r2", Class: "page", Left: 2 * time.Second})
 	fmt.Println("refused:", answer.Kind == policy.ActRefuse)
 	// Output:
--- a/policy/lost.go
+++ b/policy/lost.go
@@ -11,6 +11,7 @@
 	for len(s.flying) > 0 && s.flying[0].at < before {
 		a := s.flying[0]
 		a.stray = true
+		b.flying--
 		s.own = max(0, s.own-1)
 		s.flying = slices.Delete(s.flying, 0, 1+ended(s.flying[1:]))
 		b.copy(b.now, a)
@@ -19,9 +20,8 @@
 
 // ended counts the attempts at the front that have an outcome.
 func ended(flying []*attempt) int {
-	i := 0
-	for i < len(flying) && !flying[i].open {
-		i++
+	if i := slices.IndexFunc(flying, func(a *attempt) bool { return a.open }); i >= 0 {
+		return i
 	}
-	return i
+	return len(flying)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,9 @@
-// Package policy makes the decisions of one HTTP load balancer: which backend a request goes to, which
-// requests are refused, what is tried again. Settings, events and actions are in policy/api.go, what a node
-// remembers in policy/state.go, how lost attempts are told in policy/lost.go, which get a second copy in
-// policy/copy.go, what a request is worth beside others in policy/worth.go, what leaving the zone is worth in
-// policy/zone.go; all others are here.
+// Package policy makes the decisions of one load balancer: which backend a request goes to, which are refused,
+// what is tried again. Settings, events and actions are in api.go, what a node remembers in state.go.
 //
 // Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks":
 // normal, overload (each request is diverted with probability q) and discard (nothing is sent). Diverted
-// requests take a backend in normal mode or are refused at once. docs/design.md has the whole story.
+// requests take a backend in normal mode or are refused at once. docs/design/ has the whole story.
 package policy
 
 import (
@@ -16,6 +13,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"craneglade/internal/subset"
 )
 
 // Times are in seconds. The constants are the design's, or middles of plateaus over unlike fleets.
@@ -27,6 +26,9 @@
 	sharpness = 8    // the split's weights fall with this power of the expected delay
 	ownZone   = 1.5  // weight of a backend in this node's own zone
 	othersTau = 3.0  // reports are older than most requests: what others add is known as a mean only
+	levelTau  = 9.0  // but what all hold alike moves within this part of it: over the nodes that share a backend
+	few       = 2.0  // so many that tell nothing stand before the first
+	swingTau  = 0.7  // reports tell of about that long ago
 	lagTau    = 0.5  // about how old a report is when it is read
 	rateTau   = 3.0  // memory of service times and send rates
 	knowTau   = 2.0  // a report fades towards the mean of the fresh ones over this
@@ -43,11 +45,12 @@
 	ejectFor  = 1.0  // for this long at first, doubled each time,
 	ejectMost = 8.0  // up to this
 	crowdAt   = 5.0  // time in work beyond this multiple of the kind's best tells of a crowd, not of chance
-	coldPart  = 0.67 // of the multiple that brings a cold backend down: so much it is sent at most
+	coldPart  = 0.45 // of the multiple that brings a cold backend down: so much it is sent at most
 	qMost     = 0.95 // q is never more
 	retryPart = 0.2  // further attempts that each first one allows
 	retryBank = 10.0 // and how many may be saved up
 	askAgain  = 1.0  // after a lost list a node asks again within about this
+	drainPart = 0.6  // of its grace a backend that is told to drain goes on serving; the rest is for late news
 	tick      = 0.25 // plans are renewed this often
 )
 
@@ -60,7 +63,8 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, tune: tune, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
-		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1)}
+		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1),
+		sharers: 1, many: 1, swing: 1}
 	for i, c := range set.Classes {
 		b.classes = append(b.classes, &class{Class: c, index: i, stay: 1, least: c.Deadline.Seconds()})
 		if d := c.Deadline.Seconds(); d > 0 {
@@ -81,6 +85,9 @@
 	b.out = out
 	t := max(now.Seconds(), b.now) // a clock that steps back must not undo what was learnt
 	b.now = t
+	if b.many > 1 { // what moves here now moves at the others too, and their reports will tell only then
+		b.swing = math.Pow(b.drift.Of(t, b.flying, swingTau, few, 2), 1-1/b.many)
+	}
 	switch ev.Kind {
 	case EvRequest:
 		b.arrive(t, ev)
@@ -166,9 +173,9 @@
 }
 
 func (b *Balancer) send(now float64, r *request, s *server) {
-	b.sends.n++
+	b.sends.N++
 	if b.priced(s) {
-		b.sends.sum++
+		b.sends.Sum++
 	}
 	a := &r.first
 	if len(r.attempts) > 0 {
@@ -188,6 +195,7 @@
 	}
 	r.open++
 	s.own++
+	b.flying++
 	until := r.until // ended at the aim, it would draw a client's retry that is worth nothing
 	if s.mode != normal {
 		until = r.aim // here it mostly waits, and keeps others from being in time
@@ -253,26 +261,27 @@
 	return b.rng.Float64()*(1-part) < q-part
 }
 
-// q is the part of all requests that a backend in overload diverts at an occupancy of n. Some always pass:
-// without them no report would tell that it has emptied.
+// q is the part of all requests that a backend in overload diverts at an occupancy of n. Some always pass: without
+// them no report would tell that it has emptied. What a node does itself to a backend it sees at once, the others'
+// part a report later: where many share one, a steep q has all of them swing together, so it is flatter there.
 func (b *Balancer) q(n, h float64) float64 {
-	return min(qMost, b.tune.Divert+(1-b.tune.Divert)*max(0, n/h-1)/b.tune.Ramp)
+	from := b.tune.Divert / b.many
+	return min(qMost, from+(1-from)*max(0, n/h-1)/(b.tune.Ramp*b.many))
 }
 
 // mayRetry tells whether the rules and the budget allow a further attempt. Retries must never add to an
 // overload: they take the ordinary path again, and share a budget that only first attempts fill.
 func (b *Balancer) mayRetry(now float64, r *request) bool {
 	c := r.class
-	if len(r.attempts) >= b.set.MaxAttempts || now >= r.aim || b.retries < 1 {
-		return false
-	}
-	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && now < r.mayRunAt+c.Window.Seconds()
+	return len(r.attempts) < b.set.MaxAttempts && now < r.aim && b.retries >= 1 && (r.mayRun == nil ||
+		c.Effect == Safe || c.Effect == Keyed && now < r.mayRunAt+c.Window.Seconds())
 }
 
 // learn books what an outcome shows of its backend.
 func (b *Balancer) learn(now float64, s *server, r *request, a *attempt, ev *Event) {
 	s.settle(now)
 	if !a.stray {
+		b.flying--
 		s.own = max(0, s.own-1)
 	}
 	s.flying = slices.Delete(s.flying, 0, ended(s.flying))
@@ -281,9 +290,7 @@
 	if w := ev.Load.Work; ev.Load.Held < 0 && w > 0 && w < math.MaxInt32 && b.ramp(s, now) == 1 {
 		// Where the queue alone is told, many slots hide a crowd from it: a backend chokes on what is in work
 		// with nothing waiting. Requests then take many times as long as at their best.
-		if s.work == 0 {
-			s.work = w
-		}
+		s.work = cmp.Or(s.work, w)
 		s.work += (w - s.work) * (1 - math.Exp((s.reportAt-now)/othersTau))
 		n += max(0, s.work/s.base/crowdAt-1)
 	}
@@ -291,14 +298,14 @@
 		s.slots = max(s.slots, h-q) // so many it has in work at once
 	}
 	if ev.Load.Known && n < math.MaxInt32 { // and not NaN
-		s.others += (n - s.ownLag - s.others) * (1 - math.Exp((s.reportAt-now)/othersTau))
+		held := b.level.Mean*b.ramp(s, now) + s.others // which its own report moves as slowly as before
+		b.level.Add(now, max(0, n-s.ownLag), levelTau/b.sharers, few)
+		s.others = held - b.level.Mean*b.ramp(s, now) + (n-s.ownLag-held)*(1-math.Exp((s.reportAt-now)/othersTau))
 		s.reportAt = now
-		b.seen++
-		b.mean += (max(0, n-s.ownLag) - b.mean) / b.seen
 	}
 	switch ev.Outcome {
 	case OK:
-		s.lastOK = now
+		s.lastOK, s.turned = now, 0
 		s.served++
 		if s.answers(now) {
 			b.log("backend %d answers again", s.ID)
@@ -315,10 +322,10 @@
 		}
 		// Turned away is the freshest report there is: R is reached, whatever older reports still arrive.
 		// Without this a full backend looks best, as what it turns away at once never counts as in flight.
-		s.full, s.fullAt = b.limit(s), now
+		s.full, s.fullAt, s.turned = b.limit(s), now, s.turned+1
 		// A draining backend turns all away until the list tells; a crowded one still answers others.
-		if s.lastOK < now-silence {
-			b.blame(now, s, outTau)
+		if s.lastOK < now-silence && s.turned > few {
+			b.blame(now, s, 1) // one whose connections are all taken answers what comes on those that are kept
 		}
 	case TimedOut:
 		if a.stray { // it tells of a loss, not of a crowd
@@ -358,9 +365,8 @@
 	r.class.answers++
 }
 
-// blame counts a failed attempt. A broken backend can look best (fast errors, an empty queue), so one that
-// fails too often is ejected for a growing time and comes back by trickle. However many are ejected, the
-// rest are not pushed over: their modes refuse what they cannot take.
+// blame counts a failed attempt. A broken backend can look best (fast errors, an empty queue), so one that fails too
+// often is ejected for a growing time. The rest are not pushed over: their modes refuse what they cannot take.
 func (b *Balancer) blame(now float64, s *server, tau float64) {
 	if b.fails(now, &s.health, tau) {
 		b.log("backend %d ejected for %.1f s: too many attempts failed", s.ID, s.ejected-now)
@@ -401,20 +407,17 @@
 }
 
 func (b *Balancer) gone(ev *Event) {
-	r := b.requests[ev.ID]
-	if r == nil || r.final {
-		return
+	if r := b.requests[ev.ID]; r != nil && !r.final {
+		r.final = true
+		b.over(r)
 	}
-	r.final = true
-	b.over(r)
 }
 
 // begun leaves a request to the attempt whose answer has begun to reach the client.
 func (b *Balancer) begun(ev *Event) {
 	if r := b.requests[ev.ID]; r != nil && !r.final && ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
 		r.attempts[ev.Attempt].called = true // never, from now on
-		r.final = true
-		b.over(r)
+		b.gone(ev)
 	}
 }
 
@@ -433,20 +436,21 @@
 
 // settle moves ownLag towards own, so that it tells what was in flight when the report was made.
 func (s *server) settle(now float64) {
-	f := math.Exp((s.ownAt - now) / lagTau)
-	s.ownLag += (s.own - s.ownLag) * (1 - f)
-	s.ghosts *= f
-	s.ownAt = now
+	if now != s.ownAt { // a draw asks twice
+		f := math.Exp((s.ownAt - now) / lagTau)
+		s.ownLag += (s.own - s.ownLag) * (1 - f)
+		s.ghosts *= f
+		s.ownAt = now
+	}
 }
 
-// waiting estimates the present occupancy: the report, and own sends it does not show yet. A node of hundreds
-// hears from a backend every tens of seconds: an old report fades towards what fresh ones show of the fleet.
-// Fading towards nothing would make the least known backend look best.
+// waiting estimates the present occupancy: the report, and own sends it does not show yet. An old report fades towards
+// what fresh ones show of the fleet; fading towards nothing would make the least known backend look best.
 func (b *Balancer) waiting(s *server, now float64) float64 {
 	s.settle(now)
-	n := max(0, b.mean+(s.others-b.mean)*math.Exp((s.reportAt-now)/knowTau)+s.own+s.ghosts)
+	n := max(0, (b.level.Mean*b.ramp(s, now)+s.others*math.Exp((s.reportAt-now)/knowTau))*b.swing+s.own+s.ghosts)
 	if math.IsInf(s.reportAt, -1) {
-		n = max(0, b.mean+s.own-s.ownLag*unheard+s.ghosts) // taken for a crowd, what works well would be refused
+		n = max(0, b.level.Mean+s.own-s.ownLag*unheard+s.ghosts) // taken for a crowd, what works well would be refused
 	}
 	if s.full > 0 {
 		n = max(n, s.full-(now-s.fullAt)/b.service(s)) // it cannot have cleared more than this
@@ -475,10 +479,10 @@
 	return max(minH, h*b.ramp(s, b.now)) // a cold backend clears its part of that
 }
 
-// least is what H never falls below: as many requests as a backend was seen to have in work at once. Until
-// they are exceeded nothing waits, however long each takes. A few requests with nothing waiting make the
+// least is what H never falls below: as many requests as a backend of its kind was seen to have in work at once.
+// Until they are exceeded nothing waits, however long each takes. A few requests with nothing waiting make the
 // service time look long, and with it H low: a node that refuses for that reason would never see better.
-func (s *server) least() float64 { return max(minH, min(s.slots, roomPart*s.room)) }
+func (s *server) least() float64 { return max(minH, min(max(s.slots, s.alike), roomPart*s.room)) }
 
 // update moves a backend between its modes.
 func (s *server) update(now float64, b *Balancer) {
@@ -492,19 +496,13 @@
 
 // next is the mode that follows at an occupancy of n.
 func (m mode) next(n, l, h, r float64) mode {
-	if m == normal && n >= h {
-		m = overload
-	}
-	if m == overload && n >= r {
-		m = discard
+	switch {
+	case m == normal && n < h, n < l:
+		return normal
+	case n >= h && (m == discard || n >= r):
+		return discard
 	}
-	if m == discard && n < h {
-		m = overload
-	}
-	if m == overload && n < l {
-		m = normal
-	}
-	return m
+	return overload
 }
 
 // ramp is the least part of its capacity that a backend has, by the time since its start.
@@ -530,12 +528,23 @@
 		(group != GroupZone || s.Zone == m.Zone) && (group != GroupCell || s.Cell == m.Cell)
 }
 
-// pick draws a backend in the given mode or a better one, by weights that fall with the expected delay.
+// pick draws a backend in the given mode or a better one, from this node's part of the fleet if one is there.
 func (b *Balancer) pick(now float64, r *request, worst mode) *server {
+	b.picks++
+	if s := b.draw(now, r, worst, false); s != nil {
+		return s
+	}
+	return b.draw(now, r, worst, true)
+}
+
+// draw is pick in one part of the fleet, by weights that fall with the expected delay.
+func (b *Balancer) draw(now float64, r *request, worst mode, wide bool) *server {
 	var chosen [2]*server // here, and where it costs a crossing
 	var sum [2]float64
-	b.picks++
 	for _, s := range b.order {
+		if s.wide != wide {
+			continue
+		}
 		if s.update(now, b); s.mode > worst || !b.usable(now, r, s) {
 			continue
 		}
@@ -547,14 +556,14 @@
 			// ramp's part of what a warm one serves, times a part of the multiple that brings it down. The
 			// rest is for bursts and for backends slower than their kind. Nothing is saved up: budgets that
 			// hundreds of nodes begin at the same start would come due together.
-			if b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart {
+			if !wide && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart {
 				return s
 			}
 			continue
 		}
 		// Other nodes see the same and do alike: an own attempt stands for one of each. Without this many
 		// nodes, each with few attempts out, meet on the same backends by chance, and one gone silent fills.
-		delay := b.service(s) * (b.waiting(s, now) + 1 + s.own*float64(b.set.Nodes-1))
+		delay := b.service(s) * (b.waiting(s, now) + 1 + s.own*(b.sharers-1))
 		weight := math.Pow(1/max(delay, 1e-3), sharpness)
 		if s.Zone == b.set.Zone {
 			weight *= ownZone
@@ -576,12 +585,11 @@
 
 // plan runs a few times a second: it ages what was learnt and renews what the requests then use.
 func (b *Balancer) plan(now float64) {
-	type pool struct{ latency, occupancy, served, warm, work, told float64 }
+	type pool struct{ latency, occupancy, served, warm, work, told, slots float64 }
 	kinds, all := map[string]*pool{}, &pool{}
 	dt := max(now-b.planAt, 1e-3)
 	b.planAt = now
 	f := math.Exp(-dt / rateTau)
-	b.seen *= f
 	b.picks, b.span = b.picks*f, b.span*f+rateTau*(1-f)
 	for _, s := range b.order {
 		s.latency, s.occupancy, s.served = s.latency*f, s.occupancy*f, s.served*f
@@ -599,7 +607,8 @@
 				p.told++
 			}
 			p.occupancy += s.occupancy
-			if s.State == Active && now >= s.ejected && b.ramp(s, now) == 1 {
+			p.slots = max(p.slots, s.slots)
+			if !s.wide && s.State == Active && now >= s.ejected && b.ramp(s, now) == 1 {
 				p.served += s.served
 				p.warm++
 			}
@@ -607,15 +616,18 @@
 	}
 	fleet := (all.latency + prior*guess) / (all.occupancy + prior)
 	own, others := 1.0, float64(b.set.Nodes-1) // what this node and the others have in flight
+	each := float64(b.set.Nodes) / b.sharers   // backends for each that this node hears of
 	for _, s := range b.order {
 		k := kinds[s.Kind]
-		s.typical = (k.latency + prior*fleet) / (k.occupancy + prior)
+		s.typical, s.alike = (k.latency+prior*fleet)/(k.occupancy+prior), k.slots
 		if k.told > 0 {
 			s.base = min(s.base, k.work/k.told)
 		}
 		own += s.ownLag
-		others += max(0, s.others)
-		s.chance = b.span / s.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
+		if !s.wide {
+			others += max(0, b.level.Mean*b.ramp(s, now)+s.others) * each
+		}
+		s.chance = b.span / s.typical / b.sharers // one after the other, where no backend is warm
 		if k.warm > 0 {
 			s.chance = k.served / k.warm
 		} else if all.warm > 0 {
@@ -627,7 +639,12 @@
 	for _, t := range b.tenants {
 		t.rate, t.count = t.rate*f+t.count/dt*(1-f), 0
 	}
-	b.cross(dt, f)
+	for _, c := range b.classes {
+		c.stay = b.stays(c, dt)
+		c.near.Fade(f)
+	}
+	b.far.Fade(f)
+	b.sends.Fade(f)
 	b.shares(math.Exp(-dt / oldTau))
 }
 
@@ -663,6 +680,7 @@
 	}
 	for _, e := range ev.Entries {
 		s := b.servers[e.ID]
+		leaves := s != nil && s.State == Active && e.State == Leaving && ev.List == ListDelta && s.served > 0
 		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
 			s = &server{launched: e.Launched.Seconds(), room: math.Inf(1), base: math.Inf(1), reportAt: now,
 				ownAt: now, sentAt: now, lastOK: now}
@@ -672,6 +690,9 @@
 			b.servers[e.ID] = s
 		}
 		s.Entry, s.grace = e, 0
+		if leaves && !b.set.MustAsk { // all nodes hear of it at once, and its successor is seconds away
+			s.grace = now + drainPart*b.set.DrainGrace.Seconds()
+		}
 	}
 	b.order = b.order[:0]
 	for id, s := range b.servers {
@@ -682,5 +703,13 @@
 		}
 	}
 	slices.SortFunc(b.order, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	in, sharers := subset.Part(len(b.order), func(i int) (string, uint64) { return b.order[i].Zone, b.order[i].Place },
+		subset.Node{Number: b.set.Number, Nodes: b.set.Nodes, Zone: b.set.Zone, CrossPrice: b.set.CrossPrice})
+	for i, s := range b.order {
+		s.wide = !in[i]
+	}
+	if b.sharers = sharers; !b.set.QueueOnly { // a queue that is told alone is a crowd, and late news of it
+		b.many = max(1, sharers/b.tune.Steep)
+	}
 	b.plan(now)
 }
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -13,6 +13,7 @@
 	Service  float64 // seconds for each request it holds
 	Bad      float64 // share of failures lately
 	Ejected  bool
+	Wide     bool          // beyond the part of the fleet that this node works with
 	Ramp     float64       // least part of its capacity that it has while cold; 1 for a warm one
 	ReportOf time.Duration // the report's age
 }
@@ -26,7 +27,7 @@
 		n, h := b.waiting(s, t), b.high(s, r)
 		out = append(out, Belief{ID: s.ID, Mode: [...]string{"normal", "overload", "discard"}[s.mode], Held: n,
 			Own: s.own, R: r, H: h, Q: [...]float64{0, b.q(n, h), 1}[s.mode], Service: b.service(s), Bad: s.bad,
-			Ejected: t < s.ejected || s.trial, Ramp: b.ramp(s, t), ReportOf: span(t - s.reportAt)})
+			Wide: s.wide, Ejected: t < s.ejected || s.trial, Ramp: b.ramp(s, t), ReportOf: span(t - s.reportAt)})
 	}
 	return out
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,8 +1,10 @@
 package policy
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
 
-// What a node remembers. Declarations only; all decisions are in policy.go.
+	"craneglade/internal/decay"
+)
 
 type mode uint8
 
@@ -14,16 +16,16 @@
 
 type class struct {
 	Class
-	index            int        // among the classes told of
-	requests         float64    // decayed count
-	latency, answers float64    // decayed sum of latencies, and the answers behind it
-	squares          float64    // and of their squares
-	out              []*attempt // first attempts that may get a copy, in the order of the sends
-	least            float64    // least time left of a first try lately
-	lesser           bool       // worth less than the average for its work
-	near             tally      // latencies of answers that crossed no zone at a price
-	best             float64    // least mean of them
-	stay             float64    // part of the requests that stays in this zone while there is a backend for it
+	index            int         // among the classes told of
+	requests         float64     // decayed count
+	latency, answers float64     // decayed sum of latencies, and the answers behind it
+	squares          float64     // and of their squares
+	out              []*attempt  // first attempts that may get a copy, in the order of the sends
+	least            float64     // least time left of a first try lately
+	lesser           bool        // worth less than the average for its work
+	near             decay.Tally // latencies of answers that crossed no zone at a price
+	best             float64     // least mean of them
+	stay             float64     // part of the requests that stays in this zone while there is a backend for it
 }
 
 type tenant struct {
@@ -68,32 +70,34 @@
 
 type server struct {
 	Entry
-	launched  float64
-	grace     float64 // not listed any more, but used until then: the list came empty
-	mode      mode
-	own       float64    // this node's attempts in flight
-	flying    []*attempt // out, in the order of the sends; those that have ended are taken off later
-	ownLag    float64    // the same, at about the time of the latest report
-	ownAt     float64
-	sentAt    float64 // when something was last sent to it
-	ghosts    float64 // attempts that timed out here lately: no report shows their end yet
-	others    float64 // occupancy by reports beyond this node's own, smoothed
-	reportAt  float64
-	full      float64 // occupancy when it last turned a request away
-	fullAt    float64
-	room      float64 // smallest occupancy that drew 'full', infinite before one did
-	slots     float64 // most requests that it had in work at once, by its reports
-	latency   float64 // decayed sum of latencies,
-	occupancy float64 // and of the occupancies plus one that they were met at
-	typical   float64 // service time of its kind
-	lastOK    float64
-	lostAt    float64  // when an attempt that others had overtaken timed out
-	work      float64  // reported time in work, smoothed,
-	base      float64  // and the least that its kind's mean has been
-	health             // of the backend as a whole
-	classes   []health // of each class there, as some fail at a backend that answers others; nil before one failed
-	served    float64  // decayed count of answers; sends would also count what a crowded backend turns away
-	chance    float64  // while cold: part of this node's picks that a warm one of its kind serves
+	launched     float64
+	wide         bool    // beyond the part of the fleet that this node works with
+	grace        float64 // drains, or the list came empty, but used until then
+	mode         mode
+	own          float64    // this node's attempts in flight
+	flying       []*attempt // out, in the order of the sends; those that have ended are taken off later
+	ownLag       float64    // the same, at about the time of the latest report
+	ownAt        float64    // when that was brought up to date
+	sentAt       float64    // when something was last sent to it
+	ghosts       float64    // attempts that timed out here lately: no report shows their end yet
+	others       float64    // occupancy by reports beyond this node's own and the mean of all, smoothed
+	reportAt     float64
+	turned       float64 // requests that it has turned away since its last answer
+	full, fullAt float64 // occupancy when it last did, and when that was
+	room         float64 // smallest occupancy that drew 'full', infinite before one did
+	slots        float64 // most requests that it had in work at once, by its reports
+	alike        float64 // and that any of its kind had
+	latency      float64 // decayed sum of latencies,
+	occupancy    float64 // and of the occupancies plus one that they were met at
+	typical      float64 // service time of its kind
+	lastOK       float64
+	lostAt       float64  // when an attempt that others had overtaken timed out
+	work         float64  // reported time in work, smoothed,
+	base         float64  // and the least that its kind's mean has been
+	health                // of the backend as a whole
+	classes      []health // of each class there, as some fail at a backend that answers others; nil before one failed
+	served       float64  // decayed count of answers; sends would also count what a crowded backend turns away
+	chance       float64  // while cold: part of this node's picks that a warm one of its kind serves
 }
 
 // Balancer is the state of one node. It is not safe for concurrent use.
@@ -108,20 +112,24 @@
 	order    []*server // sorted by id
 	requests map[string]*request
 	tenants  []*tenant
-	part     float64 // this node's part of all traffic
-	total    float64 // decayed count of requests,
-	lessers  float64 // and of those that are diverted first
-	picks    float64 // decayed count of draws,
-	span     float64 // and of the seconds that they were counted in
-	worth    float64 // mean worth of a request lately
-	far      tally   // latencies of answers from other zones, as parts of their class's in this one
-	sends    tally   // attempts, and those of them that left the zone at a price
-	seen     float64 // decayed count of reports,
-	mean     float64 // and what others hold at a backend by their mean
-	retries  float64 // further attempts that the budget allows
-	now      float64 // latest time seen
+	part     float64     // this node's part of all traffic
+	sharers  float64     // nodes that work with a backend, by their mean
+	total    float64     // decayed count of requests,
+	lessers  float64     // and of those that are diverted first
+	picks    float64     // decayed count of draws,
+	span     float64     // and of the seconds that they were counted in
+	worth    float64     // mean worth of a request lately
+	far      decay.Tally // latencies of answers from other zones, as parts of their class's in this one
+	sends    decay.Tally // attempts, and those of them that left the zone at a price
+	level    decay.Level // what others hold at a backend by their mean
+	retries  float64     // further attempts that the budget allows
+	now      float64     // latest time seen
 	planAt   float64
-	askAt    float64 // when to ask for the list again; 0: not wanted
-	tickAt   float64 // when the next plan is due
+	askAt    float64     // when to ask for the list again; 0: not wanted
+	tickAt   float64     // when the next plan is due
+	many     float64     // sharers as a multiple of those that are few
+	flying   float64     // own attempts that are out,
+	drift    decay.Swing // how that moves,
+	swing    float64     // and so what others hold since their reports
 	out      []Action
 }
--- a/policy/zone.go
+++ b/policy/zone.go
@@ -9,12 +9,6 @@
 	bestTau  = 600.0 // a class's best mean latency is forgotten over this
 )
 
-// tally is a decayed sum and the count behind it.
-type tally struct{ sum, n float64 }
-
-func (t *tally) add(x float64)  { t.sum, t.n = t.sum+x, t.n+1 }
-func (t *tally) fade(f float64) { t.sum, t.n = t.sum*f, t.n*f }
-
 // priced tells whether a send to s leaves the node's zone at a price.
 func (b *Balancer) priced(s *server) bool { return b.set.CrossPrice > 0 && s.Zone != b.set.Zone }
 
@@ -22,54 +16,39 @@
 // count together, each against what its class takes in this one.
 func (b *Balancer) zoned(s *server, c *class, took float64) {
 	if !b.priced(s) {
-		c.near.add(took)
-	} else if c.near.n >= 1 {
-		b.far.add(took * c.near.n / max(c.near.sum, 1e-6))
+		c.near.Add(took)
+	} else if c.near.N >= 1 {
+		b.far.Add(took * c.near.N / max(c.near.Sum, 1e-6))
 	}
 }
 
-// stays tells which part of a class's requests is to stay in the node's zone. Latencies are taken as exponential, so
-// that one with a mean of l misses its aim with a chance of exp(-aim/l); a request more, at l over the class's best as
-// the load makes it (M/M/1), adds l/best-1 parts of l to everybody's. Crossing is worth it where that loses less there,
-// by more than the price. Single boxes' occupancies would not do here: they are off by as much as they count, and one
-// request that waits would send the next ones across.
+// stays tells which part of a class's requests is to stay in the node's zone. Latencies are taken as exponential: one
+// with a mean of l misses its aim with a chance of exp(-aim/l), and a request more adds l/best-1 parts of l to
+// everybody's (M/M/1). Crossing is worth it where that loses less there, by more than the price.
 func (b *Balancer) stays(c *class, dt float64) float64 {
-	if b.set.CrossPrice <= 0 || c.near.n < prior || c.Worth <= 0 {
+	if b.set.CrossPrice <= 0 || b.worth <= 0 || math.IsInf(b.aim, 1) || c.near.N < prior || c.Worth <= 0 {
 		return 1 // nothing known speaks for another zone
 	}
 	aim := c.Aim.Seconds()
 	if aim <= 0 {
 		aim = b.aim
 	}
-	l := min(max(c.near.sum/c.near.n, 1e-6), 1e6)
+	l := min(max(c.near.Sum/c.near.N, 1e-6), 1e6)
 	if c.best *= math.Exp(dt / bestTau); c.best == 0 || l < c.best {
 		c.best = l
 	}
-	far := min((b.far.sum+prior*c.best/l)/(b.far.n+prior), 1e6) // an unknown zone is taken to be at its best
+	far := min((b.far.Sum+prior*c.best/l)/(b.far.N+prior), 1e6) // an unknown zone is taken to be at its best
 	loss := func(l float64) float64 { return math.Exp(-aim/l) * (1 + aim/l*max(0, l/c.best-1)) }
 	price := b.set.CrossPrice * b.worth / c.Worth // as a part of the request's worth
-	if price <= 0 || math.IsInf(aim, 1) {
-		return 1
-	}
 	return 1 / (1 + math.Exp(-firmness*(loss(l*far)+price-loss(l))/price))
 }
 
-// cross renews what the requests use, and ages what it rests on.
-func (b *Balancer) cross(dt, f float64) {
-	for _, c := range b.classes {
-		c.stay = b.stays(c, dt)
-		c.near.fade(f)
-	}
-	b.far.fade(f)
-	b.sends.fade(f)
-}
-
 // heal is for how long a backend goes without a request before one is sent to see how it does. Where few requests leave
 // the zone, one of another zone is not left out for what is believed of it.
 func (b *Balancer) heal(s *server) float64 {
-	wait := b.tune.Heal * float64(b.set.Nodes)
+	wait := b.tune.Heal * b.sharers
 	if b.priced(s) {
-		wait *= max(b.sends.n, 1) / max(b.sends.sum, 1e-3)
+		wait *= max(b.sends.N, 1) / max(b.sends.Sum, 1e-3)
 	}
 	return wait
 }
