--- a/internal/engine/leave.go
+++ b/internal/engine/leave.go
@@ -10,13 +10,16 @@
 const (
 	LongestTold = 3 * time.Second
 	killSlack   = 700 * time.Millisecond
+	// writeSlack is for the last answers to reach their clients on a machine that is late: cutting them off at the very
+	// deadline lost answers that were there 20 ms before it.
+	writeSlack = 2 * time.Second
 )
 
 // Departure is the time table of a node that is to end, counted from the moment it is told.
 type Departure struct {
 	Serves time.Duration // requests are taken as ever
 	Killed time.Duration // it may be killed from then on
-	Last   time.Duration // nobody waits any more for what it took
+	Last   time.Duration // whoever has not read its answer by then does not read
 }
 
 // Leave says how a node leaves that is told so now. It may be killed once the longest deadline, of LongestTold at the
@@ -30,5 +33,5 @@
 	longest = cmp.Or(longest, LongestTold)
 	killed := min(longest, LongestTold) + killSlack
 	e.killed.Store(time.Now().Add(killed).UnixNano())
-	return Departure{Serves: killed - aim - 5*Transit, Killed: killed, Last: max(killed, longest+Transit)}
+	return Departure{Serves: killed - aim - 5*Transit, Killed: killed, Last: max(killed, longest+Transit) + writeSlack}
 }
