--- a/internal/kit/lab/lab_test.go
+++ b/internal/kit/lab/lab_test.go
@@ -59,7 +59,7 @@
 
 func TestSameSeedSameTrace(t *testing.T) {
 	for _, name := range []string{"rolling-deploy", "lost-requests", "late-list"} {
-		s := load(t, name)
+		s := load(t, name, short)
 		if a, b := text(t, s, 7), text(t, s, 7); a != b {
 			t.Errorf("%s: two plays of seed 7 differ", name)
 		} else if c := text(t, s, 8); a == c {
