Nodes share state: members, counts, shares of tenants as escrow, judgements on backends

Each node guessed its part of a tenant's share from its own few reports. Pure packages under internal/shared hold what nodes share: who is here (as bounds with an age), counts by epochs (a join: 10,000 scripts), shares as escrow (parts are lent for a term that ends at the borrower first; the sum of what can be spent holds over 10,000 scripts of loss, doubling, turned order, cuts, stalls, restarts, drifting and jumping clocks), judgements with a quorum and ceilings, and a wire form that older and newer versions read. internal/peers carries it by memberlist, whose transport is ours, within a budget of bytes.

Off without [fleet] listen in our own file.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,16 +1,23 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"craneglade/internal/node"
+	"craneglade/internal/peers"
 	"craneglade/internal/settings"
+	"craneglade/internal/shared/escrow"
+	"craneglade/internal/shared/roster"
 )
 
 type fleetCmd struct {
@@ -51,12 +58,24 @@
 	fmt.Fprintln(w, "BOX\tADDRESS\tZONE\tUSED\tMODE\tOUT\tSINCE\tBY\tWHY")
 	in := json.NewDecoder(conn)
 	for {
-		var m node.Member
+		var m struct {
+			node.Member
+			Fleet *peers.Report `json:"fleet"`
+		}
 		if err := in.Decode(&m); errors.Is(err, io.EOF) {
 			return w.Flush()
 		} else if err != nil {
 			return errors.Join(w.Flush(), fmt.Errorf("the node's answer broke off: %w", err))
 		}
+		if m.Fleet != nil {
+			if err := w.Flush(); err != nil {
+				return err
+			}
+			if err := together(a.out, m.Fleet); err != nil {
+				return err
+			}
+			continue
+		}
 		used, mode := "no", m.Mode
 		if m.Used {
 			used = "yes"
@@ -68,3 +87,53 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%v\t%s\t%s\n", m.ID, m.Addr, m.Zone, used, mode, m.InFlight, since, m.Source, m.Why)
 	}
 }
+
+// together prints what the nodes share, as one of them knows it.
+func together(out io.Writer, r *peers.Report) error {
+	round := func(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
+	count := func(c roster.Count) string {
+		if c.Lower == c.Upper {
+			return fmt.Sprintf("%d, by word of at most %v ago", c.Lower, round(c.Age))
+		}
+		return fmt.Sprintf("%d to %d, by word of at most %v ago", c.Lower, c.Upper, round(c.Age))
+	}
+	fmt.Fprintf(out, "\nNodes: %s\n", count(r.Count))
+	for _, site := range slices.Sorted(maps.Keys(r.Sites)) {
+		fmt.Fprintf(out, "  %s: %s\n", cmp.Or(site, "(no site)"), count(r.Sites[site]))
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nNODE\tNUMBER\tSITE\tSTATE\tHEARD")
+	for _, m := range r.Members {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%v ago\n", m.Name, m.Number, m.Site, m.State, round(m.Ago))
+	}
+	if len(r.Parts) > 0 {
+		fmt.Fprintln(w, "\nBUDGET\tSPENDABLE\tOWNED\tHELD OF\tLENT TO")
+		for _, p := range r.Parts {
+			fmt.Fprintf(w, "%s\t%.2f%%\t%.2f%%\t%s\t%s\n", p.Budget, 100*p.Spendable, 100*p.Base, loans(p.Held), loans(p.Lent))
+		}
+	}
+	if len(r.Votes) > 0 {
+		fmt.Fprintln(w, "\nBOX\tSITE\tFIND IT BROKEN\tSAY IT ANSWERS\tOUT BY HEARSAY")
+		for _, v := range r.Votes {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\n", v.Name, v.Site, v.Bad, v.Good, v.Out)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if r.Capped > 0 {
+		fmt.Fprintf(out, "%d more would be out, and the ceilings keep them in\n", r.Capped)
+	}
+	_, err := fmt.Fprintf(out, "\nTold %d, passed on %d, heard %d; %d not known here, %d could not be read, %d of earlier lives. Sent %d bytes, dropped %d datagrams for want of budget.\n",
+		r.Stats.Told, r.Stats.Forwarded, r.Stats.Received, r.Stats.Skipped, r.Stats.Bad, r.Stats.Stale, r.Traffic.SentBytes, r.Traffic.Dropped)
+	return err
+}
+
+// loans lists loans as one cell of a table.
+func loans(all []escrow.Loan) string {
+	var out []string
+	for _, l := range all {
+		out = append(out, fmt.Sprintf("%d: %.2f%%", l.With, 100*float64(l.Grains)/float64(escrow.Whole)))
+	}
+	return cmp.Or(strings.Join(out, ", "), "-")
+}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -17,6 +17,7 @@
 	"craneglade/internal/kit/lab"
 	"craneglade/internal/kit/plan"
 	"craneglade/internal/kit/trace"
+	"craneglade/internal/settings"
 	"craneglade/policy"
 )
 
@@ -26,6 +27,8 @@
 	Seed     uint64   `default:"1" help:"The first of them; the others follow it."`
 	Set      []string `placeholder:"FIGURE=V,..." sep:"none" help:"A further setting: figures that differ from those in service, such as divert=0.8,aim_part=0.4. Can be given again. Figures: ${figures}."`
 	Grid     []string `placeholder:"FIGURE=V,V,..." sep:"none" help:"Every combination of these values as a setting. Can be given again, for another figure."`
+	Share    []string `placeholder:"USE,..." sep:"none" help:"A further setting: nodes that share state and use it for quotas, ejections, or nothing. Can be given again."`
+	Loss     float64  `placeholder:"PART" help:"Part of what nodes tell each other that is lost, with --share."`
 	Only     bool     `help:"Leave out the setting that is in service."`
 	Workers  int      `placeholder:"N" help:"Play so many days at a time; without it one for each processor."`
 	Trace    string   `placeholder:"FILE" type:"path" help:"Play only the first seed with the first setting, and keep its trace, for craneglade judge."`
@@ -135,7 +138,7 @@
 
 // one plays the first seed with the first setting and keeps what it was asked for.
 func (c labCmd) one(a *app, s *lab.Sweep) (err error) {
-	o := lab.Options{Name: s.Name, Plan: plan.New(s.Scenario, c.Seed), Tuning: s.Settings[0].Tuning, Record: func(*trace.Record) {}}
+	o := lab.Options{Name: s.Name, Plan: plan.New(s.Scenario, c.Seed), Tuning: s.Settings[0].Tuning, Sharing: s.Settings[0].Share, Record: func(*trace.Record) {}}
 	if c.Trace != "" {
 		f, err := os.Create(c.Trace)
 		if err != nil {
@@ -244,6 +247,16 @@
 		}
 		out = append(out, s)
 	}
+	for _, text := range c.Share {
+		use, err := settings.ParseUse(strings.Split(text, ","))
+		if err != nil {
+			return nil, usage("--share: %w", err)
+		}
+		if c.Loss < 0 || c.Loss >= 1 {
+			return nil, usage("--loss: %v is outside 0 to 1", c.Loss)
+		}
+		out = append(out, lab.Setting{Name: "share " + text, Tuning: policy.Tuned(), Share: &lab.Sharing{Use: use, Loss: c.Loss, BytesPS: settings.DefaultBytes}})
+	}
 	var grid []lab.Setting
 	for _, text := range c.Grid {
 		name, values, ok := strings.Cut(text, "=")
@@ -266,7 +279,7 @@
 		}
 	}
 	if out = append(out, grid...); len(out) == 0 {
-		return nil, usage("--only: no setting is left: give --set or --grid")
+		return nil, usage("--only: no setting is left: give --set, --share or --grid")
 	}
 	return out, nil
 }
--- a/internal/decay/decay.go
+++ b/internal/decay/decay.go
@@ -12,6 +12,30 @@
 // Fade leaves the part f of both.
 func (t *Tally) Fade(f float64) { t.Sum, t.N = t.Sum*f, t.N*f }
 
+// Moments are a Tally with the sum of the squares. Its zero value is empty.
+type Moments struct {
+	Tally
+	squares float64
+}
+
+// Add counts x once.
+func (m *Moments) Add(x float64) {
+	m.Tally.Add(x)
+	m.squares += x * x
+}
+
+// Fade leaves the part f of all.
+func (m *Moments) Fade(f float64) {
+	m.Tally.Fade(f)
+	m.squares *= f
+}
+
+// Beyond is the value so many standard deviations above the mean; 0 where fewer than one was counted.
+func (m *Moments) Beyond(deviations float64) float64 {
+	mean := m.Sum / max(m.N, 1)
+	return mean + deviations*math.Sqrt(max(0, m.squares/max(m.N, 1)-mean*mean))
+}
+
 // Level is the mean of what came lately. Its zero value is a level of 0 that nothing told of.
 type Level struct {
 	Mean float64
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -167,6 +167,9 @@
 
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
+
+	sharer Sharer        // nil for a node that shares nothing
+	until  time.Duration // what the module was told of it last counts until then
 }
 
 // New returns an engine that knows no box. An error names the setting that makes no sense.
@@ -211,6 +214,10 @@
 	left = max(0, left)
 	r.until, r.done = now+left, make(chan Answer, 1)
 	e.requests[r.ID] = r
+	if e.sharer != nil {
+		e.sharer.Request(r.Tenant)
+		e.look(now, false)
+	}
 	e.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: left, Needs: r.Needs, Repeat: r.Repeat})
 	return true
 }
@@ -304,6 +311,9 @@
 			slog.String("class", r.Class), slog.Int("nth", a.index), slog.Any("outcome", res.Outcome), slog.Duration("took", now-a.sent),
 			slog.Bool("fresh", res.Fresh), slog.Float64("held", res.Load.Held), slog.Float64("queue", res.Load.Queue))
 	}
+	if e.sharer != nil {
+		e.sharer.Outcome(a.Box.key, res.Outcome)
+	}
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.Box.Number, Attempt: a.index,
 		Took: now - a.sent, Last: r.answered, Outcome: res.Outcome, Load: res.Load})
 	e.forget(r)
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"craneglade/internal/membership"
+	"craneglade/internal/shared"
+	"craneglade/internal/shared/judgement"
 	"craneglade/internal/subset"
 	"craneglade/policy"
 )
@@ -33,6 +35,7 @@
 
 	addrs   atomic.Pointer[[]string]
 	started int64
+	key     judgement.Key
 	left    bool         // off the list; guarded by the engine's lock
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
@@ -178,10 +181,10 @@
 				}
 			}
 			e.nextNum++
-			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS}
+			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)}
 		case b.started != s.StartedMS:
 			old := b
-			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS} // the module tells the two apart by the start
+			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)} // the module tells the two apart by the start
 			e.carrier.Retire(old)
 		}
 		if len(s.Addrs) > 1 || x.State == policy.Active { // news of a drain need not tell them
@@ -208,6 +211,7 @@
 		}
 	}
 	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	e.tellSharer()
 	e.ready = false
 	for _, b := range e.names {
 		e.ready = e.ready || b.stop.Load() == 0
--- a/internal/kit/lab/counts.go
+++ b/internal/kit/lab/counts.go
@@ -20,7 +20,9 @@
 	ListCalls float64 `json:"list_calls_a_node"` // in the 10 s after each start of nodes but the first, or in the whole play without one
 	ListAway  float64 `json:"list_calls_turned_away_a_node"`
 	ColdWorst float64 `json:"cold_budget_worst"` // largest part of a cold box's budget that any window was sent; 1 is all of it
-	Spread    float64 `json:"work_p99_to_mean"`  // of the work that warm boxes got in a second, for each core's speed
+	Blind     float64 `json:"attempts_at_boxes_cut_off"`
+	Gossip    float64 `json:"shared_bytes_a_node_a_second"`
+	Spread    float64 `json:"work_p99_to_mean"` // of the work that warm boxes got in a second, for each core's speed
 
 	starts  []time.Duration
 	opens   []float64
@@ -72,6 +74,9 @@
 func (c *Counts) sent(a *attempt) {
 	w, s := a.node.w, c.now(a.node.w)
 	s.Attempts++
+	if a.box.silent {
+		c.Blind++
+	}
 	work := a.req.need.Work
 	if a.fresh {
 		shake := w.plan.Scenario.Conn.Handshake.D()
@@ -193,5 +198,6 @@
 		c.Spread = stat.Mean(c.uneven, nil)
 	}
 	c.ListCalls, c.ListAway = c.calls/float64(len(w.nodes)), c.away/float64(len(w.nodes))
+	c.Gossip /= float64(len(w.nodes)) * max(1, w.now.Seconds())
 	c.opens, c.uneven, c.got = nil, nil, nil
 }
--- a/internal/kit/lab/lab_test.go
+++ b/internal/kit/lab/lab_test.go
@@ -149,7 +149,7 @@
 	s := load(t, "peak-short", short)
 	worse := policy.Tuned()
 	worse.H = 0.5
-	sweep := &Sweep{Name: "peak-short", Scenario: s, Seeds: []uint64{1, 2, 3}, Settings: []Setting{{"in service", policy.Tuned()}, {"h=0.5", worse}}}
+	sweep := &Sweep{Name: "peak-short", Scenario: s, Seeds: []uint64{1, 2, 3}, Settings: []Setting{{Name: "in service", Tuning: policy.Tuned()}, {Name: "h=0.5", Tuning: worse}}}
 	calls := 0
 	out, err := sweep.Run(context.Background(), func(played, all int) {
 		if calls++; played != calls || all != 6 {
--- a/internal/kit/lab/node.go
+++ b/internal/kit/lab/node.go
@@ -9,6 +9,8 @@
 	"craneglade/internal/admission"
 	"craneglade/internal/kit/plan"
 	"craneglade/internal/kit/trace"
+	"craneglade/internal/shared"
+	"craneglade/internal/shared/judgement"
 	"craneglade/policy"
 )
 
@@ -32,8 +34,10 @@
 	pool     map[*box]*pool
 	idle     []int64 // clients' connections that wait for a request
 	lastTold time.Duration
-	held     []policy.Entry // news that came while the list was silent
-	timeout  time.Duration  // for a connection to a box
+	held     []policy.Entry  // news that came while the list was silent
+	timeout  time.Duration   // for a connection to a box
+	shared   *shared.Replica // nil where nothing is shared
+	keys     map[judgement.Key]uint32
 }
 
 // pool are a node's idle connections to one box: since when each has rested, the latest last.
@@ -118,6 +122,8 @@
 	for _, id := range slices.Sorted(maps.Keys(n.known)) {
 		known = append(known, n.known[id])
 	}
+	n.share(&set.Policy)
+	n.listed()
 	n.handle(&policy.Event{Kind: policy.EvList, List: policy.ListCached, Entries: known})
 	return nil
 }
@@ -129,6 +135,7 @@
 	}
 	w := n.w
 	w.note(trace.Record{Kind: trace.Proc, Node: n.Name, State: trace.Kill})
+	n.died()
 	n.up, n.idle = false, nil
 	n.life++
 	life := n.life
@@ -192,6 +199,7 @@
 			delete(n.known, e.ID)
 		}
 	}
+	n.listed()
 	if n.w.opt.hide != nil {
 		news = slices.DeleteFunc(news, n.w.opt.hide)
 	}
@@ -410,6 +418,11 @@
 	if a.load.Known {
 		n.heard[a.box] = n.w.now
 	}
+	if n.shared != nil {
+		if tells, failed := shared.Tells(o); tells {
+			n.shared.Outcome(epoch+n.w.now, n.key(a.box), failed)
+		}
+	}
 	n.handle(&policy.Event{Kind: policy.EvOutcome, ID: r.id, Server: uint32(n.w.number[a.box.plan.ID] + 1), Attempt: a.index,
 		Took: n.w.now - a.sent, Last: r.answered, Outcome: o, Load: a.load})
 	n.forget(r)
--- a/internal/kit/lab/sweep.go
+++ b/internal/kit/lab/sweep.go
@@ -22,6 +22,7 @@
 type Setting struct {
 	Name   string        `json:"name"`
 	Tuning policy.Tuning `json:"tuning"`
+	Share  *Sharing      `json:"share,omitempty"` // nil for nodes that share nothing
 }
 
 // Sweep says what to play: a scenario, over seeds, with each of several settings.
@@ -64,6 +65,8 @@
 	{"open connections a box, most", func(c *Counts) float64 { return c.OpenMost }},
 	{"list calls a node", func(c *Counts) float64 { return c.ListCalls }},
 	{"list calls turned away a node", func(c *Counts) float64 { return c.ListAway }},
+	{"attempts at boxes that are cut off", func(c *Counts) float64 { return c.Blind }},
+	{"bytes of shared state a node a second", func(c *Counts) float64 { return c.Gossip }},
 	{"cold budget used at the worst moment", func(c *Counts) float64 { return c.ColdWorst }},
 	{"work of a box, p99 to mean", func(c *Counts) float64 { return c.Spread }},
 }
@@ -143,7 +146,7 @@
 		go func() {
 			defer wg.Done()
 			for j := range jobs {
-				p, err := PlayOnce(s.Name, s.Scenario, s.Seeds[j.seed], s.Settings[j.setting].Tuning)
+				p, err := playSetting(s.Name, s.Scenario, s.Seeds[j.seed], s.Settings[j.setting])
 				if err != nil {
 					cancel(fmt.Errorf("%s, seed %d: %w", s.Settings[j.setting].Name, s.Seeds[j.seed], err))
 					continue
@@ -180,9 +183,13 @@
 	return out, nil
 }
 
-// PlayOnce plays one seed of a scenario and takes its figures.
+// PlayOnce plays one seed of a scenario with nodes that share nothing, and takes its figures.
 func PlayOnce(name string, s *scenario.Scenario, seed uint64, t policy.Tuning) (*Day, error) {
-	o := Options{Name: name, Plan: plan.New(s, seed), Tuning: t, Counts: &Counts{}}
+	return playSetting(name, s, seed, Setting{Tuning: t})
+}
+
+func playSetting(name string, s *scenario.Scenario, seed uint64, set Setting) (*Day, error) {
+	o := Options{Name: name, Plan: plan.New(s, seed), Tuning: set.Tuning, Sharing: set.Share, Counts: &Counts{}}
 	h := Head(&o)
 	c, j := report.New(h), judge.New(h)
 	line := 1
--- a/internal/kit/lab/world.go
+++ b/internal/kit/lab/world.go
@@ -20,6 +20,7 @@
 	"craneglade/internal/kit/deployment"
 	"craneglade/internal/kit/plan"
 	"craneglade/internal/kit/trace"
+	"craneglade/internal/shared"
 	"craneglade/internal/subset"
 	"craneglade/internal/wire"
 	"craneglade/policy"
@@ -42,16 +43,18 @@
 
 // Options say what to play.
 type Options struct {
-	Name   string // of the scenario
-	Plan   *plan.Plan
-	Tuning policy.Tuning
-	Record func(*trace.Record) // called with each record of the trace; must not keep it
-	Belief func(Belief)        // called once a second for each node and box; nil for never
-	Counts *Counts             // filled by the play; nil where nobody wants them
+	Name    string // of the scenario
+	Plan    *plan.Plan
+	Tuning  policy.Tuning
+	Record  func(*trace.Record) // called with each record of the trace; must not keep it
+	Belief  func(Belief)        // called once a second for each node and box; nil for never
+	Counts  *Counts             // filled by the play; nil where nobody wants them
+	Sharing *Sharing            // nil for nodes that share nothing
 
 	// For tests of the judging: what changes the settings that nodes are told, and which news of the list they miss.
 	tell func(*policy.Settings)
 	hide func(policy.Entry) bool
+	note func(node string, n shared.Note)
 }
 
 // Belief is what a node believes of a box at one moment, beside what is true.
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"craneglade/internal/membership"
+	"craneglade/internal/peers"
 )
 
 // localTime is how long one who asks on the local socket may take to read the answer.
@@ -31,6 +32,11 @@
 	InFlight int    `json:"in_flight"` // this node's attempts
 }
 
+// Shared is what a node that shares state says of the other nodes on its local socket: the last line.
+type Shared struct {
+	Fleet peers.Report `json:"fleet"`
+}
+
 // local answers on a Unix socket, one answer a connection, until ctx ends. A file that a node left behind when it was killed is
 // taken away; one that somebody answers on is not.
 func (n *node) local(ctx context.Context, path string) error {
@@ -75,6 +81,11 @@
 					break
 				}
 			}
+			if n.peers != nil {
+				if err := out.Encode(Shared{n.peers.Report()}); err != nil {
+					n.log.Debug("who asked for the fleet did not read it", "err", err)
+				}
+			}
 			c.Close()
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"craneglade/internal/httpcarrier"
 	"craneglade/internal/httpfront"
 	"craneglade/internal/message"
+	"craneglade/internal/peers"
 	"craneglade/internal/rooms"
 	"craneglade/internal/rpccarrier"
 	"craneglade/internal/rpcfront"
@@ -41,6 +42,7 @@
 	front   *httpfront.Front
 	rpc     *rpccarrier.Carrier
 	rpcs    *rpcfront.Front    // nil where the settings name no address
+	peers   *peers.Peers       // nil for a node that shares nothing
 	stop    context.CancelFunc // ends what hangs on no part
 	wg      sync.WaitGroup     // and this is that
 
@@ -150,11 +152,20 @@
 	n.engine.Follow(n.list, &cfg.Known)
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
+	n.names(ctx, &own.DNS)
+	if own.Fleet.Listen != "" {
+		n.peers, err = peers.Start(peers.Config{Fleet: &own.Fleet, Name: cfg.Name, Policy: &cfg.Settings.Policy, Clock: clock.Now,
+			Changed: n.engine.Shared, Log: log})
+		if err != nil {
+			n.end()
+			return nil, err
+		}
+		n.engine.Share(n.peers)
+	}
 	if err := n.local(ctx, own.Fleet.Socket); err != nil {
 		n.end()
 		return nil, err
 	}
-	n.names(ctx, &own.DNS)
 	if log.Enabled(ctx, slog.LevelDebug) {
 		log.Debug("settings", "policy", fmt.Sprintf("%+v", cfg.Settings.Policy))
 		n.wg.Go(func() { n.beliefs(ctx) })
@@ -165,6 +176,9 @@
 // end ends what start started.
 func (n *node) end() {
 	n.engine.Stop()
+	if n.peers != nil {
+		n.peers.Stop()
+	}
 	n.stop()
 	n.wg.Wait()
 	n.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,6 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"craneglade/internal/bodies"
-	"craneglade/internal/reach"
 	"craneglade/internal/tomlfile"
 )
 
@@ -23,11 +22,6 @@
 	Fleet   Fleet   `toml:"fleet"`
 }
 
-// Fleet is where a running node says what it believes of each box. Without a socket it says so nowhere.
-type Fleet struct {
-	Socket string `toml:"socket"` // the path of a Unix socket, which the node makes
-}
-
 // DNS is a second source of boxes beside the list. Without a site there is none.
 type DNS struct {
 	Servers []string          `toml:"servers"` // host:port, UDP and TCP
@@ -143,10 +137,8 @@
 	if err := f.DNS.check(keys); err != nil {
 		return nil, err
 	}
-	if p := f.Fleet.Socket; p != "" {
-		if _, _, err := reach.Network("unix:" + p); err != nil {
-			return nil, keys.Problem("fleet.socket", "%q is not a path from / of at most 107 bytes", p)
-		}
+	if err := f.Fleet.check(keys); err != nil {
+		return nil, err
 	}
 	seen := map[string]bool{}
 	for i := range f.Bodies.Classes {
--- /dev/null
+++ b/internal/shared/counts/counts_test.go
@@ -0,0 +1,84 @@
+package counts
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func window(t *rapid.T, name string) Window {
+	w := Window{Incarnation: rapid.Uint64Range(1, 3).Draw(t, name+" life")}
+	for range rapid.IntRange(0, 12).Draw(t, name+" adds") {
+		w.Add(w.Epoch+rapid.Uint64Range(0, 3).Draw(t, name+" epochs"), rapid.Uint64Range(0, 9).Draw(t, name+" n"))
+	}
+	return w
+}
+
+// A join does not hang on the order, the grouping or the number of times in which windows come.
+func TestJoinIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := window(t, "a"), window(t, "b"), window(t, "c")
+		if Join(a, b) != Join(b, a) {
+			t.Fatalf("the order counts: %v, %v", Join(a, b), Join(b, a))
+		}
+		if Join(Join(a, b), c) != Join(a, Join(b, c)) {
+			t.Fatal("the grouping counts")
+		}
+		if Join(a, a) != a || Join(Join(a, b), b) != Join(a, b) {
+			t.Fatal("a window that comes twice counts twice")
+		}
+	})
+}
+
+// Whatever a network does with a node's windows, who hears the last one knows what its writer counted.
+func TestATableKnowsWhatWasCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own, table := Window{Incarnation: 1}, NewTable()
+		var sent []Window
+		epoch := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			epoch += rapid.Uint64Range(0, 2).Draw(t, "epochs")
+			own.Add(epoch, rapid.Uint64Range(0, 5).Draw(t, "n"))
+			sent = append(sent, own)
+			if rapid.Bool().Draw(t, "arrives") { // any that was ever sent, any number of times
+				table.Tell("k", 4, sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")], 0)
+			}
+		}
+		table.Tell("k", 4, own, time.Second)
+		if got, _ := table.Of("k", 4); got.Window != own {
+			t.Fatalf("known %v, counted %v", got.Window, own)
+		}
+		if table.Tell("k", 4, own, time.Second) {
+			t.Fatal("what is known already counts as new")
+		}
+	})
+}
+
+func TestRates(t *testing.T) {
+	w := Window{}
+	if w.Rate() >= 0 {
+		t.Errorf("a window with no closed epoch tells a rate of %v", w.Rate())
+	}
+	for e := range uint64(20) {
+		w.Add(e, 5)
+	}
+	if got := w.Rate(); got != 10 {
+		t.Errorf("5 in each half second are %v a second", got)
+	}
+	w.Add(25, 1)
+	if got := w.Rate(); got >= 10 || got <= 0 {
+		t.Errorf("after 2.5 s of nothing %v a second", got)
+	}
+	later := Window{Incarnation: 1}
+	later.Add(2, 1)
+	if got := Join(w, later); got != later {
+		t.Errorf("a later life does not replace an earlier one: %v", got)
+	}
+	table := NewTable()
+	table.Tell("k", 1, w, time.Second)
+	table.Prune(5*time.Second, 3*time.Second)
+	if _, ok := table.Of("k", 1); ok || len(table.keys) > 0 {
+		t.Error("what is old is kept for good")
+	}
+}
--- /dev/null
+++ b/internal/shared/roster/roster_test.go
@@ -0,0 +1,75 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+func member(number int, life uint64, site string) Member {
+	return Member{Name: string(rune('a' + number)), Number: number, Incarnation: life, Site: site}
+}
+
+func TestCountsAreBounds(t *testing.T) {
+	r := New(member(0, 1, "north"), 5, time.Second)
+	if c := r.Count(0); c != (Count{1, 5, 0}) {
+		t.Errorf("alone: %+v", c)
+	}
+	r.Hear(member(1, 1, "north"), 0)
+	r.Hear(member(2, 1, "south"), 500*time.Millisecond)
+	if c := r.Count(time.Second); c != (Count{3, 5, time.Second}) {
+		t.Errorf("two were heard: %+v", c)
+	}
+	// One that says nothing for long may be there, and is not surely so.
+	if c := r.Count(1200 * time.Millisecond); c.Lower != 2 || c.Upper != 5 {
+		t.Errorf("one is silent: %+v", c)
+	}
+	if m := r.Members(1200 * time.Millisecond); m[0].State != Doubted || m[1].State != Alive {
+		t.Errorf("they stand as %v and %v", m[0].State, m[1].State)
+	}
+	r.Heard(1, 1, 1100*time.Millisecond)
+	r.Set(2, 1, Left)
+	if s := r.Sites(1200 * time.Millisecond); s["north"] != (Count{2, 2, 100 * time.Millisecond}) || s["south"] != (Count{}) {
+		t.Errorf("by site: %+v", s)
+	}
+	r.Hear(member(7, 1, "south"), 0) // the settings of another node count it
+	if c := r.Count(1200 * time.Millisecond); c.Upper != 6 {
+		t.Errorf("with one beyond the settings: %+v", c)
+	}
+}
+
+func TestLives(t *testing.T) {
+	r := New(member(0, 5, "north"), 3, time.Second)
+	steps := []struct {
+		name string
+		m    Member
+		at   time.Duration
+		want Verdict
+	}{
+		{"first", member(1, 7, "north"), 0, Joined},
+		{"once more", member(1, 7, "north"), 1, Known},
+		{"a life before", member(1, 6, "north"), 2, Stale},
+		{"a later life", member(1, 9, "south"), 3, Again},
+		{"the one before it", member(1, 7, "north"), 4, Stale},
+		{"its own number, an earlier life", member(0, 4, "north"), 5, Stale},
+		{"its own number, a later life", member(0, 6, "north"), 5, Clash},
+		{"another under a number that is taken", Member{Name: "z", Number: 1, Incarnation: 10}, 6, Clash},
+		{"another once that one is silent", Member{Name: "z", Number: 1, Incarnation: 10}, 2 * time.Second, Again},
+	}
+	for _, s := range steps {
+		if got := r.Hear(s.m, s.at); got != s.want {
+			t.Errorf("%s: %v, want %v", s.name, got, s.want)
+		}
+	}
+	if r.Believe(1, 9) || !r.Believe(1, 10) || r.Believe(0, 9) || !r.Believe(2, 1) {
+		t.Error("an old life is believed, or a present one is not")
+	}
+	if r.Set(1, 9, Dead) || !r.Set(1, 10, Dead) || r.Set(1, 10, Dead) {
+		t.Error("standing is set for the wrong life")
+	}
+	if got := r.Hear(Member{Name: "z", Number: 1, Incarnation: 10}, 3*time.Second); got != Joined {
+		t.Errorf("one that was dead and speaks: %v", got)
+	}
+	if m, ok := r.Of(1); !ok || m.State != Alive || len(r.Members(0)) != 1 {
+		t.Errorf("%+v, %v", m, ok)
+	}
+}
--- /dev/null
+++ b/internal/shared/state.go
@@ -0,0 +1,99 @@
+package shared
+
+import (
+	"time"
+
+	"craneglade/internal/shared/counts"
+	"craneglade/internal/shared/escrow"
+	"craneglade/internal/shared/judgement"
+	"craneglade/internal/shared/packet"
+	"craneglade/internal/shared/roster"
+)
+
+// State is everything that this node knows and that still tells something, for a full exchange: Receive takes it in.
+func (r *Replica) State(now time.Duration) []byte {
+	r.at(now)
+	var all []packet.Entry
+	for key, t := range r.own {
+		all = append(all, packet.Entry{Kind: packet.Window, Node: r.cfg.Self, Key: key, Window: t.Window})
+	}
+	r.table.All(func(key string, node int, w counts.Told) {
+		if r.now-w.At <= stale {
+			all = append(all, packet.Entry{Kind: packet.Window, Node: escrow.Node{Number: node, Incarnation: w.Incarnation}, Key: key, Window: w.Window, Age: r.now - w.At})
+		}
+	})
+	r.pool.Sights(func(k judgement.Key, s judgement.Sight, at time.Duration) {
+		all = append(all, packet.Entry{Kind: packet.Sight, Node: r.cfg.Self, Backend: k, Sight: s, Age: r.now - at})
+	})
+	r.pool.Others(func(number int, life uint64, k judgement.Key, s judgement.Sight, at time.Duration) {
+		if r.now-at <= 3*r.cfg.Limits.Memory {
+			all = append(all, packet.Entry{Kind: packet.Sight, Node: escrow.Node{Number: number, Incarnation: life}, Backend: k, Sight: s, Age: r.now - at})
+		}
+	})
+	return packet.Frame(all[:min(len(all), packet.MaxEntries)]...)
+}
+
+// Part is one budget as this node has it.
+type Part struct {
+	Budget    string        `json:"budget"`
+	Spendable float64       `json:"spendable"` // as parts of the whole budget
+	Base      float64       `json:"base"`
+	Held      []escrow.Loan `json:"held,omitempty"`
+	Lent      []escrow.Loan `json:"lent,omitempty"`
+}
+
+// Member is another node, for an operator.
+type Member struct {
+	Name        string        `json:"name"`
+	Number      int           `json:"number"`
+	Incarnation uint64        `json:"incarnation"`
+	Site        string        `json:"site"`
+	State       string        `json:"state"`
+	Ago         time.Duration `json:"heard_ns_ago"`
+}
+
+// Vote is what is held for and against a backend, by its name on the list.
+type Vote struct {
+	Name string `json:"name"`
+	Site string `json:"site"`
+	Bad  int    `json:"find_it_broken"` // nodes; this one included
+	Good int    `json:"say_it_answers"`
+	Own  bool   `json:"this_node_finds_it_broken"`
+	Out  bool   `json:"out"`
+}
+
+// Report is the whole of what a node knows, for an operator.
+type Report struct {
+	Name    string                  `json:"name"`
+	Number  int                     `json:"number"`
+	Count   roster.Count            `json:"count"`
+	Sites   map[string]roster.Count `json:"sites"`
+	Members []Member                `json:"members"`
+	Parts   []Part                  `json:"parts"`
+	Votes   []Vote                  `json:"votes"`
+	Capped  int                     `json:"held_back"` // backends that only the ceilings keep in
+	Stats   Stats                   `json:"stats"`
+}
+
+// Report tells what the node knows now.
+func (r *Replica) Report(now time.Duration) Report {
+	r.at(now)
+	out := Report{Name: r.cfg.Name, Number: r.cfg.Self.Number, Count: r.roster.Count(r.now), Sites: r.roster.Sites(r.now),
+		Capped: r.pool.Capped(), Stats: r.stats}
+	for _, m := range r.roster.Members(r.now) {
+		out.Members = append(out.Members, Member{m.Name, m.Number, m.Incarnation, m.Site, m.State.String(), max(0, r.now-m.Heard)})
+	}
+	for _, v := range r.votes {
+		for _, b := range r.list {
+			if b.Key == v.Key {
+				out.Votes = append(out.Votes, Vote{b.Name, b.Site, v.Bad, v.Good, v.Own, v.Out})
+			}
+		}
+	}
+	r.budgets(func(budget, _ string) {
+		whole := float64(escrow.Whole)
+		out.Parts = append(out.Parts, Part{budget, float64(r.ledger.Spendable(now, budget)) / whole,
+			float64(escrow.Base(r.cfg.Self.Number, r.cfg.Nodes)) / whole, r.ledger.Holds(now, budget), r.ledger.Lent(now, budget)})
+	})
+	return out
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,9 +1,9 @@
 package policy
 
 import (
-	"errors"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 )
 
@@ -67,51 +67,39 @@
 }
 
 // Validate reports the first setting that makes no sense.
-func (s *Settings) Validate() error {
-	if len(s.Classes) == 0 {
-		return errors.New("policy: Classes: at least one class is needed")
+func (s *Settings) Validate() (err error) {
+	check := func(ok bool, format string, args ...any) {
+		if err == nil && !ok {
+			err = fmt.Errorf("policy: "+format, args...)
+		}
 	}
-	type figure = struct {
-		name  string
-		value float64
+	figures := func(at, names string, values ...float64) {
+		for i, name := range strings.Fields(names) {
+			v := values[i]
+			check(v >= 0 && v <= math.MaxFloat64, "%s%s: %v must be a number that is not negative", at, name, v)
+		}
 	}
-	figures := []figure{{"MustAskIn", s.MustAskIn.Seconds()}, {"RetryAfter", s.RetryAfter.Seconds()},
-		{"DrainGrace", s.DrainGrace.Seconds()}, {"ColdFor", s.ColdFor.Seconds()}, {"FallFor", s.FallFor.Seconds()},
-		{"FallFactor", s.FallFactor}, {"CrossPrice", s.CrossPrice}, {"OverShare", s.OverShare},
-		{"Number", float64(s.Number)}}
+	check(len(s.Classes) > 0, "Classes: at least one class is needed")
 	seen := map[string]bool{}
 	for i, c := range s.Classes {
 		at := fmt.Sprintf("Classes[%d] (%s): ", i, c.Name)
-		switch {
-		case c.Name == "" || seen[c.Name]:
-			return fmt.Errorf("policy: Classes[%d].Name: %q is empty or used twice", i, c.Name)
-		case c.Effect > Unsafe:
-			return fmt.Errorf("policy: %sEffect: unknown value %d", at, c.Effect)
-		case c.Group > GroupCell:
-			return fmt.Errorf("policy: %sGroup: unknown value %d", at, c.Group)
-		}
-		figures = append(figures, figure{at + "Aim", c.Aim.Seconds()}, figure{at + "Window", c.Window.Seconds()},
-			figure{at + "Deadline", c.Deadline.Seconds()}, figure{at + "Worth", c.Worth},
-			figure{at + "LateWorth", c.LateWorth})
+		check(c.Name != "" && !seen[c.Name], "Classes[%d].Name: %q is empty or used twice", i, c.Name)
+		check(c.Effect <= Unsafe, "%sEffect: unknown value %d", at, c.Effect)
+		check(c.Group <= GroupCell, "%sGroup: unknown value %d", at, c.Group)
+		figures(at, "Aim Deadline Window Worth LateWorth", c.Aim.Seconds(), c.Deadline.Seconds(), c.Window.Seconds(),
+			c.Worth, c.LateWorth)
 		seen[c.Name] = true
 	}
 	for i, t := range s.Tenants {
-		figures = append(figures, figure{fmt.Sprintf("Tenants[%d] (%s): QuotaPerS", i, t.Name), t.QuotaPerS})
-	}
-	switch {
-	case s.Nodes < 1:
-		return fmt.Errorf("policy: Nodes: %d is below 1", s.Nodes)
-	case s.MaxAttempts < 1:
-		return fmt.Errorf("policy: MaxAttempts: %d is below 1", s.MaxAttempts)
-	case !(s.ColdShare >= 0 && s.ColdShare <= 1):
-		return fmt.Errorf("policy: ColdShare: %v is outside 0 to 1", s.ColdShare)
+		figures(fmt.Sprintf("Tenants[%d] (%s): ", i, t.Name), "QuotaPerS", t.QuotaPerS)
 	}
-	for _, f := range figures {
-		if !(f.value >= 0 && f.value <= math.MaxFloat64) {
-			return fmt.Errorf("policy: %s: %v must be a number that is not negative", f.name, f.value)
-		}
-	}
-	return nil
+	check(s.Nodes >= 1, "Nodes: %d is below 1", s.Nodes)
+	check(s.MaxAttempts >= 1, "MaxAttempts: %d is below 1", s.MaxAttempts)
+	check(s.ColdShare >= 0 && s.ColdShare <= 1, "ColdShare: %v is outside 0 to 1", s.ColdShare)
+	figures("", "MustAskIn RetryAfter DrainGrace ColdFor FallFor FallFactor CrossPrice OverShare Number",
+		s.MustAskIn.Seconds(), s.RetryAfter.Seconds(), s.DrainGrace.Seconds(), s.ColdFor.Seconds(), s.FallFor.Seconds(),
+		s.FallFactor, s.CrossPrice, s.OverShare, float64(s.Number))
+	return err
 }
 
 // EventKind names what happened.
@@ -124,6 +112,7 @@
 	EvList                     // news of the server list
 	EvTimer                    // a timer set by ActTimer is due
 	EvBegun                    // an answer that goes on while it comes has begun to; Attempt brings it
+	EvShared                   // news of what the nodes of the fleet share; Shared brings it
 	EvOther                    // anything the policy does not act on
 )
 
@@ -198,6 +187,13 @@
 	List    ListKind      // EvList
 	Entries []Entry       // EvList; not kept by the policy
 	Token   string        // EvTimer
+	Shared  *Shared       // EvShared; not kept by the policy
+}
+
+// Shared is what the nodes of a fleet know together. Of what is not told, or zero, this node decides alone.
+type Shared struct {
+	Quotas map[string]float64 // requests a second within a tenant's share that are this node's
+	Out    []uint32           // servers that enough nodes find broken
 }
 
 // ActionKind names what the node is to do.
--- a/policy/copy.go
+++ b/policy/copy.go
@@ -1,15 +1,12 @@
 package policy
 
-import "math"
-
 // A second copy of what seems lost, where the class and the settings allow two attempts at a time.
 
 const tail = 4.0 // deviations beyond a class's mean latency after which an attempt is late: 1 in 60 of exponential ones
 
 // tooLong is after what time an attempt of a class is late.
 func (c *class) tooLong() float64 {
-	mean := c.latency / max(c.answers, 1)
-	late := mean + tail*math.Sqrt(max(0, c.squares/max(c.answers, 1)-mean*mean))
+	late := c.took.Beyond(tail)
 	if aim := c.Aim.Seconds(); aim > 0 {
 		late = min(late, aim/2)
 	}
@@ -18,7 +15,7 @@
 
 // again tells whether an attempt of a class that may have run can be followed by another one.
 func (b *Balancer) again(c *class) bool {
-	return b.set.Copies && c.Effect != Unsafe && c.answers >= prior
+	return b.set.Copies && c.Effect != Unsafe && c.took.N >= prior
 }
 
 // overdue gives late attempts a second copy. Attempts of a class are late in the order of their sends.
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -165,3 +165,47 @@
 		}
 	}
 }
+
+// What the nodes know together: a tenant's share is what this node was told, and a backend that the others find broken
+// gets nothing for a while, unless it has answered here a moment ago.
+func TestWhatTheFleetKnows(t *testing.T) {
+	set := Settings{Nodes: 4, MaxAttempts: 2, Classes: []Class{{Name: "c", Effect: Safe}},
+		Tenants: []Tenant{{"greedy", 40}}, OverShare: 0.2}
+	over := func(sh *Shared) int {
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(t0, &Event{Kind: EvShared, Shared: sh}, nil)
+		b.tenants[0].rate = 100
+		n := 0
+		for range 1000 {
+			if b.overShare("greedy") {
+				n++
+			}
+		}
+		return n
+	}
+	if n := over(&Shared{Quotas: map[string]float64{"greedy": 30}}); n < 600 || n > 800 {
+		t.Errorf("%d of 1000 past a share of 30 of 100 a second, want about 700", n)
+	}
+	if n := over(&Shared{Quotas: map[string]float64{"greedy": 1e-9}}); n < 990 {
+		t.Errorf("%d of 1000 past no share at all", n)
+	}
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Handle(t0, &Event{Kind: EvList, List: ListFull, Entries: []Entry{{ID: 1}, {ID: 2}}}, nil)
+	now := t0 + 2*time.Second
+	b.servers[1].lastOK, b.servers[2].lastOK = now.Seconds(), 0
+	b.Handle(now, &Event{Kind: EvShared, Shared: &Shared{Out: []uint32{1, 2, 99}}}, nil)
+	for range 50 {
+		if s := b.pick(now.Seconds(), &request{class: b.classes[0]}, overload); s == nil || s.ID != 1 {
+			t.Fatalf("%+v is drawn, want the one that has just answered here", s)
+		}
+	}
+	if s := b.servers[2]; s.ejected < now.Seconds()+ejectFor || !s.trial {
+		t.Errorf("it is out until %.1f, trial %v", s.ejected-now.Seconds(), s.trial)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,8 @@
 // Package policy makes the decisions of one load balancer: which backend a request goes to, which are refused,
 // what is tried again. Settings, events and actions are in api.go, what a node remembers in state.go.
 //
-// Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks":
-// normal, overload (each request is diverted with probability q) and discard (nothing is sent). Diverted
-// requests take a backend in normal mode or are refused at once. docs/design/ has the whole story.
+// Each backend has a mode, after Abaev et al., "Simulation of Overload Control in SIP Server Networks": normal,
+// overload (each request is diverted with probability q, to a normal one or refused) and discard (nothing is sent).
 package policy
 
 import (
@@ -99,6 +98,8 @@
 		b.begun(ev)
 	case EvList:
 		b.list(t, ev)
+	case EvShared:
+		b.shared(t, ev.Shared)
 	case EvTimer:
 		b.plan(t)
 		if b.askAt > 0 && t >= b.askAt {
@@ -138,8 +139,7 @@
 	left := ev.Left.Seconds()
 	r := &request{id: ev.ID, class: c, needs: ev.Needs, until: now + left, aim: now + left}
 	if aim := c.Aim.Seconds(); aim > 0 && c.LateWorth == 0 {
-		// A repeat with less time left than any first try lately has what is left of the deadline: that tells
-		// the age of its request. Work for one past its aim would only make others late.
+		// A repeat with less time left than any first try lately tells its request's age. Past its aim it is no use.
 		if ev.Repeat && left < c.least-1e-3 {
 			aim -= max(0, c.Deadline.Seconds()-left)
 		} else if !ev.Repeat {
@@ -211,8 +211,7 @@
 		b.do(Action{Kind: ActFail, ID: r.id}) // it may have run: a refusal would promise too much
 		return
 	}
-	// Back after the time in which a backend clears a good part of its queue, while the answer still counts.
-	wait := b.set.RetryAfter.Seconds() // past the aim no repeat can be in time
+	wait := b.set.RetryAfter.Seconds() // past the aim no repeat can be in time; before it a queue clears in part
 	if now < r.aim {
 		wait = min(wait, b.aim/4)
 	}
@@ -249,9 +248,8 @@
 	}
 }
 
-// diverts draws whether a backend in overload diverts a request of a class. The share q of all requests is
-// diverted, lesser classes first. A fixed q lets too much pass a backend that fills on, or closes one that
-// stands a little above H to nearly all; so q grows from Divert at H to qMost at 1 + Ramp times H.
+// diverts draws whether a backend in overload diverts a request. The share q of all is diverted, lesser classes first;
+// it grows from Divert at H to qMost at 1 + Ramp times H, as a fixed one passes too much, or closes it to all.
 func (b *Balancer) diverts(now float64, s *server, lesser bool) bool {
 	q := b.q(b.waiting(s, now), b.high(s, b.limit(s)))
 	part := b.lessers / max(b.total, 1)
@@ -333,8 +331,7 @@
 			b.blame(now, s, badTau)
 			break
 		}
-		// The true latency is longer than was waited for; taking it as seen would make a slow backend look
-		// as good as the time-out.
+		// The true latency is longer: as seen it would make a slow backend look as good as the time-out.
 		b.latency(s, r, a, 2*took)
 		s.ghosts++ // the backend may well run on with it, until the next reports tell
 		// A slow backend still answers some; one that answered nothing meanwhile is not slow but out.
@@ -359,13 +356,11 @@
 	s.latency += took
 	s.occupancy += a.met
 	b.zoned(s, r.class, took)
-	r.class.latency += took
-	r.class.squares += took * took
-	r.class.answers++
+	r.class.took.Add(took)
 }
 
 // blame counts a failed attempt. A broken backend can look best (fast errors, an empty queue), so one that fails too
-// often is ejected for a growing time. The rest are not pushed over: their modes refuse what they cannot take.
+// often is ejected, for a growing time; the others' modes refuse what they cannot take.
 func (b *Balancer) blame(now float64, s *server, tau float64) {
 	if b.fails(now, &s.health, tau) {
 		b.log("backend %d ejected for %.1f s: too many attempts failed", s.ID, s.ejected-now)
@@ -394,6 +389,18 @@
 	return true
 }
 
+// shared takes in what the nodes of the fleet know together. What this one saw itself goes first.
+func (b *Balancer) shared(now float64, sh *Shared) {
+	for _, t := range b.tenants {
+		t.told = sh.Quotas[t.Name]
+	}
+	for _, id := range sh.Out {
+		if s := b.servers[id]; s != nil && s.lastOK < now-silence {
+			s.ejected, s.trial = max(s.ejected, now+ejectFor), true
+		}
+	}
+}
+
 // of is the record of one class at a backend. One of a class never told of is not kept.
 func (s *server) of(b *Balancer, c *class) *health {
 	if c.index >= len(b.classes) {
@@ -457,8 +464,7 @@
 	return n
 }
 
-// service is the time a backend needs for each request it holds. A node alone sees few answers of each
-// backend and their work varies widely, so they are weighed against those of its kind.
+// service is the time a backend needs for each request it holds: by its few answers here, weighed against its kind's.
 func (b *Balancer) service(s *server) float64 {
 	return (s.latency + prior*s.typical) / (s.occupancy + prior)
 }
@@ -554,16 +560,14 @@
 			return s, true // what is believed of it is old: one request tells, and no more follow for as long
 		}
 		if ramp < 1 {
-			// A cold backend is kept from being pushed over by a fixed share of each node's requests: its ramp's
-			// part of what a warm one serves, times a part of the multiple that brings it down. Nothing is saved
-			// up: budgets that hundreds of nodes begin at the same start would come due together.
+			// A fixed share of each node's requests: the ramp's part of what a warm one serves, times a part of the
+			// multiple that brings it down. Nothing is saved up, which at hundreds of nodes would come due together.
 			if !wide && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart {
 				return s, warm
 			}
 			continue
 		}
-		// Other nodes see the same and do alike: an own attempt stands for one of each. Without this many
-		// nodes, each with few attempts out, meet on the same backends by chance, and one gone silent fills.
+		// Others see the same and do alike: an own attempt stands for one of each. Else many meet at one by chance.
 		delay := b.service(s) * (b.waiting(s, now) + 1 + s.own*(b.sharers-1))
 		weight := math.Pow(1/max(delay, 1e-3), sharpness)
 		if s.Zone == b.set.Zone {
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,21 +16,21 @@
 
 type class struct {
 	Class
-	index            int         // among the classes told of
-	requests         float64     // decayed count
-	latency, answers float64     // decayed sum of latencies, and the answers behind it
-	squares          float64     // and of their squares
-	out              []*attempt  // first attempts that may get a copy, in the order of the sends
-	least            float64     // least time left of a first try lately
-	lesser           bool        // worth less than the average for its work
-	near             decay.Tally // latencies of answers that crossed no zone at a price
-	best             float64     // least mean of them
-	stay             float64     // part of the requests that stays in this zone while there is a backend for it
+	index    int           // among the classes told of
+	requests float64       // decayed count
+	took     decay.Moments // latencies of answers
+	out      []*attempt    // first attempts that may get a copy, in the order of the sends
+	least    float64       // least time left of a first try lately
+	lesser   bool          // worth less than the average for its work
+	near     decay.Tally   // latencies of answers that crossed no zone at a price
+	best     float64       // least mean of them
+	stay     float64       // part of the requests that stays in this zone while there is a backend for it
 }
 
 type tenant struct {
 	Tenant
 	count, rate float64 // requests since the last plan; requests a second lately
+	told        float64 // of them this node's within the share, by what the nodes know together
 }
 
 type attempt struct {
--- a/policy/worth.go
+++ b/policy/worth.go
@@ -1,6 +1,9 @@
 package policy
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // overShare draws whether a request lies past its tenant's share: the node takes its own part of the share,
 // and of what goes beyond it as many at random as there are too many.
@@ -11,7 +14,7 @@
 	}
 	t := b.tenants[i]
 	t.count++
-	return b.rng.Float64()*t.rate > t.QuotaPerS*b.part
+	return b.rng.Float64()*t.rate > cmp.Or(t.told, t.QuotaPerS*b.part)
 }
 
 // shares finds the lesser classes, those worth less than the average for their work. They are not ranked
@@ -20,7 +23,8 @@
 	b.total, b.lessers = b.total*f, b.lessers*f
 	var requests, worth, work float64
 	for _, c := range b.classes {
-		c.requests, c.latency, c.squares, c.answers = c.requests*f, c.latency*f, c.squares*f, c.answers*f
+		c.requests *= f
+		c.took.Fade(f)
 		requests += c.requests
 		worth += c.requests * c.Worth
 		work += c.requests * c.work()
@@ -32,4 +36,4 @@
 }
 
 // work is the mean latency of a class, as a measure of what its requests cost.
-func (c *class) work() float64 { return (c.latency + guess) / (c.answers + 1) }
+func (c *class) work() float64 { return (c.took.Sum + guess) / (c.took.N + 1) }
