Tenants' shares follow from what all nodes count; parts as escrow stay for who must not go beyond

The module takes that part in place of a rate.

60 processes also showed that members were not heard for over 10 s: four entries a node each 3 s were more than all datagrams carry.

--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -27,7 +27,7 @@
 	Seed     uint64   `default:"1" help:"The first of them; the others follow it."`
 	Set      []string `placeholder:"FIGURE=V,..." sep:"none" help:"A further setting: figures that differ from those in service, such as divert=0.8,aim_part=0.4. Can be given again. Figures: ${figures}."`
 	Grid     []string `placeholder:"FIGURE=V,V,..." sep:"none" help:"Every combination of these values as a setting. Can be given again, for another figure."`
-	Share    []string `placeholder:"USE,..." sep:"none" help:"A further setting: nodes that share state and use it for quotas, ejections, or nothing. Can be given again."`
+	Share    []string `placeholder:"USE,..." sep:"none" help:"A further setting: nodes that share state and use it for quotas, escrow, ejections, or nothing. Can be given again."`
 	Loss     float64  `placeholder:"PART" help:"Part of what nodes tell each other that is lost, with --share."`
 	Only     bool     `help:"Leave out the setting that is in service."`
 	Workers  int      `placeholder:"N" help:"Play so many days at a time; without it one for each processor."`
--- a/internal/kit/lab/share.go
+++ b/internal/kit/lab/share.go
@@ -42,7 +42,7 @@
 		quotas[t.Name] = t.QuotaPerS
 	}
 	n.shared = shared.New(shared.Config{Name: n.Name, Self: escrow.Node{Number: n.index, Incarnation: uint64(n.life) + 1}, Nodes: set.Nodes, Site: n.Site,
-		Quotas: quotas, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: o.Use, BytesPS: o.BytesPS}, epoch+n.w.now)
+		Quotas: quotas, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: o.Use, BytesPS: o.BytesPS, Datagram: datagram}, epoch+n.w.now)
 	life := n.life
 	// What every node does at once would be a lockstep that no fleet has.
 	n.every(life, shareStep, func() {
--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
@@ -73,6 +75,12 @@
 func (n *node) launch(ctx context.Context) error {
 	n.mu.Lock()
 	n.starts++
+	if n.starts == 1 { // the logs of another rehearsal may stand in the folder
+		if err := os.Remove(n.audit()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			n.mu.Unlock()
+			return err
+		}
+	}
 	path, err := n.write()
 	if err != nil {
 		n.mu.Unlock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -79,7 +79,7 @@
 	}
 	p.replica = shared.New(shared.Config{Name: cfg.Name, Self: escrow.Node{Number: cfg.Policy.Number, Incarnation: uint64(time.Now().UnixMilli())},
 		Nodes: cfg.Policy.Nodes, Site: cfg.Policy.Zone, Quotas: quotas, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: f.Used,
-		BytesPS: int(f.Bytes)}, p.now())
+		BytesPS: int(f.Bytes), Datagram: f.Datagram}, p.now())
 	keys, err := memberlist.NewKeyring(f.Keys, f.Keys[0])
 	if err != nil {
 		return nil, fmt.Errorf("fleet.key_file: %w", err)
--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -29,20 +29,23 @@
 
 const (
 	step     = 250 * time.Millisecond // Step is to be called about this often
-	fresh    = 5 * time.Second        // a member that was heard within this is surely there
-	stale    = 10 * time.Second       // a count that is older tells nothing of now
-	forget   = time.Minute            // and one that is much older goes
+	turn     = 3 * time.Second        // a node tells again of what has not changed this often; in a large fleet less often
+	turns    = 3                      // what was told longer ago than so many turns tells nothing of now
+	forget   = 4                      // and what was told so much longer ago goes
+	outlived = 10 * time.Second       // a node goes on under another life once in this time at most
 	usual    = 72                     // bytes of an entry on its way
+	gossips  = 15                     // datagrams with what is no news that a node sends in a second
 	burst    = 16.0                   // entries that a node may tell at once
 	part     = 0.7                    // of the bytes that a node may send, for what is no news; the rest is for membership
 	moved    = 0.2                    // a rate that moved by this part is told before its turn
-	least    = 1e-9                   // of a share, where a node has nothing: 0 would say that nothing is told
+	least    = 1e-9                   // of a share, where none of it is left: 0 would say that nothing is told
 	reserved = 2                      // times each entry is sent on for each tenfold of the fleet, urgent ones three times as often
 )
 
 // Use says what the shared state is used for. Everything is told to others in any case.
 type Use struct {
-	Quotas    bool // tenants' shares are escrow
+	Quotas    bool // what of a tenant's requests lies within its share follows from what all nodes count
+	Escrow    bool // it follows from this node's part of the share, of which all together never have more than there is
 	Ejections bool // what enough others find broken is left out here too
 }
 
@@ -57,6 +60,8 @@
 	Limits  judgement.Limits
 	Use     Use
 	BytesPS int // that this node may send in a second
+
+	Datagram int // bytes of the largest datagram
 }
 
 // Message is something for one member.
@@ -73,7 +78,7 @@
 
 // View is what the node may act on until Until.
 type View struct {
-	Quotas map[string]float64 // requests a second within its share, by tenant; nil where they are not shared
+	Within map[string]float64 // by tenant: part of its requests here that lie within its share; nil where that is not shared
 	Out    []judgement.Key    // backends that enough nodes find broken
 	Until  time.Duration
 }
@@ -96,6 +101,7 @@
 	cfg    Config
 	born   time.Duration
 	now    time.Duration
+	again  time.Duration // how often it is told again what has not changed, as the fleet's size is
 	roster *roster.Roster
 	table  *counts.Table
 	ledger *escrow.Ledger
@@ -125,12 +131,12 @@
 
 // New returns the replica of a node that has just started and heard nobody.
 func New(cfg Config, now time.Duration) *Replica {
-	r := &Replica{cfg: cfg, born: now, now: now, table: counts.NewTable(), pool: judgement.New(cfg.Limits), own: map[string]*tally{}, tokens: burst,
+	r := &Replica{cfg: cfg, born: now, now: now, again: turn, table: counts.NewTable(), pool: judgement.New(cfg.Limits), own: map[string]*tally{}, tokens: burst,
 		ledger: escrow.New(cfg.Terms, cfg.Self, cfg.Nodes, now),
-		roster: roster.New(roster.Member{Name: cfg.Name, Number: cfg.Self.Number, Incarnation: cfg.Self.Incarnation, Site: cfg.Site}, cfg.Nodes, fresh)}
+		roster: roster.New(roster.Member{Name: cfg.Name, Number: cfg.Self.Number, Incarnation: cfg.Self.Incarnation, Site: cfg.Site}, cfg.Nodes, turns*turn)}
 	for tenant, q := range cfg.Quotas {
 		if q > 0 { // also one that nobody asks for here: who needs more has to know that this node does not
-			r.own[quota+tenant] = &tally{Window: counts.Window{Incarnation: cfg.Self.Incarnation}, toldAt: now - stale}
+			r.own[quota+tenant] = &tally{Window: counts.Window{Incarnation: cfg.Self.Incarnation}, toldAt: now - time.Hour}
 		}
 	}
 	size := func() int { return r.roster.Size() + 1 }
@@ -185,7 +191,7 @@
 // outlive begins a new life after one under this node's own number that was heard of: an earlier one's, by a clock that ran
 // ahead of this one's. Nothing that it was granted counts for the new life.
 func (r *Replica) outlive(incarnation uint64) {
-	if r.renewedAt > 0 && r.now-r.renewedAt < stale {
+	if r.renewedAt > 0 && r.now-r.renewedAt < outlived {
 		r.note("another node says that it has this one's number: give each node its own", "number", r.cfg.Self.Number)
 		return
 	}
@@ -360,25 +366,32 @@
 }
 
 // pace is how many entries a second a node may tell of its own, so that with all others' entries, each sent on by each
-// node as often as the queue does, it keeps within its bytes.
+// node as often as the queue does, it keeps within its bytes and its datagrams.
 func (r *Replica) pace() float64 {
 	n := float64(r.roster.Size() + 1)
 	times := reserved * max(1, math.Ceil(math.Log10(n+1)))
-	return part * float64(r.cfg.BytesPS) / (usual * times * n)
+	return part * min(float64(r.cfg.BytesPS), gossips*float64(r.cfg.Datagram)) / (usual * times * n)
 }
 
+// stale is after what time what was told tells nothing of now.
+func (r *Replica) stale() time.Duration { return turns * r.again }
+
 // Step moves what time moves: it tells others what is new, asks for what is needed and judges. It returns what is to be
 // sent to single members.
 func (r *Replica) Step(now time.Duration) []Message {
 	dt := now - r.now
 	r.at(now)
-	r.tokens = min(burst, r.tokens+max(0, min(dt, time.Second).Seconds())*r.pace())
+	pace := r.pace()
+	r.tokens = min(burst, r.tokens+max(0, min(dt, time.Second).Seconds())*pace)
+	// Half of what it may tell is for what has changed.
+	r.again = max(turn, time.Duration(float64(len(r.own))/(pace/2)*float64(time.Second)))
+	r.roster.Fresh(r.stale())
 	r.tell()
 	out := r.plan(now)
 	if r.cfg.Use.Ejections {
 		r.judge()
 	}
-	r.table.Prune(r.now, forget)
+	r.table.Prune(r.now, forget*r.stale())
 	r.pool.Prune(r.now)
 	if c := r.roster.Count(r.now); c.Lower != r.seen.Lower || c.Upper != r.seen.Upper {
 		r.seen = c
@@ -402,7 +415,7 @@
 	var names []string
 	for key, t := range r.own {
 		t.Add(epoch, 0)
-		if rate := t.Rate(); rate >= 0 && (math.Abs(rate-t.toldRate) > moved*t.toldRate+1 && r.now-t.toldAt >= time.Second || r.now-t.toldAt >= stale/3) {
+		if rate := t.Rate(); rate >= 0 && (math.Abs(rate-t.toldRate) > moved*t.toldRate+1 && r.now-t.toldAt >= time.Second || r.now-t.toldAt >= r.again) {
 			names = append(names, key)
 		}
 	}
@@ -426,6 +439,9 @@
 		out = append(out, escrow.Demand{Number: r.cfg.Self.Number, Rate: t.Rate()})
 	}
 	r.table.Rates(r.now, key, func(node int, rate float64, age time.Duration) {
+		if m, known := r.roster.Of(node); known && (m.State == roster.Dead || m.State == roster.Left) {
+			return
+		}
 		out = append(out, escrow.Demand{Number: node, Rate: rate, Age: age})
 	})
 	slices.SortFunc(out, func(a, b escrow.Demand) int { return cmp.Compare(a.Number, b.Number) })
@@ -434,9 +450,12 @@
 
 // budgets calls f with each budget that is used and the tenant whose share it is, in the order of their names.
 func (r *Replica) budgets(f func(budget, tenant string)) {
-	if !r.cfg.Use.Quotas {
-		return
+	if r.cfg.Use.Escrow {
+		r.tenants(f)
 	}
+}
+
+func (r *Replica) tenants(f func(budget, tenant string)) {
 	for _, tenant := range slices.Sorted(maps.Keys(r.cfg.Quotas)) {
 		if r.cfg.Quotas[tenant] > 0 {
 			f(quota+tenant, tenant)
@@ -446,7 +465,7 @@
 
 func (r *Replica) plan(now time.Duration) (out []Message) {
 	r.budgets(func(budget, _ string) {
-		for _, o := range r.ledger.Plan(now, budget, r.demands(budget), stale) {
+		for _, o := range r.ledger.Plan(now, budget, r.demands(budget), r.stale()) {
 			e := packet.Entry{Node: r.cfg.Self, Key: budget}
 			if o.Ask != nil {
 				r.stats.Asked++
@@ -507,16 +526,23 @@
 func (r *Replica) View(now time.Duration) View {
 	r.at(now)
 	v := View{Until: now + 2*step}
-	r.budgets(func(budget, tenant string) {
-		if v.Quotas == nil {
-			v.Quotas = map[string]float64{}
-		}
-		has := float64(r.ledger.Spendable(now, budget)) / float64(escrow.Whole)
-		v.Quotas[tenant] = max(has, least) * r.cfg.Quotas[tenant]
-		if until, falls := r.ledger.Until(now, budget); falls {
-			v.Until = min(v.Until, until)
-		}
-	})
+	if r.cfg.Use.Quotas || r.cfg.Use.Escrow {
+		v.Within = map[string]float64{}
+		r.tenants(func(budget, tenant string) {
+			own := r.own[budget].Rate()
+			if own < 0 {
+				return // it has counted nothing yet
+			}
+			share, of := r.cfg.Quotas[tenant], r.total(budget, own)
+			if r.cfg.Use.Escrow {
+				share, of = share*float64(r.ledger.Spendable(now, budget))/float64(escrow.Whole), own
+				if until, falls := r.ledger.Until(now, budget); falls {
+					v.Until = min(v.Until, until)
+				}
+			}
+			v.Within[tenant] = max(least, min(1, share/max(of, least)))
+		})
+	}
 	for i := range r.list {
 		if r.list[i].out {
 			v.Out = append(v.Out, r.list[i].Key)
@@ -525,6 +551,19 @@
 	return v
 }
 
+// total is what all nodes together count a second. Those of which nothing is known count as the mean of the others, so
+// that a node that hears nobody keeps to its own part.
+func (r *Replica) total(key string, own float64) float64 {
+	sum, known, stale := own, 1, r.stale()
+	for _, d := range r.demands(key) {
+		if d.Number != r.cfg.Self.Number && d.Rate >= 0 && d.Age <= stale {
+			sum += d.Rate
+			known++
+		}
+	}
+	return sum * float64(max(known, r.cfg.Nodes)) / float64(known)
+}
+
 // Notes are what an operator should know, since the last call.
 func (r *Replica) Notes() []Note {
 	n := r.notes
--- a/internal/shared/roster/roster.go
+++ b/internal/shared/roster/roster.go
@@ -54,6 +54,9 @@
 	return &Roster{self: self, nodes: nodes, fresh: fresh, members: map[int]*Member{}}
 }
 
+// Fresh sets for how long after its latest word a member counts as surely there.
+func (r *Roster) Fresh(d time.Duration) { r.fresh = d }
+
 // Verdict is what becomes of news of a member.
 type Verdict uint8
 
--- a/internal/shared/state.go
+++ b/internal/shared/state.go
@@ -18,7 +18,7 @@
 		all = append(all, packet.Entry{Kind: packet.Window, Node: r.cfg.Self, Key: key, Window: t.Window})
 	}
 	r.table.All(func(key string, node int, w counts.Told) {
-		if r.now-w.At <= stale {
+		if r.now-w.At <= r.stale() {
 			all = append(all, packet.Entry{Kind: packet.Window, Node: escrow.Node{Number: node, Incarnation: w.Incarnation}, Key: key, Window: w.Window, Age: r.now - w.At})
 		}
 	})
--- a/policy/api.go
+++ b/policy/api.go
@@ -192,7 +192,7 @@
 
 // Shared is what the nodes of a fleet know together. Of what is not told, or zero, this node decides alone.
 type Shared struct {
-	Quotas map[string]float64 // requests a second within a tenant's share that are this node's
+	Within map[string]float64 // by tenant: part of its requests here that lie within its share
 	Out    []uint32           // servers that enough nodes find broken
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -392,7 +392,7 @@
 // shared takes in what the nodes of the fleet know together. What this one saw itself goes first.
 func (b *Balancer) shared(now float64, sh *Shared) {
 	for _, t := range b.tenants {
-		t.told = sh.Quotas[t.Name]
+		t.told = sh.Within[t.Name]
 	}
 	for _, id := range sh.Out {
 		if s := b.servers[id]; s != nil && s.lastOK < now-silence {
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,7 +30,7 @@
 type tenant struct {
 	Tenant
 	count, rate float64 // requests since the last plan; requests a second lately
-	told        float64 // of them this node's within the share, by what the nodes know together
+	told        float64 // part of them that lies within the share, by what the nodes know together
 }
 
 type attempt struct {
--- a/policy/worth.go
+++ b/policy/worth.go
@@ -14,7 +14,7 @@
 	}
 	t := b.tenants[i]
 	t.count++
-	return b.rng.Float64()*t.rate > cmp.Or(t.told, t.QuotaPerS*b.part)
+	return b.rng.Float64() > cmp.Or(t.told, t.QuotaPerS*b.part/t.rate)
 }
 
 // shares finds the lesser classes, those worth less than the average for their work. They are not ranked
