--- a/internal/kit/proof/shared_test.go
+++ b/internal/kit/proof/shared_test.go
@@ -20,7 +20,7 @@
 }{
 	{fault{name: "a loan that never ends at its borrower", names: []string{judge.Overspent}, file: "internal/shared/escrow/escrow.go",
 		old: `		maps.DeleteFunc(b.held, func(_ int, x lent) bool { return now >= x.until })`,
-		new: `		maps.DeleteFunc(b.held, func(_ int, x lent) bool { return now >= x.until+time.Minute })`}, true},
+		new: `		maps.DeleteFunc(b.held, func(_ int, x lent) bool { return now >= x.until+time.Minute })`}, false},
 	{fault{name: "a loan that its owner goes on spending", names: []string{judge.Overspent}, file: "internal/shared/escrow/escrow.go",
 		old: `		n -= d.out()`, new: `		n -= d.out() / 2`}, false},
 	{fault{name: "a grant that counts each time it comes", names: []string{judge.Overspent}, file: "internal/shared/escrow/escrow.go",
@@ -42,12 +42,12 @@
 	{fault{name: "a loan that is out at its owner for half its term", names: []string{judge.Overspent}, file: "internal/shared/escrow/escrow.go",
 		old: `	d.loans = append(d.loans, lent{a.Nonce, grains, now + l.terms.out()})`,
 		new: `	d.loans = append(d.loans, lent{a.Nonce, grains, now + l.terms.Term/2})`}, false},
-	{fault{name: "a quorum of one", names: []string{judge.NoQuorum}, file: "internal/shared/judgement/judgement.go",
+	{fault{name: "a quorum of one", names: []string{judge.NoQuorum}, file: "internal/shared/judgement/judgement.go", day: "quorum.toml",
 		old: `		if !answered(k) && t.Bad >= p.limits.Quorum && t.Bad > t.Good {`,
 		new: `		if !answered(k) && t.Bad >= 1 && t.Bad > t.Good {`}, false},
 	{fault{name: "no ceiling", names: []string{judge.OverCeiling}, file: "internal/shared/judgement/judgement.go", day: "ceiling.toml",
 		old: `			if float64(len(p.out)+1) > p.limits.Fleet*float64(len(p.list)) || float64(sites[site]+1) > p.limits.Site*float64(p.sites[site]) {`,
-		new: `			if float64(sites[site]+1) > 2*float64(p.sites[site]) {`}, true},
+		new: `			if float64(sites[site]+1) > 2*float64(p.sites[site]) {`}, false},
 	{fault{name: "a seed is asked once", names: []string{judge.Apart}, file: "internal/peers/peers.go", day: "apart.toml",
 		old: `		case <-time.After(rejoinEvery):`, new: `		case <-time.After(time.Hour):`}, false},
 }
@@ -102,7 +102,7 @@
 	days := []string{filepath.Join(data, "shared.toml")}
 	if *sharedAll {
 		days = append(days, "split-fleet")
-		for _, name := range []string{"apart", "ceiling", "storm", "skew", "restart"} {
+		for _, name := range []string{"apart", "ceiling", "quorum", "storm", "skew", "restart"} {
 			days = append(days, filepath.Join(data, name+".toml"))
 		}
 	}
--- a/internal/shared/replica_test.go
+++ b/internal/shared/replica_test.go
@@ -1,8 +1,10 @@
 package shared
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -19,6 +21,8 @@
 
 const quotaPS = 100.0
 
+var long = flag.Bool("long", false, "measure in large fleets too")
+
 // fleet is some replicas and what carries between them.
 type fleet struct {
 	t     testing.TB
@@ -318,6 +322,64 @@
 	}
 }
 
+// How long after the last vote that a quorum needs a backend is out at the other nodes, in virtual time.
+func TestHowSoonAVerdictIsKnown(t *testing.T) {
+	sizes, rounds := []int{12}, 3
+	if *long {
+		sizes, rounds = []int{12, 60}, 12
+	}
+	for _, n := range sizes {
+		for _, loss := range []float64{0, 0.1, 0.3} {
+			f := newFleet(t, n)
+			f.loss = loss
+			f.run(3*time.Second, nil)
+			bad := Key("3", 0)
+			var took []float64
+			for round := range rounds {
+				from := f.now
+				at := make([]time.Duration, n)
+				first, second := f.rng.IntN(n/2), n/2+f.rng.IntN(n/2)
+				f.run(4*time.Second, func(i int, r *Replica) {
+					if f.now == from && (i == first || i == second) {
+						for range 4 {
+							r.Outcome(f.now, bad, true)
+						}
+					}
+					if at[i] == 0 && len(r.View(f.now).Out) > 0 {
+						at[i] = f.now - from
+					}
+				})
+				for i := range at {
+					if at[i] == 0 {
+						t.Errorf("%d nodes, %.0f%% lost, round %d: node %d does not know within 4 s", n, 100*loss, round, i)
+					}
+					took = append(took, at[i].Seconds())
+				}
+				f.run(20*time.Second, nil) // until it is forgotten
+			}
+			slices.Sort(took)
+			t.Logf("%d nodes, %.0f%% lost: p50 %.2f s, p99 %.2f s", n, 100*loss, took[len(took)/2], took[len(took)*99/100])
+		}
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	f := newFleet(b, 30)
+	f.run(2*time.Second, func(i int, r *Replica) { r.Outcome(f.now, backends()[i%8].Key, false) })
+	var frames [][]byte
+	for i := range uint64(1000) {
+		frames = append(frames, packet.Frame(packet.Entry{Kind: packet.Sight, Node: escrow.Node{Number: 1 + int(i%29), Incarnation: 2}, Backend: Key("3", 0),
+			Sight: judgement.Sight{Seq: 1000 + i, Tried: 3, Failed: 1}}))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if _, err := f.nodes[0].Receive(f.now, frames[i%len(frames)]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkStep(b *testing.B) {
 	for _, n := range []int{3, 30, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
