--- a/internal/kit/lab/share.go
+++ b/internal/kit/lab/share.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"craneglade/internal/shared"
@@ -44,7 +46,6 @@
 	n.shared = shared.New(shared.Config{Name: n.Name, Self: escrow.Node{Number: n.index, Incarnation: uint64(n.life) + 1}, Nodes: set.Nodes, Site: n.Site,
 		Quotas: quotas, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: o.Use, BytesPS: o.BytesPS, Datagram: datagram}, epoch+n.w.now)
 	life := n.life
-	// What every node does at once would be a lockstep that no fleet has.
 	n.every(life, shareStep, func() {
 		n.speak(n.shared.Step(epoch + n.w.now))
 		n.view()
@@ -154,7 +155,8 @@
 	}
 	n.keys = map[judgement.Key]uint32{}
 	var all []judgement.Backend
-	for id, e := range n.known {
+	for _, id := range slices.Sorted(maps.Keys(n.known)) {
+		e := n.known[id]
 		if e.State == policy.Active && n.w.boxes[id-1] != nil {
 			k := n.key(n.w.boxes[id-1])
 			n.keys[k] = id
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -253,7 +253,7 @@
 	return Report{p.replica.Report(p.now()), p.wire.traffic()}
 }
 
-// Stop gives back what is held, says goodbye and ends. Nothing may be called after it but Stop's like on the same value.
+// Stop gives back what is held, says goodbye and ends. It is called once; what the node knew can still be read after it.
 func (p *Peers) Stop() {
 	p.mu.Lock()
 	out := p.replica.Leave(p.now())
--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -39,7 +39,7 @@
 	part     = 0.7                    // of the bytes that a node may send, for what is no news; the rest is for membership
 	moved    = 0.2                    // a rate that moved by this part is told before its turn
 	least    = 1e-9                   // of a share, where none of it is left: 0 would say that nothing is told
-	reserved = 2                      // times each entry is sent on for each tenfold of the fleet, urgent ones three times as often
+	repeats  = 2                      // times each entry is sent on for each tenfold of the fleet, urgent ones three times as often
 )
 
 // Use says what the shared state is used for. Everything is told to others in any case.
@@ -114,15 +114,12 @@
 	stats  Stats
 	notes  []Note
 	votes  []judgement.Votes
-	seen   Bound // at the last step
+	seen   roster.Count // at the last step
 
 	renewed   bool // what this node says of itself has changed
 	renewedAt time.Duration
 }
 
-// Bound is a count of nodes, for notes.
-type Bound = roster.Count
-
 type tally struct {
 	counts.Window
 	toldRate float64
@@ -140,8 +137,8 @@
 		}
 	}
 	size := func() int { return r.roster.Size() + 1 }
-	r.urgent = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: 3 * reserved}
-	r.usual = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: reserved}
+	r.urgent = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: 3 * repeats}
+	r.usual = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: repeats}
 	return r
 }
 
@@ -369,7 +366,7 @@
 // node as often as the queue does, it keeps within its bytes and its datagrams.
 func (r *Replica) pace() float64 {
 	n := float64(r.roster.Size() + 1)
-	times := reserved * max(1, math.Ceil(math.Log10(n+1)))
+	times := repeats * max(1, math.Ceil(math.Log10(n+1)))
 	return part * min(float64(r.cfg.BytesPS), gossips*float64(r.cfg.Datagram)) / (usual * times * n)
 }
 
--- a/internal/shared/state.go
+++ b/internal/shared/state.go
@@ -1,6 +1,8 @@
 package shared
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"craneglade/internal/shared/counts"
@@ -30,6 +32,9 @@
 			all = append(all, packet.Entry{Kind: packet.Sight, Node: escrow.Node{Number: number, Incarnation: life}, Backend: k, Sight: s, Age: r.now - at})
 		}
 	})
+	slices.SortFunc(all, func(a, b packet.Entry) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Node.Number, b.Node.Number), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Backend, b.Backend))
+	})
 	return packet.Frame(all[:min(len(all), packet.MaxEntries)]...)
 }
 
