What a node may tell is counted from step to step; asks for budgets that are not here are let go

Found on reading: the time since the last step was taken from the last event, so a busy node told the others less than it may, and an ask for a budget that this node's settings do not have made a book for it.

--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -98,23 +98,24 @@
 
 // Replica is one node's copy.
 type Replica struct {
-	cfg    Config
-	born   time.Duration
-	now    time.Duration
-	again  time.Duration // how often it is told again what has not changed, as the fleet's size is
-	roster *roster.Roster
-	table  *counts.Table
-	ledger *escrow.Ledger
-	pool   *judgement.Pool
-	own    map[string]*tally // by key
-	list   []backend
-	urgent memberlist.TransmitLimitedQueue
-	usual  memberlist.TransmitLimitedQueue
-	tokens float64 // entries that may be told now
-	stats  Stats
-	notes  []Note
-	votes  []judgement.Votes
-	seen   roster.Count // at the last step
+	cfg     Config
+	born    time.Duration
+	now     time.Duration
+	stepped time.Duration // when Step was last called
+	again   time.Duration // how often it is told again what has not changed, as the fleet's size is
+	roster  *roster.Roster
+	table   *counts.Table
+	ledger  *escrow.Ledger
+	pool    *judgement.Pool
+	own     map[string]*tally // by key
+	list    []backend
+	urgent  memberlist.TransmitLimitedQueue
+	usual   memberlist.TransmitLimitedQueue
+	tokens  float64 // entries that may be told now
+	stats   Stats
+	notes   []Note
+	votes   []judgement.Votes
+	seen    roster.Count // at the last step
 
 	renewed   bool // what this node says of itself has changed
 	renewedAt time.Duration
@@ -128,7 +129,7 @@
 
 // New returns the replica of a node that has just started and heard nobody.
 func New(cfg Config, now time.Duration) *Replica {
-	r := &Replica{cfg: cfg, born: now, now: now, again: turn, table: counts.NewTable(), pool: judgement.New(cfg.Limits), own: map[string]*tally{}, tokens: burst,
+	r := &Replica{cfg: cfg, born: now, now: now, stepped: now, again: turn, table: counts.NewTable(), pool: judgement.New(cfg.Limits), own: map[string]*tally{}, tokens: burst,
 		ledger: escrow.New(cfg.Terms, cfg.Self, cfg.Nodes, now),
 		roster: roster.New(roster.Member{Name: cfg.Name, Number: cfg.Self.Number, Incarnation: cfg.Self.Incarnation, Site: cfg.Site}, cfg.Nodes, turns*turn)}
 	for tenant, q := range cfg.Quotas {
@@ -289,7 +290,10 @@
 				r.forward(e, said, e.Sight.Failed >= r.cfg.Limits.Least)
 			}
 		case packet.Ask:
-			if g, ok := r.ledger.Lend(now, escrow.Ask{Budget: e.Key, From: e.Node, Nonce: e.Nonce, Want: e.Grains}); ok && r.budget(e.Key) {
+			if !r.budget(e.Key) {
+				continue // another node's settings have it
+			}
+			if g, ok := r.ledger.Lend(now, escrow.Ask{Budget: e.Key, From: e.Node, Nonce: e.Nonce, Want: e.Grains}); ok {
 				r.stats.Lent++
 				out = append(out, Message{e.Node.Number, packet.Frame(packet.Entry{Kind: packet.Grant, Node: r.cfg.Self, Key: g.Budget,
 					Nonce: g.Nonce, Grains: g.Lent, To: g.To})})
@@ -299,6 +303,9 @@
 				r.stats.Granted++
 			}
 		case packet.Return:
+			if !r.budget(e.Key) {
+				continue
+			}
 			r.ledger.Returned(now, escrow.Return{Budget: e.Key, From: e.Node, Nonce: e.Nonce})
 		case packet.Leave:
 			r.gone(e.Node, roster.Left)
@@ -376,10 +383,10 @@
 // Step moves what time moves: it tells others what is new, asks for what is needed and judges. It returns what is to be
 // sent to single members.
 func (r *Replica) Step(now time.Duration) []Message {
-	dt := now - r.now
 	r.at(now)
 	pace := r.pace()
-	r.tokens = min(burst, r.tokens+max(0, min(dt, time.Second).Seconds())*pace)
+	r.tokens = min(burst, r.tokens+min(r.now-r.stepped, time.Second).Seconds()*pace)
+	r.stepped = r.now
 	// Half of what it may tell is for what has changed.
 	r.again = max(turn, time.Duration(float64(len(r.own))/(pace/2)*float64(time.Second)))
 	r.roster.Fresh(r.stale())
@@ -399,7 +406,7 @@
 
 // tell queues this node's own news: what has changed much first.
 func (r *Replica) tell() {
-	keys, sights, urgent := r.pool.News(r.now, int(burst+r.tokens))
+	keys, sights, urgent := r.pool.News(r.now, max(0, int(burst+r.tokens)))
 	for i, k := range keys {
 		if i >= urgent && r.tokens < 1 {
 			break // it is told at its next turn
