--- a/internal/kit/scenario/scenario_test.go
+++ b/internal/kit/scenario/scenario_test.go
@@ -41,7 +41,7 @@
 		{"[[class]]\nname = \"a\"\n[[class]]\nname = \"a\"", `f.toml:4: class[1].name: "a" is there twice`},
 		{"[[class]]\nname = \"a b\"", `f.toml:2: class[0].name: "a b" is no name`},
 		{"[[fleet]]\nkind = \"gen-z\"\ncount = 3", `f.toml:2: fleet[0].kind: "gen-z" is no kind of machine: there are gen-a, gen-b`},
-		{"[[event]]\ndo = \"deplay\"\nat = \"1s\"", `f.toml:2: event[0].do: "deplay" is none of bad-clients, crash, cut-nodes, deploy`},
+		{"[[event]]\ndo = \"deplay\"\nat = \"1s\"", `f.toml:2: event[0].do: "deplay" is none of bad-clients, crash, cut-links, cut-nodes, deploy`},
 		{"[[event]]\ndo = \"kill\"\nat = \"1s\"\ndown = \"1s\"\nby = 3", `f.toml:5: event[0].by: kill does not read it: it reads node, part, down`},
 		{"[[event]]\ndo = \"kill\"\nat = \"1s\"\ndown = \"1s\"\nnode = 2\npart = 0.5", `f.toml:6: event[0].part: node says which one already: give one of the two`},
 		{"[[event]]\ndo = \"lose-site\"\nat = \"1s\"\nfor = \"5s\"\nsite = \"salem\"", `f.toml:5: event[0].site: "salem" is no site: there are tacoma, everett, olympia`},
