--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -60,6 +60,7 @@
 	for {
 		var m struct {
 			node.Member
+			node.Sites
 			Fleet *peers.Report `json:"fleet"`
 		}
 		if err := in.Decode(&m); errors.Is(err, io.EOF) {
@@ -67,6 +68,12 @@
 		} else if err != nil {
 			return errors.Join(w.Flush(), fmt.Errorf("the node's answer broke off: %w", err))
 		}
+		if m.Sites.Sites != nil {
+			if err := errors.Join(w.Flush(), standings(a.out, &m.Sites)); err != nil {
+				return err
+			}
+			continue
+		}
 		if m.Fleet != nil {
 			if err := w.Flush(); err != nil {
 				return err
@@ -88,6 +95,38 @@
 	}
 }
 
+// standings prints how each site stands.
+func standings(out io.Writer, all *node.Sites) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nSITE\tSTANDING\tFOR\tGETS\tCARRIES\tOF OTHERS\tUP TO\tREFUSED\tWHY")
+	for _, s := range all.Sites {
+		refused := "-"
+		if len(s.Refused) > 0 {
+			var parts []string
+			for _, class := range slices.Sorted(maps.Keys(s.Refused)) {
+				parts = append(parts, fmt.Sprintf("%s %.0f%%", class, 100*s.Refused[class]))
+			}
+			refused = strings.Join(parts, ", ")
+		}
+		why := s.Why
+		if s.Halted != "" {
+			why += "; it stands still: " + s.Halted
+		}
+		if s.HeldFor > 0 {
+			why += fmt.Sprintf("; held out for %.1f s more, after %d losses", s.HeldFor, s.Losses)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.1fs\t%.0f%%\t%.1f/s\t%.1f/s\t%.1f/s\t%s\t%s\n", cmp.Or(s.Site, "(no site)"), s.Standing, s.Since, 100*s.Part, s.Own, s.Moved, s.Full, refused, cmp.Or(why, "-"))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if all.Alone {
+		_, err := fmt.Fprintln(out, "This node reaches no site: it is cut off itself.")
+		return err
+	}
+	return nil
+}
+
 // together prints what the nodes share, as one of them knows it.
 func together(out io.Writer, r *peers.Report) error {
 	round := func(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -28,6 +28,7 @@
 	Set      []string `placeholder:"FIGURE=V,..." sep:"none" help:"A further setting: figures that differ from those in service, such as divert=0.8,aim_part=0.4. Can be given again. Figures: ${figures}."`
 	Grid     []string `placeholder:"FIGURE=V,V,..." sep:"none" help:"Every combination of these values as a setting. Can be given again, for another figure."`
 	Share    []string `placeholder:"USE,..." sep:"none" help:"A further setting: nodes that share state and use it for quotas, escrow, ejections, or nothing. Can be given again."`
+	Sites    []string `placeholder:"FILE" type:"path" help:"A further setting: nodes that watch sites, with the plan for their loss in this file's [sites]. Can be given again."`
 	Loss     float64  `placeholder:"PART" help:"Part of what nodes tell each other that is lost, with --share."`
 	Only     bool     `help:"Leave out the setting that is in service."`
 	Workers  int      `placeholder:"N" help:"Play so many days at a time; without it one for each processor."`
@@ -257,6 +258,16 @@
 		}
 		out = append(out, lab.Setting{Name: "share " + text, Tuning: policy.Tuned(), Share: &lab.Sharing{Use: use, Loss: c.Loss, BytesPS: settings.DefaultBytes}})
 	}
+	for _, file := range c.Sites {
+		own, err := settings.Load(file)
+		if err != nil {
+			return nil, exit{ExitUsage, err}
+		}
+		if !own.Sites.On() {
+			return nil, usage("--sites: %s has no [[sites.site]], and no sites.watch = true", file)
+		}
+		out = append(out, lab.Setting{Name: "sites " + filepath.Base(file), Tuning: policy.Tuned(), Sites: &lab.Siting{Plan: own.Sites.Plan}})
+	}
 	var grid []lab.Setting
 	for _, text := range c.Grid {
 		name, values, ok := strings.Cut(text, "=")
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"craneglade/internal/membership"
+	"craneglade/internal/siting"
 	"craneglade/policy"
 )
 
@@ -168,6 +169,8 @@
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
 
+	sites *siting.Link // nil where they are not watched
+
 	sharer Sharer        // nil for a node that shares nothing
 	until  time.Duration // what the module was told of it last counts until then
 }
@@ -314,6 +317,9 @@
 	if e.sharer != nil {
 		e.sharer.Outcome(a.Box.key, res.Outcome)
 	}
+	if e.sites != nil {
+		e.sites.Ended(now, a.Box.Number, res.Outcome, now-a.sent)
+	}
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.Box.Number, Attempt: a.index,
 		Took: now - a.sent, Last: r.answered, Outcome: res.Outcome, Load: res.Load})
 	e.forget(r)
@@ -407,6 +413,9 @@
 	a.cancel = cancel
 	r.attempts = append(r.attempts, a)
 	r.open++
+	if e.sites != nil {
+		e.sites.Sent(now, act.Server)
+	}
 	e.wg.Add(1)
 	go func() {
 		defer e.wg.Done()
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -212,6 +212,7 @@
 	}
 	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	e.tellSharer()
+	e.tellSites()
 	e.ready = false
 	for _, b := range e.names {
 		e.ready = e.ready || b.stop.Load() == 0
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -67,6 +67,19 @@
 // Retire closes the connections to a box that carry nothing. Those that carry something follow.
 func (n *Carrier) Retire(b *engine.Box) { n.pool.clear(n.pool.of(b), true) }
 
+// Reach tells whether a connection to a box comes up while ctx lasts, and keeps it for requests if it does.
+func (n *Carrier) Reach(ctx context.Context, b *engine.Box) bool {
+	if b.Shut() {
+		return false
+	}
+	c, err := n.pool.connect(ctx, n.pool.of(b), b)
+	if err != nil {
+		return false
+	}
+	n.pool.put(c)
+	return true
+}
+
 // Stop closes all connections that carry nothing. No attempt may be under way or follow.
 func (n *Carrier) Stop() { n.pool.stop() }
 
--- a/internal/kit/lab/node.go
+++ b/internal/kit/lab/node.go
@@ -11,6 +11,7 @@
 	"craneglade/internal/kit/trace"
 	"craneglade/internal/shared"
 	"craneglade/internal/shared/judgement"
+	"craneglade/internal/siting"
 	"craneglade/policy"
 )
 
@@ -38,6 +39,7 @@
 	timeout  time.Duration   // for a connection to a box
 	shared   *shared.Replica // nil where nothing is shared
 	keys     map[judgement.Key]uint32
+	sites    *siting.Link // nil where sites are not watched
 }
 
 // pool are a node's idle connections to one box: since when each has rested, the latest last.
@@ -123,6 +125,7 @@
 		known = append(known, n.known[id])
 	}
 	n.share(&set.Policy)
+	n.site(&set.Policy)
 	n.listed()
 	n.handle(&policy.Event{Kind: policy.EvList, List: policy.ListCached, Entries: known})
 	return nil
@@ -256,6 +259,9 @@
 	r.attempts = append(r.attempts, a)
 	n.flying = append(n.flying, a)
 	w.after(a.wait, func() { a.giveUp(policy.TimedOut) })
+	if n.sites != nil {
+		n.sites.Sent(epoch+w.now, act.Server)
+	}
 	a.life = b.life
 	a.fresh = !n.reuse(a)
 	w.counts.sent(a)
@@ -424,6 +430,9 @@
 			n.shared.Outcome(epoch+n.w.now, n.key(a.box), failed)
 		}
 	}
+	if n.sites != nil {
+		n.sites.Ended(epoch+n.w.now, uint32(n.w.number[a.box.plan.ID]+1), o, n.w.now-a.sent)
+	}
 	n.handle(&policy.Event{Kind: policy.EvOutcome, ID: r.id, Server: uint32(n.w.number[a.box.plan.ID] + 1), Attempt: a.index,
 		Took: n.w.now - a.sent, Last: r.answered, Outcome: o, Load: a.load})
 	n.forget(r)
--- a/internal/kit/lab/share.go
+++ b/internal/kit/lab/share.go
@@ -150,6 +150,7 @@
 
 // listed tells the replica which boxes there are.
 func (n *node) listed() {
+	n.sited()
 	if n.shared == nil {
 		return
 	}
--- a/internal/kit/lab/sweep.go
+++ b/internal/kit/lab/sweep.go
@@ -23,6 +23,7 @@
 	Name   string        `json:"name"`
 	Tuning policy.Tuning `json:"tuning"`
 	Share  *Sharing      `json:"share,omitempty"` // nil for nodes that share nothing
+	Sites  *Siting       `json:"-"`               // nil for nodes that do not watch sites
 }
 
 // Sweep says what to play: a scenario, over seeds, with each of several settings.
@@ -189,7 +190,7 @@
 }
 
 func playSetting(name string, s *scenario.Scenario, seed uint64, set Setting) (*Day, error) {
-	o := Options{Name: name, Plan: plan.New(s, seed), Tuning: set.Tuning, Sharing: set.Share, Counts: &Counts{}}
+	o := Options{Name: name, Plan: plan.New(s, seed), Tuning: set.Tuning, Sharing: set.Share, Sites: set.Sites, Counts: &Counts{}}
 	h := Head(&o)
 	c, j := report.New(h), judge.New(h)
 	line := 1
--- a/internal/kit/lab/world.go
+++ b/internal/kit/lab/world.go
@@ -50,6 +50,7 @@
 	Belief  func(Belief)        // called once a second for each node and box; nil for never
 	Counts  *Counts             // filled by the play; nil where nobody wants them
 	Sharing *Sharing            // nil for nodes that share nothing
+	Sites   *Siting             // nil for nodes that do not watch sites
 
 	// For tests of the judging: what changes the settings that nodes are told, and which news of the list they miss.
 	tell func(*policy.Settings)
@@ -71,10 +72,10 @@
 
 // Head is the head of a play's trace.
 func Head(o *Options) trace.Head {
-	return deployment.Head(o.Plan, o.Name, "", sites(o.Plan))
+	return deployment.Head(o.Plan, o.Name, "", nodesOf(o.Plan))
 }
 
-func sites(p *plan.Plan) []trace.Node {
+func nodesOf(p *plan.Plan) []trace.Node {
 	var out []trace.Node
 	for i := range p.Scenario.Nodes.Count {
 		out = append(out, trace.Node{Name: fmt.Sprintf("n%d", i+1), Site: p.Scenario.Sites[i%len(p.Scenario.Sites)].Name})
@@ -181,7 +182,7 @@
 	for i := range o.Plan.Initial {
 		w.start(i, true)
 	}
-	for i, n := range sites(o.Plan) {
+	for i, n := range nodesOf(o.Plan) {
 		if err := w.addNode(i, n); err != nil {
 			return err
 		}
--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -286,6 +286,7 @@
 	rep   *report.Report
 	start time.Time
 	truth []planted
+	logs  string // the folder of the nodes' logs
 	runs  int
 }
 
@@ -325,7 +326,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return played{rep, begun, truth(t, dir), n}
+		return played{rep, begun, truth(t, dir), dir, n}
 	}
 }
 
--- a/internal/kit/stand/link.go
+++ b/internal/kit/stand/link.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	fillers    = 4                     // connections that are tried until a queue of none is full
+	fillers    = 8                     // connections that are tried until a queue of none is full,
+	fullAfter  = 2                     // which it is after so many in a row that did not come up
 	fillTime   = 30 * time.Millisecond // a connection that is not up by then does not come up
 	drainTime  = 2 * time.Millisecond  // those that wait are there at once
 	usualQueue = 128                   // connections that wait to be taken; what net.Listen gives is at least this
@@ -39,11 +40,13 @@
 	if !l.queue(0) {
 		return // connections come up, and nothing is heard on them
 	}
-	for range fillers {
+	for i, failed := 0, 0; i < fillers && failed < fullAfter; i++ {
 		c, err := net.DialTimeout("tcp", l.ln.Addr().String(), fillTime)
 		if err != nil {
-			break
+			failed++ // the first one may still stand in the queue, and be taken off it just after
+			continue
 		}
+		failed = 0
 		l.mu.Lock()
 		if l.dark {
 			l.fills = append(l.fills, c)
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -13,6 +13,7 @@
 
 	"craneglade/internal/membership"
 	"craneglade/internal/peers"
+	"craneglade/internal/sites"
 )
 
 // localTime is how long one who asks on the local socket may take to read the answer.
@@ -37,6 +38,23 @@
 	Fleet peers.Report `json:"fleet"`
 }
 
+// Sites is what a node that watches sites says of them on its local socket, in a line of its own.
+type Sites struct {
+	Sites []sites.Report `json:"sites"`
+	Alone bool           `json:"cut_off"` // it reaches none: it is the node itself that is cut off
+	Asked []Asked        `json:"asked"`
+}
+
+// Asked is what a node's clients lately ask of one class.
+type Asked struct {
+	Class     string  `json:"class"`
+	Rate      float64 `json:"rate"`       // requests a second,
+	Over      float64 `json:"past_share"` // and of those past their tenants' shares
+	Work      float64 `json:"work"`       // of one, in seconds of waiting and work
+	Worth     float64 `json:"worth"`
+	OverWorth float64 `json:"past_share_worth"` // as a part of worth
+}
+
 // local answers on a Unix socket, one answer a connection, until ctx ends. A file that a node left behind when it was killed is
 // taken away; one that somebody answers on is not.
 func (n *node) local(ctx context.Context, path string) error {
@@ -81,6 +99,11 @@
 					break
 				}
 			}
+			if all, alone := n.engine.Sites(); all != nil {
+				if err := out.Encode(Sites{all, alone, n.asked()}); err != nil {
+					n.log.Debug("who asked for the fleet did not read it", "err", err)
+				}
+			}
 			if n.peers != nil {
 				if err := out.Encode(Shared{n.peers.Report()}); err != nil {
 					n.log.Debug("who asked for the fleet did not read it", "err", err)
@@ -92,6 +115,21 @@
 	return nil
 }
 
+// asked is what the node's clients lately ask for.
+func (n *node) asked() (out []Asked) {
+	set := &n.cfg.Settings.Policy
+	for _, d := range n.engine.Demand() {
+		x := Asked{Class: d.Class, Rate: d.Rate, Over: d.Over, Work: d.Work, OverWorth: set.OverShare}
+		for _, c := range set.Classes {
+			if c.Name == d.Class {
+				x.Worth = c.Worth
+			}
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
 // members is what the node believes of each box, and why.
 func (n *node) members() []Member {
 	ids, all := n.engine.Beliefs()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 		}
 		n.engine.Share(n.peers)
 	}
+	n.sites(ctx, &own.Sites)
 	if err := n.local(ctx, own.Fleet.Socket); err != nil {
 		n.end()
 		return nil, err
--- /dev/null
+++ b/internal/node/sites.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"craneglade/internal/engine"
+	"craneglade/internal/settings"
+	"craneglade/internal/siting"
+)
+
+// probeTime is how long a connection to a lost site may take to come up.
+const probeTime = 500 * time.Millisecond
+
+// sites watches how sites stand until ctx ends, where the settings say so.
+func (n *node) sites(ctx context.Context, own *settings.Sites) {
+	if !own.On() {
+		return
+	}
+	n.engine.Watch(siting.New(&n.cfg.Settings.Policy, own.Plan))
+	n.wg.Go(func() {
+		tick := time.NewTicker(siting.Every)
+		defer tick.Stop()
+		var probes sync.WaitGroup
+		defer probes.Wait()
+		for {
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return
+			}
+			boxes, notes := n.engine.StepSites()
+			for _, x := range notes {
+				n.log.Info(x.Text, x.Args...)
+			}
+			for _, b := range boxes {
+				probes.Go(func() { n.probe(ctx, b) })
+			}
+		}
+	})
+}
+
+// probe tries a connection to a box, which is kept for requests if it comes up.
+func (n *node) probe(ctx context.Context, b *engine.Box) {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	n.engine.Probed(b, n.carrier.Reach(ctx, b))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	JSONRPC JSONRPC `toml:"jsonrpc"`
 	DNS     DNS     `toml:"dns"`
 	Fleet   Fleet   `toml:"fleet"`
+	Sites   Sites   `toml:"sites"`
 }
 
 // DNS is a second source of boxes beside the list. Without a site there is none.
@@ -140,6 +141,9 @@
 	if err := f.Fleet.check(keys); err != nil {
 		return nil, err
 	}
+	if err := f.Sites.check(keys); err != nil {
+		return nil, err
+	}
 	seen := map[string]bool{}
 	for i := range f.Bodies.Classes {
 		c, p := &f.Bodies.Classes[i], fmt.Sprintf("bodies.class[%d].", i)
--- /dev/null
+++ b/internal/sites/node.go
@@ -0,0 +1,327 @@
+package sites
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"craneglade/internal/cold"
+)
+
+// Config is what a Node is made from.
+type Config struct {
+	Plan      *Plan // checked; nil for no plan: sites are watched, and load that loses its site goes where there is room
+	Home      string
+	Classes   []Class
+	OverShare float64 // worth of a request past its tenant's share, as a part of the usual
+	ColdShare float64 // part of its capacity that a box has at its start, and
+	ColdFor   float64 // until when that grows, seconds
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name  string
+	Worth float64
+}
+
+// Demand is what this node's clients ask for of one class.
+type Demand struct {
+	Class string
+	Rate  float64 // requests a second,
+	Over  float64 // and of those, past their tenants' shares
+	Work  float64 // of one request, in any unit that is the same for all
+}
+
+// Zone is how a site is to be used from here.
+type Zone struct {
+	Part float64 // of the requests that may go there
+	Rate float64 // of those, a second at most; below 0 for any number
+}
+
+// Orders are what the decision module is to follow, until the next ones. Where every site serves they are empty.
+type Orders struct {
+	Zones map[string]Zone       // without one a site is used as usual
+	Admit map[string][2]float64 // by class: parts that are admitted of requests within their tenant's share, and past it
+	Probe []uint32              // boxes to which a connection is to be tried now; Probed tells what came of it
+}
+
+// Note is something for an operator's log.
+type Note struct {
+	Text string
+	Args []any // key, value, key, value
+}
+
+// Node is what one node makes of all sites.
+type Node struct {
+	cfg    Config
+	watch  *Watch
+	now    float64
+	alone  bool
+	notes  []Note
+	states []State
+	last   *Division
+	kinds  []Kind
+	asked  [][]float64
+	said   map[string]bool // sites that only the plan or only the list knows, and that were noted so
+}
+
+// NewNode returns a node that knows no box.
+func NewNode(cfg Config) *Node { return &Node{cfg: cfg, watch: NewWatch(), said: map[string]bool{}} }
+
+// Listed sets the boxes that there are.
+func (n *Node) Listed(now float64, boxes []Box) { n.watch.Listed(now, boxes) }
+
+// Sent notes that an attempt at a box begins.
+func (n *Node) Sent(now float64, id uint32) { n.watch.Sent(now, id) }
+
+// Ended notes what became of an attempt that took so many seconds.
+func (n *Node) Ended(now float64, id uint32, r Result, took float64) { n.watch.Ended(now, id, r, took) }
+
+// Probed notes whether a connection that Orders asked for came up.
+func (n *Node) Probed(now float64, id uint32, up bool) {
+	n.changed(n.watch.Probed(now, id, up))
+}
+
+func (n *Node) changed(all []Change) {
+	for _, c := range all {
+		args := []any{"site", c.Site, "was", c.From.String(), "is", c.To.String(), "why", c.Why}
+		if s := n.watch.sites[c.Site]; c.To == Lost && s.took > 0 && c.From != Returning {
+			args = append(args, "attempts", s.fell, "seconds", math.Round(s.took*1000)/1000)
+		}
+		n.notes = append(n.notes, Note{"a site stands anew", args})
+	}
+}
+
+// Step brings all up to the time, with what this node's clients ask for, and returns what is to be followed.
+func (n *Node) Step(now float64, demand []Demand) Orders {
+	n.now = max(n.now, now)
+	changes, probe := n.watch.Look(n.now)
+	n.changed(changes)
+	o := Orders{Probe: probe}
+	short, serving := 0, 0
+	for _, name := range n.watch.names() {
+		switch n.watch.Of(name) {
+		case Lost, Returning:
+			short++
+		default:
+			serving++
+		}
+	}
+	// A node that reaches nobody anywhere has lost its own links: it goes on as if it knew nothing, and takes no part of
+	// anybody's.
+	if alone := short > 0 && serving == 0 && !n.anyReturns(); alone != n.alone {
+		n.alone = alone
+		text := "this node reaches no site: it is cut off itself"
+		if !alone {
+			text = "this node is no longer cut off"
+		}
+		n.notes = append(n.notes, Note{Text: text})
+	}
+	if short == 0 || n.alone {
+		n.last = nil
+		return o
+	}
+	o.Zones = map[string]Zone{}
+	for _, name := range n.watch.names() {
+		if part := n.watch.Part(name); part < 1 {
+			o.Zones[name] = Zone{Part: part, Rate: -1}
+		}
+	}
+	if n.cfg.Plan != nil {
+		n.carry(&o, demand)
+	}
+	return o
+}
+
+func (n *Node) anyReturns() bool {
+	return slices.ContainsFunc(n.watch.names(), func(s string) bool { return n.watch.Of(s) == Returning })
+}
+
+// carry divides the load by the plan, and takes this node's part of it.
+func (n *Node) carry(o *Orders, demand []Demand) {
+	p := n.cfg.Plan
+	n.states = n.states[:0]
+	for _, s := range p.Sites {
+		part := n.watch.Part(s.Name)
+		if n.watch.sites[s.Name] == nil {
+			part = 0
+			n.say(s.Name, "the plan has a site that the list does not tell: it counts for nothing")
+		}
+		n.states = append(n.states, State{Short: part < 1, Part: part * n.there(s)})
+	}
+	for _, name := range n.watch.names() {
+		if p.index(name) < 0 {
+			n.say(name, "the list tells a site that the plan does not have: no load is moved there by it")
+		}
+	}
+	n.demand(demand)
+	order := p.Order(n.kinds)
+	d := p.Divide(n.states, n.asked, order)
+	n.last = d
+	home := p.index(n.cfg.Home)
+	if home < 0 {
+		return // nobody's clients by the plan
+	}
+	o.Admit = map[string][2]float64{}
+	for i, k := range n.kinds {
+		a := o.Admit[k.Class]
+		if k.Over {
+			a[1] = d.Admit[home][i]
+		} else {
+			a[0] = d.Admit[home][i]
+		}
+		o.Admit[k.Class] = a
+	}
+	if !n.states[home].Short {
+		return
+	}
+	for to, s := range p.Sites {
+		if to == home || n.states[to].Short {
+			continue
+		}
+		// Of what may go there each node of this site takes an equal part: fronts deal their clients out evenly.
+		o.Zones[s.Name] = Zone{Part: 1, Rate: d.Most[home][to] / float64(p.Sites[home].Nodes)}
+	}
+}
+
+// say notes something of a site, once.
+func (n *Node) say(site, text string) {
+	if !n.said[site] {
+		n.said[site] = true
+		n.notes = append(n.notes, Note{text, []any{"site", site}})
+	}
+}
+
+// there is the part of a site's planned capacity that its boxes on the list have now, by their number and warmth.
+func (n *Node) there(s Site) float64 {
+	sum := 0.0
+	for _, b := range n.watch.order {
+		if b.Site == s.Name && b.Ready {
+			sum += cold.Ramp(b.Launched, n.now, n.cfg.ColdShare, n.cfg.ColdFor)
+		}
+	}
+	return min(1, sum/float64(s.Boxes))
+}
+
+// demand works out what all sites' clients ask for: this one's from what this node is asked, the others' by the plan's
+// loads, as much more or less as here, and of the same kinds.
+func (n *Node) demand(all []Demand) {
+	p := n.cfg.Plan
+	n.kinds, n.asked = n.kinds[:0], n.asked[:0]
+	var here []float64
+	mean := n.mean(all)
+	for _, d := range all {
+		worth := 0.0
+		if i := slices.IndexFunc(n.cfg.Classes, func(c Class) bool { return c.Name == d.Class }); i >= 0 {
+			worth = n.cfg.Classes[i].Worth
+		}
+		work := 1.0
+		if mean > 0 && d.Work > 0 {
+			work = d.Work / mean
+		}
+		n.kinds = append(n.kinds, Kind{d.Class, false, worth, work}, Kind{d.Class, true, worth * n.cfg.OverShare, work})
+		here = append(here, max(0, d.Rate-d.Over)*work, min(d.Over, d.Rate)*work)
+	}
+	total, home := sum(here), p.index(n.cfg.Home)
+	for i, s := range p.Sites {
+		load := s.Load
+		if home >= 0 && p.Sites[home].Load > 0 {
+			h := p.Sites[home]
+			load *= min(2, max(0.5, total*float64(h.Nodes)/h.Load))
+		}
+		switch {
+		case i == home:
+			load = total * float64(s.Nodes)
+		case n.watch.sites[s.Name] == nil:
+			load = 0
+		}
+		row := make([]float64, len(here))
+		for k := range here {
+			if total > 0 {
+				row[k] = here[k] / total * load
+			}
+		}
+		n.asked = append(n.asked, row)
+	}
+}
+
+// mean is the work of a mean request here.
+func (n *Node) mean(all []Demand) float64 {
+	work, rate := 0.0, 0.0
+	for _, d := range all {
+		if d.Work > 0 {
+			work, rate = work+d.Work*d.Rate, rate+d.Rate
+		}
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return work / rate
+}
+
+// Notes are what an operator should know, since the last call.
+func (n *Node) Notes() []Note {
+	out := n.notes
+	n.notes = nil
+	return out
+}
+
+// Report is how a node sees one site.
+type Report struct {
+	Site     string             `json:"site"`
+	Standing string             `json:"standing"`
+	Since    float64            `json:"seconds"`
+	Why      string             `json:"why,omitempty"`
+	Part     float64            `json:"part"` // of its usual load that it gets from here
+	Halted   string             `json:"halted,omitempty"`
+	HeldFor  float64            `json:"held_for_seconds,omitempty"`
+	Losses   int                `json:"losses_in_a_row,omitempty"`
+	Own      float64            `json:"own,omitempty"` // mean requests a second, by the plan: of its own clients,
+	Moved    float64            `json:"moved,omitempty"`
+	Full     float64            `json:"full,omitempty"`
+	Refused  map[string]float64 `json:"refused,omitempty"` // by class: part of its clients' requests
+}
+
+// Reports tells how each site stands.
+func (n *Node) Reports(now float64) (out []Report) {
+	now = max(now, n.now)
+	for _, name := range n.watch.names() {
+		s := n.watch.sites[name]
+		r := Report{Site: name, Standing: s.standing.String(), Since: now - s.since, Why: s.why, Part: n.watch.Part(name), Halted: s.halted,
+			Losses: s.losses, HeldFor: max(0, s.held-now)}
+		if s.standing == Serving {
+			r.Losses = 0
+		}
+		if d := n.last; d != nil {
+			if i := n.cfg.Plan.index(name); i >= 0 {
+				r.Own, r.Moved, r.Full = d.Own[i], d.Moved[i], d.Full[i]
+				r.Refused = n.refused(i)
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// refused is by class the part of a site's clients' requests that is refused.
+func (n *Node) refused(site int) map[string]float64 {
+	asked, refused := map[string]float64{}, map[string]float64{}
+	for k, kind := range n.kinds {
+		asked[kind.Class] += n.asked[site][k]
+		refused[kind.Class] += n.asked[site][k] * (1 - n.last.Admit[site][k])
+	}
+	for class, x := range refused {
+		if x <= 1e-9 {
+			delete(refused, class)
+		} else {
+			refused[class] = x / asked[class]
+		}
+	}
+	return refused
+}
+
+// Alone tells whether the node holds itself cut off from every site.
+func (n *Node) Alone() bool { return n.alone }
+
+// String is a short form for tests and logs.
+func (c Change) String() string { return fmt.Sprintf("%s: %v to %v (%s)", c.Site, c.From, c.To, c.Why) }
--- /dev/null
+++ b/internal/sites/node_test.go
@@ -0,0 +1,183 @@
+package sites
+
+import (
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+func watching(p *Plan, home string) *Node {
+	n := NewNode(Config{Plan: p, Home: home, Classes: []Class{{"save", 10}, {"quote", 2}}, OverShare: 0.2, ColdShare: 0.5, ColdFor: 10})
+	var boxes []Box
+	for i := range 24 {
+		boxes = append(boxes, Box{ID: uint32(i + 1), Site: []string{"tacoma", "everett", "olympia"}[i%3], Ready: true})
+	}
+	n.Listed(0, boxes)
+	return n
+}
+
+// lose has boxes of a site say nothing, from at on, and returns when that is known.
+func lose(t *testing.T, n *Node, at float64, sites ...string) float64 {
+	t.Helper()
+	for _, b := range n.watch.order {
+		for _, s := range sites {
+			if b.Site == s {
+				n.Sent(at, b.ID)
+				n.Ended(at+0.5, b.ID, Silent, 0.5)
+			}
+		}
+	}
+	n.Step(at+0.5, nil)
+	n.Step(at+1.6, nil)
+	for _, s := range sites {
+		if n.watch.Of(s) != Lost {
+			t.Fatalf("%s is %v", s, n.watch.Of(s))
+		}
+	}
+	return at + 1.6
+}
+
+var busy = []Demand{{"save", 12, 1, 0.1}, {"quote", 8, 0, 0.1}} // 20 a second at each of four nodes
+
+// Where all sites serve there is nothing to follow.
+func TestNoOrdersInPeace(t *testing.T) {
+	n := watching(three(), "tacoma")
+	for at := range 100 {
+		if o := n.Step(float64(at)/10, busy); len(o.Zones)+len(o.Admit)+len(o.Probe) > 0 {
+			t.Fatalf("%+v", o)
+		}
+	}
+}
+
+// Of a lost site's load each of its nodes may send its part of the room that others have; nodes elsewhere close the site
+// and are told no limit.
+func TestOrdersOfALoss(t *testing.T) {
+	here := watching(three(), "tacoma")
+	now := lose(t, here, 10, "tacoma")
+	o := here.Step(now+0.1, busy)
+	if z := o.Zones["tacoma"]; z.Part != 0 {
+		t.Errorf("the lost site: %+v", z)
+	}
+	// 80 a second here, 60 x 80/60 there: 90 each can carry, of which their own clients ask for all but what is refused.
+	room := 0.0
+	for _, s := range []string{"everett", "olympia"} {
+		z := o.Zones[s]
+		if z.Part != 1 || z.Rate <= 0 {
+			t.Errorf("%s: %+v", s, z)
+		}
+		room += 4 * z.Rate
+	}
+	if a := o.Admit["quote"]; a[0] >= 1 || o.Admit["save"][0] != 1 || o.Admit["save"][1] > 0 && a[0] == 0 {
+		t.Errorf("admitted: %v", o.Admit)
+	}
+	if moved := 80 - 4*(1-o.Admit["quote"][0])*8 - 4*(1-o.Admit["save"][1]); room < moved-1 {
+		t.Errorf("room for %.1f of %.1f", room, moved)
+	}
+	there := watching(three(), "everett")
+	now = lose(t, there, 10, "tacoma")
+	if o := there.Step(now+0.1, busy); len(o.Zones) != 1 || o.Zones["tacoma"].Part != 0 {
+		t.Errorf("elsewhere: %+v", o.Zones)
+	}
+}
+
+// A node that reaches nobody anywhere is cut off itself, and neither closes sites nor refuses anything for it.
+func TestANodeThatIsCutOff(t *testing.T) {
+	n := watching(three(), "tacoma")
+	now := lose(t, n, 10, "tacoma", "everett", "olympia")
+	if o := n.Step(now+0.1, busy); len(o.Zones)+len(o.Admit) > 0 || !n.Alone() {
+		t.Errorf("%+v, alone %v", o, n.Alone())
+	}
+	said := 0
+	for _, x := range n.Notes() {
+		if strings.Contains(x.Text, "cut off itself") {
+			said++
+		}
+	}
+	if said != 1 {
+		t.Errorf("it was said %d times", said)
+	}
+}
+
+// Half-cold boxes carry half: capacity is what is on the list and warm.
+func TestCapacityFollowsTheList(t *testing.T) {
+	n := watching(three(), "tacoma")
+	boxes := []Box{}
+	for _, b := range n.watch.order {
+		b.Launched = 19.9
+		if b.Site == "olympia" && b.ID > 12 {
+			continue // half of them are not there
+		}
+		boxes = append(boxes, b.Box)
+	}
+	n.Listed(20, boxes)
+	if got := n.there(n.cfg.Plan.Sites[1]); got > 0.51 {
+		t.Errorf("cold: %.2f of its capacity", got)
+	}
+	if n.now = 40; n.there(n.cfg.Plan.Sites[1]) != 1 || math.Abs(n.there(n.cfg.Plan.Sites[2])-0.5) > 0.01 {
+		t.Errorf("warm: %.2f and %.2f", n.there(n.cfg.Plan.Sites[1]), n.there(n.cfg.Plan.Sites[2]))
+	}
+}
+
+// What only the plan knows, or only the list, is said once and counts for nothing.
+func TestSitesThatOnlyOneKnows(t *testing.T) {
+	p := three()
+	p.Sites[2].Name = "seattle"
+	n := watching(p, "tacoma")
+	now := lose(t, n, 10, "tacoma")
+	for range 3 {
+		now += 0.1
+		if o := n.Step(now, busy); o.Zones["seattle"].Rate > 0 {
+			t.Errorf("load goes where nobody is: %+v", o.Zones)
+		}
+	}
+	said := map[string]int{}
+	for _, x := range n.Notes() {
+		if len(x.Args) == 2 {
+			said[x.Args[1].(string)]++
+		}
+	}
+	if said["seattle"] != 1 || said["olympia"] != 1 {
+		t.Errorf("said: %v", said)
+	}
+}
+
+// Gates hold parts and rates, draw the same for one request each time, and let all through without orders.
+func TestGates(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var g Gates
+	if !g.Open(1, "a", g.Draw(rng)) || !g.Admits("x", true, rng) {
+		t.Error("closed without orders")
+	}
+	g.Set(10, map[string]Zone{"a": {Part: 0.25, Rate: -1}, "b": {Part: 1, Rate: 8}}, map[string][2]float64{"x": {1, 0.5}, "y": {0, 0}})
+	open, admitted := 0, 0
+	for range 4000 {
+		luck := g.Draw(rng)
+		if g.Open(10, "a", luck) {
+			open++
+		}
+		if g.Admits("x", true, rng) {
+			admitted++
+		}
+		if !g.Admits("x", false, rng) || g.Admits("y", false, rng) || !g.Admits("z", false, rng) || !g.Open(10, "c", luck) {
+			t.Fatal("a class or a zone is not as it was told")
+		}
+	}
+	if open < 900 || open > 1100 || admitted < 1850 || admitted > 2150 {
+		t.Errorf("%d of 4000 to a quarter, %d admitted to a half", open, admitted)
+	}
+	sent := 0
+	for i := range 1000 { // ten seconds
+		now := 10 + float64(i)/100
+		if i%50 == 0 {
+			g.Set(now, map[string]Zone{"b": {Part: 1, Rate: 8}}, nil) // the same once more gives nothing anew
+		}
+		if g.Open(now, "b", 0.5) {
+			g.Sent("b")
+			sent++
+		}
+	}
+	if sent < 78 || sent > 84 {
+		t.Errorf("%d sends in 10 s at 8 a second", sent)
+	}
+}
--- /dev/null
+++ b/internal/sites/plan_test.go
@@ -0,0 +1,213 @@
+package sites
+
+import (
+	"errors"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// three is a plan of three alike sites.
+func three() *Plan {
+	p := &Plan{Full: 0.9}
+	for _, name := range []string{"tacoma", "everett", "olympia"} {
+		p.Sites = append(p.Sites, Site{Name: name, Capacity: 100, Boxes: 8, Nodes: 4, Load: 60})
+	}
+	return p
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		want string // the key, and a word of the text; "" for a plan that works
+		of   func(p *Plan)
+	}{
+		{"", func(*Plan) {}},
+		{"", func(p *Plan) { p.Sites[0].To = []Way{{"everett", 0.7, 0}, {"olympia", 0.3, 20}} }},
+		{"site: there are 1", func(p *Plan) { p.Sites = p.Sites[:1] }},
+		{"full: 1.2", func(p *Plan) { p.Full = 1.2 }},
+		{"full: NaN", func(p *Plan) { p.Full = math.NaN() }},
+		{"refuse: \"a\"", func(p *Plan) { p.Refuse = []string{"a", "a"} }},
+		{"site[1].name: \"tacoma\"", func(p *Plan) { p.Sites[1].Name = "tacoma" }},
+		{"site[2].capacity", func(p *Plan) { p.Sites[2].Capacity = 0 }},
+		{"site[0].boxes", func(p *Plan) { p.Sites[0].Boxes = 0 }},
+		{"site[0].nodes", func(p *Plan) { p.Sites[0].Nodes = 0 }},
+		{"site[0].load", func(p *Plan) { p.Sites[0].Load = -1 }},
+		{"site[0].reserve", func(p *Plan) { p.Sites[0].Reserve = 1 }},
+		{"site[0].to[0].site: \"seattle\"", func(p *Plan) { p.Sites[0].To = []Way{{"seattle", 1, 0}} }},
+		{"site[0].to[0].site: a site's load", func(p *Plan) { p.Sites[0].To = []Way{{"tacoma", 1, 0}} }},
+		{"site[0].to[1].site: \"everett\" is there twice", func(p *Plan) { p.Sites[0].To = []Way{{"everett", 0.5, 0}, {"everett", 0.5, 0}} }},
+		{"site[0].to[0].part", func(p *Plan) { p.Sites[0].To = []Way{{"everett", 0, 0}} }},
+		{"site[0].to[0].most", func(p *Plan) { p.Sites[0].To = []Way{{"everett", 1, -3}} }},
+		{"site[0].to: the parts add up to 0.800", func(p *Plan) { p.Sites[0].To = []Way{{"everett", 0.8, 0}} }},
+	} {
+		p := three()
+		c.of(p)
+		err := p.Check()
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want)) {
+			t.Errorf("%v, want %q", err, c.want)
+		}
+		var wrong *Problem
+		if err != nil && (!errors.As(err, &wrong) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%v is no problem of one line", err)
+		}
+	}
+}
+
+// What is worth less for its work is refused first, what lies past shares before what does not, and what the plan names
+// before all.
+func TestOrder(t *testing.T) {
+	kinds := []Kind{{"save", false, 10, 1}, {"save", true, 2, 1}, {"quote", false, 2, 0.5}, {"quote", true, 0.4, 0.5}, {"look", false, 9, 3}, {"look", true, 1.8, 3}}
+	names := func(order []int) (out []string) {
+		for _, i := range order {
+			n := kinds[i].Class
+			if kinds[i].Over {
+				n += "+"
+			}
+			out = append(out, n)
+		}
+		return out
+	}
+	p := three()
+	if got := names(p.Order(kinds)); !slices.Equal(got, []string{"look+", "quote+", "save+", "look", "quote", "save"}) {
+		t.Errorf("by worth: %v", got)
+	}
+	p.Refuse = []string{"save", "quote"}
+	if got := names(p.Order(kinds)); !slices.Equal(got, []string{"save+", "save", "quote+", "quote", "look+", "look"}) {
+		t.Errorf("as the plan names them: %v", got)
+	}
+}
+
+// A lost site's load goes by the plan's parts, up to what each takes, and the rest by the other ways.
+func TestDivideByParts(t *testing.T) {
+	p := three()
+	p.Sites[0].To = []Way{{"everett", 0.7, 20}, {"olympia", 0.3, 0}}
+	asked := [][]float64{{40}, {50}, {50}}
+	d := p.Divide([]State{{Short: true}, {Part: 1}, {Part: 1}}, asked, []int{0})
+	if d.Moves[0][1] != 20 || d.Moves[0][2] != 20 || d.Own[0] != 0 || d.Refused[0] != 0 {
+		t.Errorf("moved %v, refused %v", d.Moves[0], d.Refused)
+	}
+	if d.Most[0][1] != 20 || d.Most[0][2] != 40 {
+		t.Errorf("at most %v", d.Most[0])
+	}
+}
+
+// A reserve is nobody else's, also while its own clients do not need it; and where the ways out are full, a lost site's
+// own clients are refused though others are not.
+func TestReserveIsKept(t *testing.T) {
+	p := three()
+	p.Sites[1].Reserve, p.Sites[2].Reserve = 0.8, 0.8
+	d := p.Divide([]State{{Short: true}, {Part: 1}, {Part: 1}}, [][]float64{{60, 0}, {10, 20}, {10, 20}}, []int{0, 1})
+	if d.Moved[1] > 10.0001 || d.Moved[2] > 10.0001 {
+		t.Errorf("moved %v where 10 are left beside the reserve", d.Moved)
+	}
+	if a := d.Admit[0][0]; math.Abs(a-20.0/60) > 1e-6 || d.Admit[1][0] != 1 {
+		t.Errorf("admitted %.3f at the lost site and %.3f elsewhere", a, d.Admit[1][0])
+	}
+}
+
+// A site that is on its way back carries what it can itself.
+func TestWhatReturnsCarriesItsPart(t *testing.T) {
+	p := three()
+	d := p.Divide([]State{{Short: true, Part: 0.25}, {Part: 1}, {Part: 1}}, [][]float64{{60}, {60}, {60}}, []int{0})
+	if math.Abs(d.Own[0]-22.5) > 1e-9 || math.Abs(sum(d.Moves[0])-37.5) > 1e-9 {
+		t.Errorf("own %.2f, moved %.2f", d.Own[0], sum(d.Moves[0]))
+	}
+}
+
+func drawn(t *rapid.T) (*Plan, []State, [][]float64, []int) {
+	n := rapid.IntRange(2, 5).Draw(t, "sites")
+	kinds := rapid.IntRange(1, 6).Draw(t, "kinds")
+	amount := rapid.Float64Range(0, 200)
+	p := &Plan{Full: rapid.Float64Range(0.5, 1).Draw(t, "full")}
+	var states []State
+	var asked [][]float64
+	for i := range n {
+		s := Site{Name: string(rune('a' + i)), Capacity: rapid.Float64Range(1, 300).Draw(t, "capacity"), Boxes: 1, Nodes: 1,
+			Reserve: rapid.SampledFrom([]float64{0, 0, 0.3, 0.7}).Draw(t, "reserve")}
+		if rapid.Bool().Draw(t, "ways") {
+			for j := range n {
+				if j != i && rapid.Bool().Draw(t, "way") {
+					s.To = append(s.To, Way{string(rune('a' + j)), 0, rapid.SampledFrom([]float64{0, 0, 15}).Draw(t, "most")})
+				}
+			}
+			for k := range s.To {
+				s.To[k].Part = 1 / float64(len(s.To))
+			}
+		}
+		p.Sites = append(p.Sites, s)
+		part := rapid.SampledFrom([]float64{0, 0.2, 0.5, 1, 1}).Draw(t, "part")
+		states = append(states, State{Short: part < 1, Part: part})
+		var row []float64
+		for range kinds {
+			row = append(row, amount.Draw(t, "asked"))
+		}
+		asked = append(asked, row)
+	}
+	return p, states, asked, rapid.Permutation(upTo(kinds)).Draw(t, "order")
+}
+
+func upTo(n int) (out []int) {
+	for i := range n {
+		out = append(out, i)
+	}
+	return out
+}
+
+// Whatever is lost and asked for: nothing is carried twice or lost in between, nobody gets more than there is room for, no
+// way more than it takes, and nothing of a kind is refused while a kind that goes first is admitted.
+func TestDivideHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, states, asked, order := drawn(t)
+		if err := p.Check(); err != nil {
+			t.Fatal(err)
+		}
+		d := p.Divide(states, asked, order)
+		const eps = 1e-6
+		carried, refused, all := sum(d.Own)+sum(d.Moved), sum(d.Refused), sum(d.Asked)
+		if math.Abs(carried+refused-all) > eps*(1+all) {
+			t.Fatalf("%.4f carried and %.4f refused of %.4f", carried, refused, all)
+		}
+		for i, s := range p.Sites {
+			if d.Moved[i] > d.Room[i]+eps {
+				t.Fatalf("%s: %.3f moved there, with room for %.3f", s.Name, d.Moved[i], d.Room[i])
+			}
+			if d.Moved[i] > 0 && (states[i].Short || d.Own[i]+d.Moved[i] > s.Capacity*p.Full+eps || s.Reserve*s.Capacity+d.Moved[i] > s.Capacity*p.Full+eps) {
+				t.Fatalf("%s: %.3f moved to it beside %.3f of its own, a capacity of %.3f and a reserve of %.2f", s.Name, d.Moved[i], d.Own[i], s.Capacity, s.Reserve)
+			}
+			for to, x := range d.Moves[i] {
+				if x > d.Most[i][to]+eps || x > 0 && len(s.To) > 0 && !slices.ContainsFunc(s.To, func(w Way) bool { return w.Site == p.Sites[to].Name }) {
+					t.Fatalf("%s to %s: %.3f moved, at most %.3f", s.Name, p.Sites[to].Name, x, d.Most[i][to])
+				}
+			}
+			for k, a := range order[1:] {
+				if first := order[k]; asked[i][a] > 0 && d.Admit[i][first] > 0 && d.Admit[i][a] < 1 {
+					t.Fatalf("%s: kind %d is admitted to %.3f, and kind %d, which goes after it, to %.3f", s.Name, first, d.Admit[i][first], a, d.Admit[i][a])
+				}
+			}
+		}
+	})
+}
+
+// A second loss fits up to where what is left is full, and without a loss up to where all is.
+func TestFits(t *testing.T) {
+	p := three()
+	asked := [][]float64{{30}, {30}, {30}}
+	for _, c := range []struct {
+		lost []int
+		want float64
+	}{{nil, 3}, {[]int{0}, 2}, {[]int{0, 1}, 1}, {[]int{0, 1, 2}, 0}} {
+		states := []State{{Part: 1}, {Part: 1}, {Part: 1}}
+		for _, i := range c.lost {
+			states[i] = State{Short: true}
+		}
+		if got := p.Fits(states, asked, []int{0}); math.Abs(got-c.want) > 0.01 {
+			t.Errorf("%v lost: fits %.3f times, want %.3f", c.lost, got, c.want)
+		}
+	}
+	if got := p.Fits([]State{{Part: 1}, {Part: 1}, {Part: 1}}, [][]float64{{0}, {0}, {0}}, []int{0}); !math.IsInf(got, 1) {
+		t.Errorf("nothing asked: %.3f", got)
+	}
+}
--- /dev/null
+++ b/internal/sites/watch_test.go
@@ -0,0 +1,243 @@
+package sites
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// play drives a watch: each site has boxes, and a fixed number of requests a second go to boxes by chance, each answered
+// after a tenth of a second or, at a box that says nothing, timed out after half of one.
+type play struct {
+	t       *testing.T
+	w       *Watch
+	rng     *rand.Rand
+	now     float64
+	boxes   []Box
+	dead    map[uint32]bool
+	rate    float64
+	part    bool // sends follow Part
+	pending []flight
+	changes []Change
+	probes  int
+	lostIn  int // sends to dead boxes
+}
+
+type flight struct {
+	id   uint32
+	sent float64
+	end  float64
+	r    Result
+}
+
+func newPlay(t *testing.T, rate float64) *play {
+	p := &play{t: t, w: NewWatch(), rng: rand.New(rand.NewPCG(1, 2)), now: 1000, dead: map[uint32]bool{}, rate: rate, part: true}
+	for i := range 24 {
+		p.boxes = append(p.boxes, Box{ID: uint32(i + 1), Site: []string{"tacoma", "everett", "olympia"}[i%3], Ready: true})
+	}
+	p.w.Listed(p.now, p.boxes)
+	return p
+}
+
+func (p *play) of(site string, f func(*Box)) {
+	for i := range p.boxes {
+		if p.boxes[i].Site == site {
+			f(&p.boxes[i])
+		}
+	}
+}
+
+func (p *play) kill(site string) { p.of(site, func(b *Box) { p.dead[b.ID] = true }) }
+func (p *play) revive(site string) {
+	p.of(site, func(b *Box) { delete(p.dead, b.ID) })
+}
+
+func (p *play) run(seconds float64) {
+	const dt = 0.01
+	for end := p.now + seconds; p.now < end; p.now += dt {
+		if p.rng.Float64() < p.rate*dt {
+			if b := &p.boxes[p.rng.IntN(len(p.boxes))]; b.Ready && (!p.part || p.rng.Float64() < p.w.Part(b.Site)) {
+				f := flight{b.ID, p.now, p.now + 0.1, Answered}
+				if p.dead[b.ID] {
+					f.end, f.r = p.now+0.5, Silent
+					p.lostIn++
+				}
+				p.w.Sent(p.now, b.ID)
+				p.pending = append(p.pending, f)
+			}
+		}
+		var rest []flight
+		for _, f := range p.pending {
+			if f.end > p.now {
+				rest = append(rest, f)
+				continue
+			}
+			if f.r == Answered && p.dead[f.id] {
+				f.r = Silent // it died under it
+			}
+			p.w.Ended(p.now, f.id, f.r, f.end-f.sent)
+		}
+		p.pending = rest
+		if int(p.now/dt)%10 == 0 {
+			changes, probe := p.w.Look(p.now)
+			p.changes = append(p.changes, changes...)
+			for _, id := range probe {
+				p.probes++
+				p.changes = append(p.changes, p.w.Probed(p.now, id, !p.dead[id])...)
+			}
+		}
+	}
+}
+
+func (p *play) want(site string, s Standing) {
+	p.t.Helper()
+	if got := p.w.Of(site); got != s {
+		p.t.Fatalf("%s is %v, want %v: %v", site, got, s, p.changes)
+	}
+}
+
+// A site that says nothing any more is lost after few requests, and the others are not.
+func TestASilentSiteIsLost(t *testing.T) {
+	p := newPlay(t, 30)
+	p.run(5)
+	p.kill("tacoma")
+	p.lostIn = 0
+	p.run(3)
+	p.want("tacoma", Lost)
+	p.want("everett", Serving)
+	if p.lostIn > 20 {
+		t.Errorf("%d requests were spent on it", p.lostIn)
+	}
+	before := p.lostIn
+	p.run(20)
+	if p.lostIn != before || p.probes < 30 {
+		t.Errorf("%d more requests were sent there, %d connections tried", p.lostIn-before, p.probes)
+	}
+}
+
+// It gets its load back a step at a time.
+func TestAReturnGoesByStep(t *testing.T) {
+	p := newPlay(t, 60)
+	p.run(5)
+	p.kill("tacoma")
+	p.run(5)
+	p.revive("tacoma")
+	last, seen := 0.0, map[float64]bool{}
+	for range 40 {
+		p.run(0.1)
+		part := p.w.Part("tacoma")
+		if part < last {
+			t.Fatalf("part %.2f after %.2f", part, last)
+		}
+		last, seen[part] = part, true
+	}
+	p.want("tacoma", Serving)
+	if len(seen) < len(steps) {
+		t.Errorf("its parts were %v", seen)
+	}
+}
+
+// What is no loss of a site is not taken for one: bad boxes, a pause of all of it, a third of it gone, nobody asking.
+func TestNoFalseAlarm(t *testing.T) {
+	for name, trouble := range map[string]func(p *play){
+		"one bad box":    func(p *play) { p.dead[1] = true; p.run(60) },
+		"half of it bad": func(p *play) { p.dead[1], p.dead[4], p.dead[7], p.dead[10] = true, true, true, true; p.run(60) },
+		"nobody asks":    func(p *play) { p.rate = 0; p.run(60) },
+		"the list is late with a third of it": func(p *play) {
+			for id := range 3 {
+				p.dead[uint32(1+3*id)] = true
+			}
+			p.run(5)
+			for i := range p.boxes {
+				p.boxes[i].Ready = !p.dead[p.boxes[i].ID]
+			}
+			p.w.Listed(p.now, p.boxes)
+			p.run(20)
+		},
+	} {
+		p := newPlay(t, 30)
+		p.run(5)
+		trouble(p)
+		for _, c := range p.changes {
+			if c.To == Lost {
+				t.Errorf("%s: %v", name, c)
+			}
+		}
+	}
+}
+
+// One that flaps is held out for longer each time, and one that was calm for long is not.
+func TestAFlappingSiteIsHeldOut(t *testing.T) {
+	p := newPlay(t, 60)
+	p.run(5)
+	var out []float64
+	for range 4 {
+		p.kill("tacoma")
+		p.run(2.5)
+		p.want("tacoma", Lost)
+		p.revive("tacoma")
+		from := p.now
+		for p.w.Of("tacoma") == Lost && p.now < from+60 {
+			p.run(0.1)
+		}
+		out = append(out, p.now-from)
+		p.run(1)
+	}
+	for i := 2; i < len(out); i++ {
+		if out[i] < out[i-1]+1 {
+			t.Errorf("held out for %.1f s after it was back", out)
+		}
+	}
+	p.run(5 + calmAfter)
+	p.kill("tacoma")
+	p.run(3)
+	p.revive("tacoma")
+	p.run(1)
+	if s := p.w.Of("tacoma"); s == Lost {
+		t.Error("after a calm minute it is held out as before")
+	}
+}
+
+// A return that meets failures goes back a step, and stands still for a while.
+func TestAReturnGoesBack(t *testing.T) {
+	p := newPlay(t, 200)
+	p.run(5)
+	p.kill("tacoma")
+	p.run(3)
+	p.revive("tacoma")
+	for range 100 {
+		if p.run(0.05); p.w.sites["tacoma"].step == 1 && p.w.Of("tacoma") == Returning {
+			break
+		}
+	}
+	p.dead[1], p.dead[4], p.dead[7] = true, true, true // three of eight
+	p.run(1.5)
+	if s := p.w.sites["tacoma"]; s.step != 0 || s.halted == "" {
+		t.Errorf("step %d, halted %q: %v", s.step, s.halted, p.changes)
+	}
+}
+
+// The list alone can take a site away and bring it back.
+func TestTheListTakesASiteAway(t *testing.T) {
+	p := newPlay(t, 0)
+	p.run(1)
+	p.of("tacoma", func(b *Box) { b.Ready = false })
+	p.w.Listed(p.now, p.boxes)
+	p.run(0.5)
+	p.want("tacoma", Lost)
+	p.of("tacoma", func(b *Box) { b.Ready, b.Launched = true, p.now })
+	p.w.Listed(p.now, p.boxes)
+	p.run(1)
+	p.want("tacoma", Returning)
+}
+
+// A site of one box is lost with it, and a site that was never there is not.
+func TestSmallSites(t *testing.T) {
+	w := NewWatch()
+	w.Listed(0, []Box{{ID: 1, Site: "a", Ready: true}, {ID: 2, Site: "b"}})
+	w.Sent(10, 1)
+	w.Ended(10.5, 1, Silent, 0.5)
+	changes, _ := w.Look(10.9)
+	if len(changes) != 1 || changes[0].Site != "a" || changes[0].To != Lost {
+		t.Errorf("%v", changes)
+	}
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -229,7 +229,9 @@
 		} else {
 			up = ""
 		}
-		line, ok = k.where[up]
+		if line, ok = k.where[up]; !ok && strings.HasSuffix(up, "]") { // an entry of an array that stands in one line
+			line, ok = k.where[up[:strings.LastIndexByte(up, '[')]]
+		}
 	}
 	return fmt.Errorf("%s:%d: %s: %s", k.file, max(line, 1), key, fmt.Sprintf(format, args...))
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -5,6 +5,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"craneglade/internal/sites"
 )
 
 // Effect says what repeating a request would do.
@@ -113,6 +115,7 @@
 	EvTimer                    // a timer set by ActTimer is due
 	EvBegun                    // an answer that goes on while it comes has begun to; Attempt brings it
 	EvShared                   // news of what the nodes of the fleet share; Shared brings it
+	EvSites                    // how zones are to be used while some are lost; Zones and Admit bring it
 	EvOther                    // anything the policy does not act on
 )
 
@@ -172,22 +175,24 @@
 // Event is one thing that happened at this node. Only the fields of its kind are read.
 type Event struct {
 	Kind    EventKind
-	ID      string        // EvRequest, EvOutcome, EvGone: the request
-	Class   string        // EvRequest
-	Tenant  string        // EvRequest
-	Left    time.Duration // EvRequest: the client gives up after this
-	Needs   uint8         // EvRequest: bits of Entry.Speaks that a backend must have
-	Repeat  bool          // EvRequest: a client's repeat of its earlier try, where clients say so
-	Server  uint32        // EvOutcome
-	Attempt int           // EvOutcome: number of the attempt, from 0 in the order of the sends
-	Took    time.Duration // EvOutcome: since the send
-	Last    bool          // EvOutcome: the request is finished
-	Outcome Outcome       // EvOutcome
-	Load    Load          // EvOutcome
-	List    ListKind      // EvList
-	Entries []Entry       // EvList; not kept by the policy
-	Token   string        // EvTimer
-	Shared  *Shared       // EvShared; not kept by the policy
+	ID      string                // EvRequest, EvOutcome, EvGone: the request
+	Class   string                // EvRequest
+	Tenant  string                // EvRequest
+	Left    time.Duration         // EvRequest: the client gives up after this
+	Needs   uint8                 // EvRequest: bits of Entry.Speaks that a backend must have
+	Repeat  bool                  // EvRequest: a client's repeat of its earlier try, where clients say so
+	Server  uint32                // EvOutcome
+	Attempt int                   // EvOutcome: number of the attempt, from 0 in the order of the sends
+	Took    time.Duration         // EvOutcome: since the send
+	Last    bool                  // EvOutcome: the request is finished
+	Outcome Outcome               // EvOutcome
+	Load    Load                  // EvOutcome
+	List    ListKind              // EvList
+	Entries []Entry               // EvList; not kept by the policy
+	Token   string                // EvTimer
+	Shared  *Shared               // EvShared; not kept by the policy
+	Zones   map[string]sites.Zone // EvSites: without one a zone is used as usual; not changed by the policy
+	Admit   map[string][2]float64 // EvSites: by class, parts admitted within shares, and past them
 }
 
 // Shared is what the nodes of a fleet know together. Of what is not told, or zero, this node decides alone.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"craneglade/internal/cold"
 	"craneglade/internal/health"
 	"craneglade/internal/subset"
 )
@@ -95,6 +96,8 @@
 		b.list(t, ev)
 	case EvShared:
 		b.shared(t, ev.Shared)
+	case EvSites:
+		b.gates.Set(t, ev.Zones, ev.Admit)
 	case EvTimer:
 		b.plan(t)
 		if b.askAt > 0 && t >= b.askAt {
@@ -132,7 +135,7 @@
 	}
 	c.requests++
 	left := ev.Left.Seconds()
-	r := &request{id: ev.ID, class: c, needs: ev.Needs, until: now + left, aim: now + left}
+	r := &request{id: ev.ID, class: c, needs: ev.Needs, until: now + left, aim: now + left, luck: b.gates.Draw(b.rng)}
 	if aim := c.Aim.Seconds(); aim > 0 && c.LateWorth == 0 {
 		// A repeat with less time left than any first try lately tells its request's age. Past its aim it is no use.
 		if ev.Repeat && left < c.least-1e-3 {
@@ -144,10 +147,14 @@
 	}
 	b.requests[ev.ID] = r
 	b.total++
-	if r.lesser = b.overShare(ev.Tenant) || c.lesser; r.lesser {
+	over := b.overShare(ev.Tenant)
+	if over {
+		c.over++
+	}
+	if r.lesser = over || c.lesser; r.lesser {
 		b.lessers++
 	}
-	if left <= 0 || r.aim <= now || !b.try(now, r) {
+	if left <= 0 || r.aim <= now || !b.gates.Admits(c.Name, over, b.rng) || !b.try(now, r) {
 		b.finish(now, r)
 		return
 	}
@@ -185,6 +192,7 @@
 		r.class.out = append(r.class.out, a)
 	}
 	s.sentAt = now
+	b.gates.Sent(s.Zone)
 	if s.classes != nil && s.of(b, r.class).Trial {
 		s.of(b, r.class).Ejected = now + health.First // one at a time
 	}
@@ -485,17 +493,14 @@
 
 // ramp is the least part of its capacity that a backend has, by the time since its start.
 func (b *Balancer) ramp(s *server, now float64) float64 {
-	age, span := now-s.launched, b.set.ColdFor.Seconds()
-	if s.launched <= 0 || age >= span {
-		return 1
-	}
-	return b.set.ColdShare + (1-b.set.ColdShare)*max(0, age)/span
+	return cold.Ramp(s.launched, now, b.set.ColdShare, b.set.ColdFor.Seconds())
 }
 
 // usable tells whether a request may go to a backend at all, whatever its mode.
 func (b *Balancer) usable(now float64, r *request, s *server) bool {
 	if s.State != Active && now >= s.grace || now < s.Ejected || s.Trial && s.own > 0 || s == r.avoid ||
-		s.Speaks&r.needs != r.needs || s.classes != nil && now < s.of(b, r.class).Ejected {
+		s.Speaks&r.needs != r.needs || s.classes != nil && now < s.of(b, r.class).Ejected ||
+		!b.gates.Open(now, s.Zone, r.luck) {
 		return false
 	}
 	m, group := r.mayRun, r.class.Group
@@ -566,7 +571,7 @@
 	type pool struct{ latency, occupancy, served, warm, work, told, slots float64 }
 	kinds, all := map[string]*pool{}, &pool{}
 	dt := max(now-b.planAt, 1e-3)
-	b.planAt = now
+	b.planAt, b.born = now, cmp.Or(b.born, now)
 	f := math.Exp(-dt / rateTau)
 	b.picks, b.span = b.picks*f, b.span*f+rateTau*(1-f)
 	for _, s := range b.order {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -1,6 +1,11 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"craneglade/internal/sites"
+)
 
 // Belief is what a node believes of one backend. Nothing in it is a decision.
 type Belief struct {
@@ -31,3 +36,13 @@
 	}
 	return out
 }
+
+// Demand is what clients have lately asked of this node, by class.
+func (b *Balancer) Demand() []sites.Demand {
+	out := make([]sites.Demand, 0, len(b.classes))
+	span := max(oldTau*(1-math.Exp((b.born-b.planAt)/oldTau)), 1e-3) // counts fade with each plan
+	for _, c := range b.classes {
+		out = append(out, sites.Demand{Class: c.Name, Rate: c.requests / span, Over: c.over / span, Work: c.work()})
+	}
+	return out
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,6 +5,7 @@
 
 	"craneglade/internal/decay"
 	"craneglade/internal/health"
+	"craneglade/internal/sites"
 )
 
 type mode uint8
@@ -18,7 +19,8 @@
 type class struct {
 	Class
 	index    int           // among the classes told of
-	requests float64       // decayed count
+	requests float64       // decayed count,
+	over     float64       // and of those past their tenants' shares
 	took     decay.Moments // latencies of answers
 	out      []*attempt    // first attempts that may get a copy, in the order of the sends
 	least    float64       // least time left of a first try lately
@@ -51,6 +53,7 @@
 	needs    uint8   // protocols that its backend must speak
 	until    float64 // when the client gives up
 	aim      float64 // when its answer stops being worth anything
+	luck     float64 // whether zones that are used in part are for it
 	attempts []*attempt
 	first    attempt     // most requests have one, which needs no memory of its own
 	list     [1]*attempt // and neither does the list of it
@@ -109,6 +112,7 @@
 	sharers  float64     // nodes that work with a backend, by their mean
 	total    float64     // decayed count of requests,
 	lessers  float64     // and of those that are diverted first
+	born     float64     // when the first plan was made
 	picks    float64     // decayed count of draws,
 	span     float64     // and of the seconds that they were counted in
 	worth    float64     // mean worth of a request lately
@@ -121,6 +125,7 @@
 	askAt    float64     // when to ask for the list again; 0: not wanted
 	tickAt   float64     // when the next plan is due
 	many     float64     // sharers as a multiple of those that are few
+	gates    sites.Gates // while sites are lost
 	flying   float64     // own attempts that are out,
 	drift    decay.Swing // how that moves,
 	swing    float64     // and so what others hold since their reports
--- a/policy/worth.go
+++ b/policy/worth.go
@@ -24,6 +24,7 @@
 	var requests, worth, work float64
 	for _, c := range b.classes {
 		c.requests *= f
+		c.over *= f
 		c.took.Fade(f)
 		requests += c.requests
 		worth += c.requests * c.Worth
