What lost sites' load brings to another is a shared budget, in parts as escrow

Need: a ceiling on what a lost site's load brings to another was divided by the plan's count of nodes; where one node has all of that load, or half the fleet hears nothing, that leaves room unused or rests on a number in a file.

The judge's rule on overspent budgets covers them as they are. Without it an equal part as before; off without settings.

Measured: six nodes of which two have such load hold over 0.7 of the whole between them after ten seconds and all together never more than it (TestCrossingFollowsTheDemand); the sum under loss, cuts, stalls and restarts is what escrow's property tests hold, unchanged.

Two of the proof's tests play side by side.

--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -248,6 +248,18 @@
 		}
 		out = append(out, s)
 	}
+	var plans []*lab.Siting
+	for _, file := range c.Sites {
+		own, err := settings.Load(file)
+		if err != nil {
+			return nil, exit{ExitUsage, err}
+		}
+		if !own.Sites.On() {
+			return nil, usage("--sites: %s has no [[sites.site]], and no sites.watch = true", file)
+		}
+		plans = append(plans, &lab.Siting{Plan: own.Sites.Plan})
+		out = append(out, lab.Setting{Name: "sites " + filepath.Base(file), Tuning: policy.Tuned(), Sites: plans[len(plans)-1]})
+	}
 	for _, text := range c.Share {
 		use, err := settings.ParseUse(strings.Split(text, ","))
 		if err != nil {
@@ -256,17 +268,14 @@
 		if c.Loss < 0 || c.Loss >= 1 {
 			return nil, usage("--loss: %v is outside 0 to 1", c.Loss)
 		}
-		out = append(out, lab.Setting{Name: "share " + text, Tuning: policy.Tuned(), Share: &lab.Sharing{Use: use, Loss: c.Loss, BytesPS: settings.DefaultBytes}})
-	}
-	for _, file := range c.Sites {
-		own, err := settings.Load(file)
-		if err != nil {
-			return nil, exit{ExitUsage, err}
-		}
-		if !own.Sites.On() {
-			return nil, usage("--sites: %s has no [[sites.site]], and no sites.watch = true", file)
+		set := lab.Setting{Name: "share " + text, Tuning: policy.Tuned(), Share: &lab.Sharing{Use: use, Loss: c.Loss, BytesPS: settings.DefaultBytes}}
+		if use.Crossing {
+			if len(plans) == 0 || plans[0].Plan == nil {
+				return nil, usage("--share: crossing needs a plan: --sites FILE")
+			}
+			set.Sites = plans[0]
 		}
-		out = append(out, lab.Setting{Name: "sites " + filepath.Base(file), Tuning: policy.Tuned(), Sites: &lab.Siting{Plan: own.Sites.Plan}})
+		out = append(out, set)
 	}
 	var grid []lab.Setting
 	for _, text := range c.Grid {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -415,6 +415,9 @@
 	r.open++
 	if e.sites != nil {
 		e.sites.Sent(now, act.Server)
+		if e.sharer != nil && a.Box != nil && e.sites.Node.Crosses(a.Box.Zone) {
+			e.sharer.Crossed(a.Box.Zone)
+		}
 	}
 	e.wg.Add(1)
 	go func() {
--- a/internal/engine/sharer.go
+++ b/internal/engine/sharer.go
@@ -12,6 +12,7 @@
 // neither wait for anybody nor call back.
 type Sharer interface {
 	Request(tenant string)                     // a client asks
+	Crossed(site string)                       // a request goes to another site, as its client's own is lost
 	Outcome(k judgement.Key, o policy.Outcome) // an attempt has ended
 	Listed(all []judgement.Backend)            // the boxes that there are
 	View() shared.View                         // what may be acted on, until a moment of the engine's clock
@@ -43,6 +44,9 @@
 	}
 	v := e.sharer.View()
 	e.until = v.Until
+	if e.sites != nil {
+		e.sites.Node.Shares(v.Cross)
+	}
 	numbers := make(map[judgement.Key]uint32, len(v.Out))
 	if len(v.Out) > 0 {
 		for _, b := range e.names {
--- a/internal/kit/lab/node.go
+++ b/internal/kit/lab/node.go
@@ -261,6 +261,9 @@
 	w.after(a.wait, func() { a.giveUp(policy.TimedOut) })
 	if n.sites != nil {
 		n.sites.Sent(epoch+w.now, act.Server)
+		if n.shared != nil && n.sites.Node.Crosses(b.plan.Site) {
+			n.shared.Crossed(epoch+w.now, b.plan.Site)
+		}
 	}
 	a.life = b.life
 	a.fresh = !n.reuse(a)
--- a/internal/kit/lab/share.go
+++ b/internal/kit/lab/share.go
@@ -44,7 +44,7 @@
 		quotas[t.Name] = t.QuotaPerS
 	}
 	n.shared = shared.New(shared.Config{Name: n.Name, Self: escrow.Node{Number: n.index, Incarnation: uint64(n.life) + 1}, Nodes: set.Nodes, Site: n.Site,
-		Quotas: quotas, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: o.Use, BytesPS: o.BytesPS, Datagram: datagram}, epoch+n.w.now)
+		Quotas: quotas, Sites: planned(n.w.opt.Sites), Terms: escrow.Usual(), Limits: judgement.Usual(), Use: o.Use, BytesPS: o.BytesPS, Datagram: datagram}, epoch+n.w.now)
 	life := n.life
 	n.every(life, shareStep, func() {
 		n.speak(n.shared.Step(epoch + n.w.now))
@@ -145,6 +145,9 @@
 			n.w.opt.note(n.Name, note)
 		}
 	}
+	if n.sites != nil {
+		n.sites.Node.Shares(v.Cross)
+	}
 	n.handle(v.Event(func(k judgement.Key) (uint32, bool) { x, ok := n.keys[k]; return x, ok }))
 }
 
--- a/internal/kit/lab/site.go
+++ b/internal/kit/lab/site.go
@@ -15,6 +15,17 @@
 	Note func(node string, n sites.Note)
 }
 
+// planned are the sites of a plan.
+func planned(o *Siting) (out []string) {
+	if o == nil || o.Plan == nil {
+		return nil
+	}
+	for _, s := range o.Plan.Sites {
+		out = append(out, s.Name)
+	}
+	return out
+}
+
 // site gives the node's new life its view of the sites.
 func (n *node) site(set *policy.Settings) {
 	o := n.w.opt.Sites
--- a/internal/kit/proof/scripts_test.go
+++ b/internal/kit/proof/scripts_test.go
@@ -167,6 +167,7 @@
 	if testing.Short() {
 		t.Skip("rehearsals take seconds each")
 	}
+	t.Parallel()
 	dir := t.TempDir()
 	now, later, some := filepath.Join(dir, "craneglade"), filepath.Join(dir, "later"), filepath.Join(dir, "some")
 	build(t, now, "./cmd/craneglade")
--- a/internal/kit/proof/sites_test.go
+++ b/internal/kit/proof/sites_test.go
@@ -24,6 +24,7 @@
 	if testing.Short() {
 		t.Skip("rehearsals take seconds each")
 	}
+	t.Parallel()
 	dir := t.TempDir()
 	craneglade := filepath.Join(dir, "craneglade")
 	build(t, craneglade, "./cmd/craneglade")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 	ctx, n.stop = context.WithCancel(context.Background())
 	n.names(ctx, &own.DNS)
 	if own.Fleet.Listen != "" {
-		n.peers, err = peers.Start(peers.Config{Fleet: &own.Fleet, Name: cfg.Name, Policy: &cfg.Settings.Policy, Clock: clock.Now,
+		n.peers, err = peers.Start(peers.Config{Fleet: &own.Fleet, Name: cfg.Name, Policy: &cfg.Settings.Policy, Sites: own.Sites.Names(), Clock: clock.Now,
 			Changed: n.engine.Shared, Log: log})
 		if err != nil {
 			n.end()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,6 +45,7 @@
 	Fleet   *settings.Fleet
 	Name    string
 	Policy  *policy.Settings // its numbers, zone and tenants
+	Sites   []string         // of the plan for their loss, if there is one
 	Clock   func() time.Duration
 	Changed func() // called when there is a new view, from a goroutine of its own; View brings it
 	Log     *slog.Logger
@@ -86,7 +87,7 @@
 		quotas[t.Name] = t.QuotaPerS
 	}
 	p.replica = shared.New(shared.Config{Name: cfg.Name, Self: escrow.Node{Number: cfg.Policy.Number, Incarnation: uint64(time.Now().UnixMilli())},
-		Nodes: cfg.Policy.Nodes, Site: cfg.Policy.Zone, Quotas: quotas, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: f.Used,
+		Nodes: cfg.Policy.Nodes, Site: cfg.Policy.Zone, Quotas: quotas, Sites: cfg.Sites, Terms: escrow.Usual(), Limits: judgement.Usual(), Use: f.Used,
 		BytesPS: int(f.Bytes), Datagram: f.Datagram}, p.now())
 	keys, err := memberlist.NewKeyring(f.Keys, f.Keys[0])
 	if err != nil {
@@ -221,6 +222,13 @@
 	p.replica.Request(p.now(), tenant)
 }
 
+// Crossed counts a request that goes to another site, as its client's own is lost.
+func (p *Peers) Crossed(site string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replica.Crossed(p.now(), site)
+}
+
 // Outcome notes how an attempt at a backend ended.
 func (p *Peers) Outcome(k judgement.Key, o policy.Outcome) {
 	if tells, failed := shared.Tells(o); tells {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,6 +144,9 @@
 	if err := f.Sites.check(keys); err != nil {
 		return nil, err
 	}
+	if f.Fleet.Used.Crossing && f.Sites.Plan == nil {
+		return nil, keys.Problem("fleet.use", "crossing needs a plan: [[sites.site]]")
+	}
 	seen := map[string]bool{}
 	for i := range f.Bodies.Classes {
 		c, p := &f.Bodies.Classes[i], fmt.Sprintf("bodies.class[%d].", i)
--- a/internal/settings/sites.go
+++ b/internal/settings/sites.go
@@ -38,6 +38,14 @@
 // On tells whether anything is to be done.
 func (s *Sites) On() bool { return s.Watch || s.Plan != nil }
 
+// Names are the sites of the plan.
+func (s *Sites) Names() (out []string) {
+	for _, x := range s.Sites {
+		out = append(out, x.Name)
+	}
+	return out
+}
+
 // check makes the plan and says what is wrong with it.
 func (s *Sites) check(keys *tomlfile.Keys) error {
 	if !keys.Has("sites.full") {
--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -27,6 +27,10 @@
 // quota and a tenant's name are the name of the budget that is its share, and of the count by which its parts move.
 const quota = "quota/"
 
+// cross and a site's name are the name of the budget that is what lost sites' load may bring to it, and of the count by
+// which its parts move.
+const cross = "cross/"
+
 const (
 	step     = 250 * time.Millisecond // Step is to be called about this often
 	turn     = 3 * time.Second        // a node tells again of what has not changed this often; in a large fleet less often
@@ -47,6 +51,7 @@
 	Quotas    bool // what of a tenant's requests lies within its share follows from what all nodes count
 	Escrow    bool // it follows from this node's part of the share, of which all together never have more than there is
 	Ejections bool // what enough others find broken is left out here too
+	Crossing  bool // what lost sites' load may bring to another follows from this node's part of it
 }
 
 // Config is what a replica is made from.
@@ -56,6 +61,7 @@
 	Nodes   int // that the settings tell of, this one included
 	Site    string
 	Quotas  map[string]float64 // by tenant, requests a second over all nodes
+	Sites   []string           // that load of lost ones may go to
 	Terms   escrow.Terms
 	Limits  judgement.Limits
 	Use     Use
@@ -79,6 +85,7 @@
 // View is what the node may act on until Until.
 type View struct {
 	Within map[string]float64 // by tenant: part of its requests here that lie within its share; nil where that is not shared
+	Cross  map[string]float64 // by site: part of what lost sites' load may bring there that this node may use; nil where that is not shared
 	Out    []judgement.Key    // backends that enough nodes find broken
 	Until  time.Duration
 }
@@ -139,6 +146,11 @@
 			r.own[quota+tenant] = &tally{Window: counts.Window{Incarnation: cfg.Self.Incarnation}, toldAt: now - time.Hour}
 		}
 	}
+	if cfg.Use.Crossing {
+		for _, site := range cfg.Sites {
+			r.own[cross+site] = &tally{Window: counts.Window{Incarnation: cfg.Self.Incarnation}, toldAt: now - time.Hour}
+		}
+	}
 	size := func() int { return r.roster.Size() + 1 }
 	r.urgent = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: 3 * repeats}
 	r.usual = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: repeats}
@@ -163,6 +175,14 @@
 	}
 }
 
+// Crossed counts a request of this node's clients that goes to another site, as their own is lost.
+func (r *Replica) Crossed(now time.Duration, site string) {
+	r.at(now)
+	if t := r.own[cross+site]; t != nil {
+		t.Add(counts.At(r.now-r.born), 1)
+	}
+}
+
 // Outcome notes how an attempt at a backend ended.
 func (r *Replica) Outcome(now time.Duration, k judgement.Key, failed bool) {
 	r.at(now)
@@ -327,8 +347,11 @@
 
 // budget tells whether there is a budget of a name.
 func (r *Replica) budget(name string) bool {
-	tenant, is := strings.CutPrefix(name, quota)
-	return is && r.cfg.Quotas[tenant] > 0
+	if tenant, is := strings.CutPrefix(name, quota); is {
+		return r.cfg.Quotas[tenant] > 0
+	}
+	site, is := strings.CutPrefix(name, cross)
+	return is && slices.Contains(r.cfg.Sites, site)
 }
 
 // item is one entry that waits to be sent. Its age grows while it does.
@@ -462,13 +485,22 @@
 	return out
 }
 
-// budgets calls f with each budget that is used and the tenant whose share it is, in the order of their names.
-func (r *Replica) budgets(f func(budget, tenant string)) {
+// budgets calls f with each budget that is used and the tenant or site that it is of, in the order of their names.
+func (r *Replica) budgets(f func(budget, of string)) {
+	if r.cfg.Use.Crossing {
+		r.crossing(f)
+	}
 	if r.cfg.Use.Escrow {
 		r.tenants(f)
 	}
 }
 
+func (r *Replica) crossing(f func(budget, site string)) {
+	for _, site := range slices.Sorted(slices.Values(r.cfg.Sites)) {
+		f(cross+site, site)
+	}
+}
+
 func (r *Replica) tenants(f func(budget, tenant string)) {
 	for _, tenant := range slices.Sorted(maps.Keys(r.cfg.Quotas)) {
 		if r.cfg.Quotas[tenant] > 0 {
@@ -549,14 +581,15 @@
 			}
 			share, of := r.cfg.Quotas[tenant], r.total(budget, own)
 			if r.cfg.Use.Escrow {
-				share, of = share*float64(r.ledger.Spendable(now, budget))/float64(escrow.Whole), own
-				if until, falls := r.ledger.Until(now, budget); falls {
-					v.Until = min(v.Until, until)
-				}
+				share, of = share*r.part(now, budget, &v), own
 			}
 			v.Within[tenant] = max(least, min(1, share/max(of, least)))
 		})
 	}
+	if r.cfg.Use.Crossing {
+		v.Cross = map[string]float64{}
+		r.crossing(func(budget, site string) { v.Cross[site] = r.part(now, budget, &v) })
+	}
 	for i := range r.list {
 		if r.list[i].out {
 			v.Out = append(v.Out, r.list[i].Key)
@@ -565,6 +598,14 @@
 	return v
 }
 
+// part is what this node may spend of a budget, as a part of it. v does not outlast it.
+func (r *Replica) part(now time.Duration, budget string, v *View) float64 {
+	if until, falls := r.ledger.Until(now, budget); falls {
+		v.Until = min(v.Until, until)
+	}
+	return float64(r.ledger.Spendable(now, budget)) / float64(escrow.Whole)
+}
+
 // total is what all nodes together count a second. Those of which nothing is known count as the mean of the others, so
 // that a node that hears nobody keeps to its own part.
 func (r *Replica) total(key string, own float64) float64 {
--- a/internal/shared/replica_test.go
+++ b/internal/shared/replica_test.go
@@ -275,6 +275,47 @@
 	}
 }
 
+// What lost sites' load may bring to another goes to the nodes that have such load, and stays one whole.
+func TestCrossingFollowsTheDemand(t *testing.T) {
+	f := newFleet(t, 6)
+	for i := range f.nodes {
+		c := config(i, 6, 9)
+		c.Use, c.Sites = Use{Crossing: true}, []string{"east", "west"}
+		f.lives[i] = 9
+		f.nodes[i] = New(c, f.now)
+	}
+	for i := range f.nodes {
+		for j := range f.nodes {
+			if i != j {
+				f.meet(i, j)
+			}
+		}
+	}
+	for range 10 {
+		f.run(time.Second, func(i int, r *Replica) {
+			if i < 2 {
+				r.Crossed(f.now, "east")
+			}
+		})
+		sum := 0.0
+		for _, r := range f.nodes {
+			sum += r.View(f.now).Cross["east"]
+		}
+		if sum > 1.0001 {
+			t.Fatalf("%.3f of the whole can be brought there", sum)
+		}
+	}
+	if has := f.nodes[0].View(f.now).Cross["east"] + f.nodes[1].View(f.now).Cross["east"]; has < 0.7 {
+		t.Errorf("the two nodes that need it have %.2f", has)
+	}
+	if has := f.nodes[0].View(f.now).Cross["west"]; has < 0.16 || has > 0.17 {
+		t.Errorf("of what nobody needs one has %.2f, and owns a sixth", has)
+	}
+	if f.nodes[0].budget("cross/north") || !f.nodes[0].budget("cross/west") {
+		t.Error("a site that is in no plan has a budget, or one that is has none")
+	}
+}
+
 // What a node counts a second stays what it is when its clock is set back.
 func TestCountsWhenTheClockIsSetBack(t *testing.T) {
 	f := newFleet(t, 1)
--- a/internal/sites/node.go
+++ b/internal/sites/node.go
@@ -62,7 +62,9 @@
 	last   *Division
 	kinds  []Kind
 	asked  [][]float64
-	said   map[string]bool // sites that only the plan or only the list knows, and that were noted so
+	shares map[string]float64 // by site: part of what lost sites' load may bring there that is this node's; nil where nobody says
+	short  bool               // this node's own site does not carry its load by itself
+	said   map[string]bool    // sites that only the plan or only the list knows, and that were noted so
 }
 
 // NewNode returns a node that knows no box.
@@ -92,6 +94,13 @@
 	}
 }
 
+// Shares tells which part of what lost sites' load may bring to each site is this node's. Where nobody says it is an equal part
+// among the nodes of the lost site, as the plan counts them.
+func (n *Node) Shares(parts map[string]float64) { n.shares = parts }
+
+// Crosses tells whether what goes to a site from here is load of a lost one.
+func (n *Node) Crosses(site string) bool { return n.short && site != n.cfg.Home }
+
 // Step brings all up to the time, with what this node's clients ask for, and returns what is to be followed.
 func (n *Node) Step(now float64, demand []Demand) Orders {
 	n.now = max(n.now, now)
@@ -117,6 +126,7 @@
 		}
 		n.notes = append(n.notes, Note{Text: text})
 	}
+	n.short = !n.alone && n.watch.Part(n.cfg.Home) < 1
 	if short == 0 || n.alone {
 		n.last = nil
 		return o
@@ -179,8 +189,13 @@
 		if to == home || n.states[to].Short {
 			continue
 		}
-		// Of what may go there each node of this site takes an equal part: fronts deal their clients out evenly.
-		o.Zones[s.Name] = Zone{Part: 1, Rate: d.Most[home][to] / float64(p.Sites[home].Nodes)}
+		// Of what may go there each node of this site takes an equal part, as fronts deal their clients out evenly; or its own
+		// part of what all lost sites may bring there, of which no two nodes have the same.
+		rate := d.Most[home][to] / float64(p.Sites[home].Nodes)
+		if part, told := n.shares[s.Name]; told {
+			rate = min(d.Room[to]*part, d.Most[home][to])
+		}
+		o.Zones[s.Name] = Zone{Part: 1, Rate: rate}
 	}
 }
 
--- a/internal/sites/node_test.go
+++ b/internal/sites/node_test.go
@@ -81,6 +81,26 @@
 	}
 }
 
+// A node that is told its own part of what may go to a site keeps to that, and to what its way takes.
+func TestOwnPartsOfARoom(t *testing.T) {
+	p := three()
+	p.Sites[0].To = []Way{{"everett", 0.5, 4}, {"olympia", 0.5, 0}}
+	n := watching(p, "tacoma")
+	if n.Crosses("everett") {
+		t.Error("load crosses in peace")
+	}
+	now := lose(t, n, 10, "tacoma")
+	before := n.Step(now+0.1, busy)
+	n.Shares(map[string]float64{"everett": 0.5, "olympia": 0.5})
+	o := n.Step(now+0.2, busy)
+	if o.Zones["everett"].Rate != 4 || math.Abs(o.Zones["olympia"].Rate-2*before.Zones["olympia"].Rate) > 0.5 {
+		t.Errorf("%+v, and an equal part is %+v", o.Zones, before.Zones)
+	}
+	if !n.Crosses("everett") || n.Crosses("tacoma") {
+		t.Error("what goes to another site is not the lost one's load, or what goes home is")
+	}
+}
+
 // A node that reaches nobody anywhere is cut off itself, and neither closes sites nor refuses anything for it.
 func TestANodeThatIsCutOff(t *testing.T) {
 	n := watching(three(), "tacoma")
