Large fleets: in a crowd a refusing node sends little more until reports tell

Reports are a second old: all nodes see room at one moment.

Change: internal/pace, pure: while a node refuses and is asked for 1.15 to 2.2 times the usual, its sends grow by at most 2 x AimPart x aim / T^2 in a second, T being the 1.1 s until reports tell: what fills a box to H by then. Only where more than five nodes share a box; small fleets decide as before. At fault was that try() knew no bound on what all send at once.

--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,178 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// client asks a pacer for a while at a rate, where thresholds refuse a part of what is asked, in steps of a hundredth of a
+// second; it returns the part that is sent.
+type client struct {
+	Pacer
+	rng *rand.Rand
+	now float64
+}
+
+func newClient() *client { return &client{rng: rand.New(rand.NewPCG(1, 2)), now: 100} }
+
+func (c *client) ask(seconds, rate, refused float64, lesser bool) (part float64) {
+	asked, sent := 0.0, 0.0
+	for range int(100 * seconds) {
+		c.now += 0.01
+		if int(100*c.now+0.5)%25 == 0 {
+			c.Tick(0.25, 0.25)
+		}
+		if c.rng.Float64() >= rate/100 {
+			continue
+		}
+		asked++
+		goes := c.rng.Float64() >= refused && c.Allows(c.now, lesser)
+		c.Asked(goes)
+		if goes {
+			c.Sent()
+			sent++
+		}
+	}
+	return sent / max(1, asked)
+}
+
+// A node that refuses nothing is held back by nothing, whatever it is asked.
+func TestFreeInPeace(t *testing.T) {
+	c := newClient()
+	for _, rate := range []float64{1, 50, 2, 90} {
+		if part := c.ask(5, rate, 0, true); part < 1 {
+			t.Errorf("%.2f of %v a second are sent", part, rate)
+		}
+	}
+}
+
+// In a crowd what is sent grows a step at a time; once the crowd is the usual, all of it is sent.
+func TestACrowdGrowsByStep(t *testing.T) {
+	c := newClient()
+	c.ask(20, 50, 0.7, false)
+	first := c.ask(1, 90, 0, false) // 15 a second were sent
+	if first > 0.35 {
+		t.Errorf("%.2f of a crowd are sent in the first second", first)
+	}
+	if then := c.ask(1, 90, 0, false); then > 2*first {
+		t.Errorf("%.2f in the second", then)
+	}
+	c.ask(15, 90, 0, false)
+	if part := c.ask(2, 90, 0, false); part < 0.97 {
+		t.Errorf("%.2f of all are sent in the end", part)
+	}
+}
+
+// Where no more is asked than usually, room that has come back is used at once.
+func TestRoomThatComesBack(t *testing.T) {
+	c := newClient()
+	c.ask(20, 50, 0.7, false)
+	c.ask(1, 50, 0, false)
+	if part := c.ask(2, 50, 0, false); part < 0.9 {
+		t.Errorf("%.2f of all are sent", part)
+	}
+}
+
+// Even where everything was refused for long some of a crowd goes, and grows from there.
+func TestFromNothing(t *testing.T) {
+	c := newClient()
+	c.ask(30, 50, 1, false)
+	if part := c.ask(2, 90, 0, false); part < 0.1 {
+		t.Fatalf("%.2f of all are sent at first", part)
+	}
+	c.ask(15, 90, 0, false)
+	if part := c.ask(2, 90, 0, false); part < 0.97 {
+		t.Errorf("%.2f of all are sent in the end", part)
+	}
+}
+
+// Clients that others had are no crowd: a node that takes over what three did is not held to what it sent alone.
+func TestOthersClientsAreNoCrowd(t *testing.T) {
+	c := newClient()
+	c.ask(20, 28, 0.3, false)
+	if part := c.ask(4, 95, 0.3, false); part*95 < 2.3*0.7*28 {
+		t.Errorf("%.0f a second are sent, where %.0f were and %.0f may be", part*95, 0.7*28, 0.7*95)
+	}
+	d := newClient()
+	d.ask(20, 50, 0.5, false)
+	if part := d.ask(1.5, 90, 0, false); part > 0.8 {
+		t.Errorf("%.2f of a crowd are sent", part)
+	}
+}
+
+// Lesser requests stop first.
+func TestLesserStopFirst(t *testing.T) {
+	c := newClient()
+	c.ask(20, 60, 0.6, false)
+	var sent, asked [2]float64
+	for i := range 200 { // a hundred a second
+		c.now += 0.01
+		if i%25 == 0 {
+			c.Tick(0.25, 0.05)
+		}
+		lesser := i % 2
+		goes := c.Allows(c.now, lesser == 1)
+		c.Asked(goes)
+		asked[lesser]++
+		if goes {
+			c.Sent()
+			sent[lesser]++
+		}
+	}
+	if sent[1]/asked[1] > 0.95*sent[0]/asked[0] {
+		t.Errorf("%.0f of %.0f lesser ones were sent, and %.0f of %.0f others", sent[1], asked[1], sent[0], asked[0])
+	}
+}
+
+// fleet plays many nodes in front of one pool of capacity, in steps of a hundredth of a second; every fourth second twice as
+// much is asked as can be carried. Each node judges what is held by what it was a second ago, and refuses by it as
+// steeply as one node alone may. It returns the mean that is held, once the start is over, and the part of the capacity
+// that is used.
+func fleet(paced bool) (mean, used float64) {
+	const nodes, asked, capacity, lag, h, dt = 100, 900.0, 1000.0, 100, 200.0, 0.01
+	rng := rand.New(rand.NewPCG(1, 2))
+	var all [nodes]Pacer
+	held, now, done := 0.0, 0.0, 0.0
+	past := make([]float64, lag)
+	for step := range 8000 {
+		now += dt
+		seen := past[step%lag]
+		past[step%lag] = held
+		q := min(0.95, max(0, (seen-h)/(0.5*h)))
+		rate := asked
+		if step/100%4 == 0 {
+			rate = 2 * capacity
+		}
+		for i := range all {
+			p := &all[i]
+			if step%25 == 0 {
+				p.Tick(0.25, 0.25)
+			}
+			if rng.Float64() >= rate/nodes*dt {
+				continue
+			}
+			goes := rng.Float64() >= q && (!paced || p.Allows(now, false))
+			p.Asked(goes)
+			if goes {
+				p.Sent()
+				held++
+			}
+		}
+		x := min(held, capacity*dt)
+		held -= x
+		if step >= 2000 {
+			mean, done = mean+held/6000, done+x
+		}
+	}
+	return mean, done / (capacity * dt * 6000)
+}
+
+// Paced, a fleet that judges by old reports holds a tenth less, and uses hardly less of what there is.
+func TestAFleetHoldsLess(t *testing.T) {
+	mean, used := fleet(false)
+	pacedMean, pacedUsed := fleet(true)
+	t.Logf("held %.0f by the mean, and %.2f of the capacity used; paced %.0f and %.2f", mean, used, pacedMean, pacedUsed)
+	if pacedMean > 0.95*mean || pacedUsed < used-0.08 {
+		t.Error("pacing is worth nothing")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,8 @@
 	levelTau  = 9.0  // but what all hold alike moves within this part of it: over the nodes that share a backend
 	few       = 2.0  // so many that tell nothing stand before the first; fewer answers lately tell nothing either
 	swingTau  = 0.7  // reports tell of about that long ago
-	lagTau    = 0.5  // about how old a report is when it is read
+	lagTau    = 0.5  // about how old a report is when it is read,
+	reportTau = 1.1  // and when the next one is
 	rateTau   = 3.0  // memory of service times and send rates
 	knowTau   = 2.0  // a report fades towards the mean of the fresh ones over this
 	oldTau    = 10.0 // an occupancy that drew 'full' and class shares fade over this
@@ -168,6 +169,12 @@
 	if s != nil && s.mode == overload && b.diverts(now, s, r.lesser) {
 		s = b.pick(now, r, normal)
 	}
+	if len(r.attempts) == 0 {
+		if s != nil && b.sharers > b.tune.Steep && !b.pace.Allows(now, r.lesser) {
+			s = nil
+		}
+		b.pace.Asked(s != nil)
+	}
 	if s != nil {
 		b.send(now, r, s)
 	}
@@ -175,6 +182,7 @@
 }
 
 func (b *Balancer) send(now float64, r *request, s *server) {
+	b.pace.Sent()
 	b.sends.N++
 	if b.priced(s) {
 		b.sends.Sum++
@@ -571,6 +579,7 @@
 	type pool struct{ latency, occupancy, served, warm, work, told, slots float64 }
 	kinds, all := map[string]*pool{}, &pool{}
 	dt := max(now-b.planAt, 1e-3)
+	b.pace.Tick(dt, 2*b.tune.AimPart*min(b.aim, 1)/(reportTau*reportTau)) // it fills no more than H until reports tell
 	b.planAt, b.born = now, cmp.Or(b.born, now)
 	f := math.Exp(-dt / rateTau)
 	b.picks, b.span = b.picks*f, b.span*f+rateTau*(1-f)
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,6 +5,7 @@
 
 	"craneglade/internal/decay"
 	"craneglade/internal/health"
+	"craneglade/internal/pace"
 	"craneglade/internal/sites"
 )
 
@@ -125,6 +126,7 @@
 	askAt    float64     // when to ask for the list again; 0: not wanted
 	tickAt   float64     // when the next plan is due
 	many     float64     // sharers as a multiple of those that are few
+	pace     pace.Pacer  // how fast sends may grow while some requests are refused
 	gates    sites.Gates // while sites are lost
 	flying   float64     // own attempts that are out,
 	drift    decay.Swing // how that moves,
