A lost site is told from a crowd by connections, and from lost links by the list

Change: the load of a site that is lost from here counts as coming only where the list has taken its boxes off, or its nodes say that they are there (View.Nodes of the shared state).

--- a/internal/engine/sharer.go
+++ b/internal/engine/sharer.go
@@ -46,6 +46,7 @@
 	e.until = v.Until
 	if e.sites != nil {
 		e.sites.Node.Shares(v.Cross)
+		e.sites.Node.Heard(v.Nodes)
 	}
 	numbers := make(map[judgement.Key]uint32, len(v.Out))
 	if len(v.Out) > 0 {
--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -86,6 +86,7 @@
 type View struct {
 	Within map[string]float64 // by tenant: part of its requests here that lie within its share; nil where that is not shared
 	Cross  map[string]float64 // by site: part of what lost sites' load may bring there that this node may use; nil where that is not shared
+	Nodes  map[string]int     // by site: nodes that are surely there
 	Out    []judgement.Key    // backends that enough nodes find broken
 	Until  time.Duration
 }
@@ -571,7 +572,10 @@
 // View is what may be acted on now.
 func (r *Replica) View(now time.Duration) View {
 	r.at(now)
-	v := View{Until: now + 2*step}
+	v := View{Until: now + 2*step, Nodes: map[string]int{}}
+	for site, c := range r.roster.Sites(r.now) {
+		v.Nodes[site] = c.Lower
+	}
 	if r.cfg.Use.Quotas || r.cfg.Use.Escrow {
 		v.Within = map[string]float64{}
 		r.tenants(func(budget, tenant string) {
--- a/internal/sites/node.go
+++ b/internal/sites/node.go
@@ -63,6 +63,7 @@
 	kinds  []Kind
 	asked  [][]float64
 	shares map[string]float64 // by site: part of what lost sites' load may bring there that is this node's; nil where nobody says
+	heard  map[string]int     // by site: nodes that are surely there; nil where nodes do not talk
 	short  bool               // this node's own site does not carry its load by itself
 	said   map[string]bool    // sites that only the plan or only the list knows, and that were noted so
 }
@@ -98,6 +99,16 @@
 // among the nodes of the lost site, as the plan counts them.
 func (n *Node) Shares(parts map[string]float64) { n.shares = parts }
 
+// Heard tells how many nodes of each site are surely there, by what they say themselves; nil where nodes do not talk.
+func (n *Node) Heard(nodes map[string]int) { n.heard = nodes }
+
+// comes tells whether what a site's clients ask for may come to others: not where the site is lost from here and nothing tells
+// that it is lost, as then it may be the links, and each side has its own clients. The list tells by taking its boxes off, and
+// the site's own nodes by being there though its boxes are not.
+func (n *Node) comes(site string) bool {
+	return n.watch.Part(site) == 1 || site == n.cfg.Home || n.watch.Gone(site) || n.heard[site] > 0
+}
+
 // Crosses tells whether what goes to a site from here is load of a lost one.
 func (n *Node) Crosses(site string) bool { return n.short && site != n.cfg.Home }
 
@@ -247,7 +258,7 @@
 		switch {
 		case i == home:
 			load = total * float64(s.Nodes)
-		case n.watch.sites[s.Name] == nil:
+		case n.watch.sites[s.Name] == nil, !n.comes(s.Name):
 			load = 0
 		}
 		row := make([]float64, len(here))
--- a/internal/sites/node_test.go
+++ b/internal/sites/node_test.go
@@ -1,6 +1,7 @@
 package sites
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -29,6 +30,11 @@
 		}
 	}
 	n.Step(at+0.5, nil)
+	for _, x := range []float64{1.5, 1.6} {
+		for _, id := range n.Step(at+x, nil).Probe {
+			n.Probed(at+x, id, false)
+		}
+	}
 	n.Step(at+1.6, nil)
 	for _, s := range sites {
 		if n.watch.Of(s) != Lost {
@@ -55,6 +61,7 @@
 func TestOrdersOfALoss(t *testing.T) {
 	here := watching(three(), "tacoma")
 	now := lose(t, here, 10, "tacoma")
+	here.Heard(map[string]int{"tacoma": 4})
 	o := here.Step(now+0.1, busy)
 	if z := o.Zones["tacoma"]; z.Part != 0 {
 		t.Errorf("the lost site: %+v", z)
@@ -81,6 +88,31 @@
 	}
 }
 
+// Where only links are lost each side has its own clients: nothing of theirs is refused for the others' sake, until the list or
+// the others' nodes tell that their boxes are gone.
+func TestLinksThatAreLost(t *testing.T) {
+	n := watching(three(), "tacoma")
+	now := lose(t, n, 10, "everett", "olympia")
+	full := map[string][2]float64{"save": {1, 1}, "quote": {1, 1}}
+	if o := n.Step(now+0.1, busy); o.Zones["everett"].Part != 0 || !maps.Equal(o.Admit, full) {
+		t.Errorf("%+v", o)
+	}
+	n.Heard(map[string]int{"everett": 3})
+	if o := n.Step(now+0.2, busy); o.Admit["quote"][0] >= 1 {
+		t.Errorf("with everett's nodes there: %+v", o.Admit)
+	}
+	n.Heard(nil)
+	var boxes []Box
+	for _, b := range n.watch.order {
+		b.Ready = b.Site == "tacoma"
+		boxes = append(boxes, b.Box)
+	}
+	n.Listed(now+0.3, boxes)
+	if o := n.Step(now+0.4, busy); o.Admit["quote"][0] >= 1 {
+		t.Errorf("with the others off the list: %+v", o.Admit)
+	}
+}
+
 // A node that is told its own part of what may go to a site keeps to that, and to what its way takes.
 func TestOwnPartsOfARoom(t *testing.T) {
 	p := three()
--- a/internal/sites/watch.go
+++ b/internal/sites/watch.go
@@ -38,6 +38,9 @@
 	typicalN   = 50.0 // answers over which the usual time is remembered
 	firstGuess = 0.1  // before there was any
 	probeGap   = 0.5  // between two connections to a lost site that are tried
+	askGap     = 0.25 // and between those that are to tell a loss from a crowd
+	cutOff     = 2    // boxes, or all, to which none came up tell that it is a loss
+	hung       = 4.0  // where connections come up, and nothing else for so long, it is one too
 	stepTime   = 0.5  // that a step of the return lasts at least
 	stepLeast  = 2    // answers that a step needs: health that is missing is not health
 	stepBad    = 0.2  // part of a step's attempts that nobody answers at which it goes back
@@ -102,6 +105,9 @@
 	good     int     // attempts of this step that were answered,
 	bad      int     // and that were not
 	halted   string  // why the return stands still
+	unreach  int     // boxes in a row to which no connection came up, since one did or anything was answered,
+	nobodyAt uint32  // the latest of them
+	gone     bool    // the list has had none of its boxes ready since it was lost
 	spent    int     // attempts since the first sign of its loss
 	fell     int     // attempts that its last loss took to be seen
 	took     float64 // and how long that was, from the first sign on
@@ -168,10 +174,13 @@
 		if b.open > 0 {
 			b.owes = w.now
 		}
-		s.answered = w.now
+		s.answered, s.unreach = w.now, 0
 		s.good++
 		s.typical += (took - s.typical) / typicalN
 	case Nobody, Silent, Broken:
+		if r == Nobody {
+			s.nobody(id)
+		}
 		if b.failed < 0 { // what was sent just before a site went was due just after
 			b.failed = w.now - max(0, took-s.typical)
 		}
@@ -182,6 +191,14 @@
 	}
 }
 
+// nobody counts a box to which no connection came up.
+func (s *site) nobody(id uint32) {
+	if s.unreach == 0 || id != s.nobodyAt {
+		s.unreach++
+		s.nobodyAt = id
+	}
+}
+
 // Probed notes whether a connection to a box came up, that Look had asked for.
 func (w *Watch) Probed(now float64, id uint32, up bool) (changes []Change) {
 	w.at(now)
@@ -189,9 +206,16 @@
 	if b == nil {
 		return nil
 	}
-	if s := w.sites[b.Site]; up && s.standing == Lost {
+	s := w.sites[b.Site]
+	switch {
+	case !up:
+		s.nobody(id)
+	case s.standing == Lost:
 		w.clear(b.Site)
+		s.unreach = 0
 		changes = w.turn(changes, b.Site, Returning, "a connection to it came up")
+	default:
+		s.unreach = 0
 	}
 	return changes
 }
@@ -223,7 +247,7 @@
 	case Returning:
 		w.begin(s, 0)
 	case Serving:
-		s.back = w.now
+		s.back, s.gone = w.now, false
 	}
 	return append(changes, c)
 }
@@ -250,7 +274,17 @@
 		need := min(quorum, ready)
 		// Nobody has answered since as many as it takes fell silent: one that is bad by itself has been for long.
 		since := func(n int) bool { return n > 0 && len(silent) >= n && s.answered < silent[n-1] }
-		dead := since(need) && w.now-silent[need-1] >= s.wait()
+		quiet := since(need) && w.now-silent[need-1] >= s.wait()
+		// A crowd times out as a loss does. Connections tell: the kernels of a crowd's boxes still take them.
+		dead := quiet && (s.unreach >= min(cutOff, ready) || w.now-silent[need-1] >= hung)
+		if quiet && !dead && s.standing != Lost && w.now-s.probed >= askGap {
+			for range cutOff {
+				if id, ok := w.nextBox(name, s); ok {
+					probe = append(probe, id)
+				}
+			}
+		}
+		s.gone = s.gone || s.standing >= Lost && ready == 0
 		switch s.standing {
 		case Serving, Doubted:
 			switch {
@@ -308,6 +342,11 @@
 	if w.now < s.held || w.now-s.probed < probeGap {
 		return 0, false
 	}
+	return w.nextBox(name, s)
+}
+
+// nextBox is the next of a site's boxes to which a connection is tried.
+func (w *Watch) nextBox(name string, s *site) (uint32, bool) {
 	var ready []uint32
 	for _, b := range w.order {
 		if b.Site == name && b.Ready {
@@ -359,6 +398,13 @@
 	return 1
 }
 
+// Gone tells whether the list has had none of a site's boxes ready since it was lost. While it still tells them as ready it
+// may be the links to them that are lost.
+func (w *Watch) Gone(name string) bool {
+	s := w.sites[name]
+	return s != nil && s.gone
+}
+
 // Of is a site's standing.
 func (w *Watch) Of(name string) Standing {
 	if s := w.sites[name]; s != nil {
