Kit: what starts in a lost site while it is lost is not heard of either

The release went on there: successors started in the lost site and answered. lose-site silenced only the boxes that were there when it began. They are silent until the site is back now; a test looks at twenty plans and fails without it.

--- a/internal/kit/plan/plan.go
+++ b/internal/kit/plan/plan.go
@@ -329,6 +329,12 @@
 					step(Step{At: end, Do: Restart, Box: id})
 				}
 			}
+			for _, b := range p.Boxes { // what starts there meanwhile is not heard of either
+				if from := lives[b.ID].from; b.Site == e.Site && from > at && from < end {
+					step(Step{At: from, Do: Silence, Box: b.ID})
+					step(Step{At: end, Do: Return, Box: b.ID})
+				}
+			}
 		case "reload":
 			announce("another discovery and SIGHUP")
 			for n := 1; n <= s.Nodes.Count; n++ {
--- a/internal/kit/plan/plan_test.go
+++ b/internal/kit/plan/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,3 +176,32 @@
 		t.Errorf("%d slow steps", n)
 	}
 }
+
+// Of a site that is lost in the middle of a release nothing is heard: what starts there meanwhile is silent until it is back.
+func TestNothingIsHeardOfALostSite(t *testing.T) {
+	s, err := scenario.Load("site-lost-in-release")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const lost, back = 10 * time.Second, 17 * time.Second
+	found := 0
+	for seed := uint64(1); seed <= 20; seed++ {
+		p := New(s, seed)
+		site := map[string]string{}
+		for _, b := range p.Boxes {
+			site[b.ID] = b.Site
+		}
+		for _, st := range p.Steps {
+			if st.Do != Start || site[st.Box] != "tacoma" || st.At <= lost || st.At >= back {
+				continue
+			}
+			found++
+			if !slices.ContainsFunc(p.Steps, func(x Step) bool { return x.Do == Silence && x.Box == st.Box && x.At == st.At }) {
+				t.Errorf("seed %d: box %s starts at %v and is heard of", seed, st.Box, st.At)
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no day has a box that starts there meanwhile")
+	}
+}
