Kit: of two events that start a node again one does

A stack of one: every node waited for, one process alive that nobody had told to end. revive waited for the old life's end for each event and started a process for each; the loser found the port taken and stood in the other's place.

--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -39,14 +39,15 @@
 	names   *names // nil without DNS
 	agentAt *stand.AgentServer
 
-	mu     sync.Mutex
-	addr   string
-	rpc    string // where it speaks JSON-RPC; "" for a scenario without
-	cmd    *exec.Cmd
-	ended  chan struct{} // closed when the process has ended
-	meant  bool          // it is to end
-	starts int
-	tail   *tail
+	mu      sync.Mutex
+	addr    string
+	rpc     string // where it speaks JSON-RPC; "" for a scenario without
+	cmd     *exec.Cmd
+	ended   chan struct{} // closed when the process has ended
+	meant   bool          // it is to end
+	revives bool          // it is being started again
+	starts  int
+	tail    *tail
 }
 
 // start starts the process and waits until it is ready. The address stays the same through all lives.
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -486,7 +486,8 @@
 	return nil
 }
 
-// revive starts a node again once its last life is over.
+// revive starts a node again once its last life is over. Of two that wait for one end, one starts it: the other's process
+// would find its port taken, or leave the first one to nobody.
 func (r *Rehearsal) revive(ctx context.Context, n *node) {
 	n.mu.Lock()
 	ended := n.ended
@@ -496,7 +497,18 @@
 	case <-ctx.Done():
 		return
 	}
-	if err := n.start(ctx); err != nil && ctx.Err() == nil {
+	n.mu.Lock()
+	mine := n.ended == ended && !n.revives
+	n.revives = n.revives || mine
+	n.mu.Unlock()
+	if !mine {
+		return
+	}
+	err := n.start(ctx)
+	n.mu.Lock()
+	n.revives = false
+	n.mu.Unlock()
+	if err != nil && ctx.Err() == nil {
 		r.mu.Lock()
 		r.errs = append(r.errs, err)
 		r.mu.Unlock()
