A node that sends little to a lost site finds it lost by connections that carry nothing

Half of its boxes were cold or draining and got little, and the others were left out one by one after their failures: nothing was sent, and three silent boxes were never counted. In doubt a node now asks boxes that it has no answer of by connections; one that does not come up counts as silence. Two bad boxes of eight are no lost site (test).

--- a/internal/sites/watch.go
+++ b/internal/sites/watch.go
@@ -74,6 +74,7 @@
 	open   int
 	owes   float64 // since when it owes an answer; below 0 where it owes none
 	failed float64 // when it first failed since its last answer; below 0 where it has not
+	tried  bool    // that it failed is known by a connection that did not come up, and by no attempt
 }
 
 // silentFrom is since when a box has said nothing though an answer was due; false where it has not been silent for longer
@@ -170,7 +171,7 @@
 	b.open = max(0, b.open-1)
 	switch r {
 	case Answered:
-		b.owes, b.failed = -1, -1
+		b.owes, b.failed, b.tried = -1, -1, false
 		if b.open > 0 {
 			b.owes = w.now
 		}
@@ -210,12 +211,18 @@
 	switch {
 	case !up:
 		s.nobody(id)
+		if b.failed < 0 {
+			b.failed, b.tried = w.now, true
+		}
 	case s.standing == Lost:
 		w.clear(b.Site)
 		s.unreach = 0
 		changes = w.turn(changes, b.Site, Returning, "a connection to it came up")
 	default:
 		s.unreach = 0
+		if b.tried {
+			b.failed, b.tried = -1, false
+		}
 	}
 	return changes
 }
@@ -224,7 +231,7 @@
 func (w *Watch) clear(name string) {
 	for _, b := range w.order {
 		if b.Site == name {
-			b.owes, b.failed = -1, -1
+			b.owes, b.failed, b.tried = -1, -1, false
 		}
 	}
 }
@@ -277,7 +284,8 @@
 		quiet := since(need) && w.now-silent[need-1] >= s.wait()
 		// A crowd times out as a loss does. Connections tell: the kernels of a crowd's boxes still take them.
 		dead := quiet && (s.unreach >= min(cutOff, ready) || w.now-silent[need-1] >= hung)
-		if quiet && !dead && s.standing != Lost && w.now-s.probed >= askGap {
+		// A node that sends little to a site, or has left its bad boxes out one by one, asks what it has no answer of.
+		if (quiet || since(min(2, need))) && !dead && s.standing != Lost && w.now-s.probed >= askGap {
 			for range cutOff {
 				if id, ok := w.nextBox(name, s); ok {
 					probe = append(probe, id)
--- a/internal/sites/watch_test.go
+++ b/internal/sites/watch_test.go
@@ -242,6 +242,45 @@
 	p.want("tacoma", Returning)
 }
 
+// A node that hears of two boxes only asks the others by connections.
+func TestFewRequestsAreEnough(t *testing.T) {
+	w := NewWatch()
+	var boxes []Box
+	for id := range uint32(8) {
+		boxes = append(boxes, Box{ID: id + 1, Site: "a", Ready: true})
+	}
+	w.Listed(0, boxes)
+	for _, id := range []uint32{1, 2} {
+		w.Sent(10, id)
+		w.Ended(10.5, id, Silent, 0.5)
+	}
+	now := 10.5
+	for ; now < 13 && w.Of("a") != Lost; now += 0.1 {
+		_, probe := w.Look(now)
+		for _, id := range probe {
+			w.Probed(now, id, false)
+		}
+	}
+	if w.Of("a") != Lost {
+		t.Errorf("it is %v", w.Of("a"))
+	}
+	v := NewWatch()
+	v.Listed(0, boxes)
+	for _, id := range []uint32{1, 2} {
+		v.Sent(10, id)
+		v.Ended(10.5, id, Silent, 0.5)
+	}
+	for now := 10.5; now < 14; now += 0.1 {
+		_, probe := v.Look(now)
+		for _, id := range probe {
+			v.Probed(now, id, id > 2)
+		}
+	}
+	if v.Of("a") == Lost {
+		t.Error("two bad boxes of eight are a lost site")
+	}
+}
+
 // A site whose machines take connections and say nothing is lost too, later.
 func TestASiteThatHangs(t *testing.T) {
 	p := newPlay(t, 30)
