A member's later life is known by its words too, not only once it has joined anew

The logs: node n4 heard the counts of all eleven others' present lives, and n1's new life was noted at three others 14 s late. At fault: roster.Heard took a word only from the life that the library's join had told; a member that is back before it is found dead keeps its name there, and its new numbers reach some nodes by a full exchange alone, each 10 s with one other.

Change: a word from a later life makes it the member's life, noted as such, before what it says is taken in.

--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -306,6 +306,10 @@
 			continue
 		}
 		said := r.now - e.Age
+		if r.roster.Heard(e.Node.Number, e.Node.Incarnation, said) { // before it may say that it leaves
+			m, _ := r.roster.Of(e.Node.Number)
+			r.note("a member is here again, in a later life", "member", m.Name, "number", m.Number, "site", m.Site)
+		}
 		switch e.Kind {
 		case packet.Window:
 			if r.table.Tell(e.Key, e.Node.Number, e.Window, said) {
@@ -341,7 +345,6 @@
 		case packet.Leave:
 			r.gone(e.Node, roster.Left)
 		}
-		r.roster.Heard(e.Node.Number, e.Node.Incarnation, said)
 	}
 	return out, nil
 }
--- a/internal/shared/roster/roster.go
+++ b/internal/shared/roster/roster.go
@@ -108,11 +108,19 @@
 	return number != r.self.Number && (old == nil || incarnation >= old.Incarnation)
 }
 
-// Heard notes a word that a member said at a moment, in anything that came from it.
-func (r *Roster) Heard(number int, incarnation uint64, at time.Duration) {
-	if old := r.members[number]; old != nil && old.Incarnation == incarnation {
+// Heard notes a word that a member said at a moment, in anything that came from it, and tells whether it is of a later life than
+// was known: who restarts quickly is not always found out otherwise, as others may pass its words on before it has joined anew.
+func (r *Roster) Heard(number int, incarnation uint64, at time.Duration) (later bool) {
+	old := r.members[number]
+	switch {
+	case old == nil || incarnation < old.Incarnation:
+	case incarnation > old.Incarnation:
+		old.Incarnation, old.Heard, old.State = incarnation, at, Alive
+		return true
+	default:
 		old.Heard = max(old.Heard, at)
 	}
+	return false
 }
 
 // Set notes a member's standing, and tells whether that is new. It counts for the named life only; one that has left is
--- a/internal/shared/roster/roster_test.go
+++ b/internal/shared/roster/roster_test.go
@@ -73,3 +73,28 @@
 		t.Errorf("%+v, %v", m, ok)
 	}
 }
+
+// A later life that is heard of before it has joined anew is there, and an earlier one's words count no more.
+func TestALaterLifeIsHeardOf(t *testing.T) {
+	r := New(Member{Name: "n0", Incarnation: 1}, 3, 10*time.Second)
+	r.Hear(Member{Name: "n1", Number: 1, Incarnation: 5}, 0)
+	r.Set(1, 5, Dead)
+	if r.Heard(1, 4, time.Second) || r.Count(time.Second).Lower != 1 {
+		t.Error("an earlier life's word counts")
+	}
+	if !r.Heard(1, 7, 2*time.Second) || r.Heard(1, 7, 3*time.Second) {
+		t.Error("a later life is not new once")
+	}
+	if c := r.Count(12 * time.Second); c.Lower != 2 {
+		t.Errorf("surely %d, want 2", c.Lower)
+	}
+	if r.Believe(1, 5) {
+		t.Error("the earlier life is believed")
+	}
+	if v := r.Hear(Member{Name: "n1", Number: 1, Incarnation: 7}, 4*time.Second); v != Known {
+		t.Errorf("when it joins: %v", v)
+	}
+	if r.Heard(2, 1, time.Second) {
+		t.Error("a node that nobody knows is heard")
+	}
+}
