--- a/internal/kit/proof/proxy/main.go
+++ b/internal/kit/proof/proxy/main.go
@@ -101,6 +101,10 @@
 	select {}
 }
 
+// connectTime is for how long a connection may take to come up. To a box that is cut off the kernel would try again a second
+// later, and what is planted would happen that long after it was told.
+const connectTime = 200 * time.Millisecond
+
 func (p *proxy) planted(id, box string) {
 	fmt.Fprintf(os.Stderr, "planted %d %s %s\n", time.Now().UnixNano(), or(id), or(box))
 }
@@ -191,7 +195,7 @@
 
 // try sends a request once, on a connection of its own.
 func (p *proxy) try(ctx context.Context, s server, r *http.Request, body []byte) (outcome, []byte) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Addr)
+	conn, err := (&net.Dialer{Timeout: connectTime}).DialContext(ctx, "tcp", s.Addr)
 	if err != nil {
 		return never, nil
 	}
