The proof's sound proxy ends a keyed request whose window a connection has taken

The proxy looked at the window when it had sent, not when the next connection had failed: to a box that is cut off that takes 200 ms now, and took none while such boxes accepted.

--- a/internal/kit/proof/proxy/main.go
+++ b/internal/kit/proof/proxy/main.go
@@ -348,6 +348,10 @@
 		if ctx.Err() != nil {
 			return nil, 500
 		}
+		over := keyed && !first.IsZero() && p.fault != "window" && time.Since(first) > p.window-20*time.Millisecond
+		if out == never && over { // a connection that did not come up has taken the window
+			return nil, 500
+		}
 		if out == never {
 			continue
 		}
