--- a/internal/boxlist/boxlist.go
+++ b/internal/boxlist/boxlist.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"craneglade/internal/engine"
+	"craneglade/internal/timing"
 	"craneglade/policy"
 )
 
@@ -112,7 +113,7 @@
 			}
 			d.news(l, kind, true)
 			if rest := watchRest - time.Since(begun); rest > 0 {
-				sleep(d.ctx, rest)
+				timing.Sleep(d.ctx, rest)
 			}
 			continue
 		}
@@ -124,7 +125,7 @@
 			d.lost()
 			return
 		}
-		sleep(d.ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
+		timing.Sleep(d.ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
 		pause = min(2*pause, backoffTo)
 	}
 }
@@ -181,15 +182,6 @@
 	return l, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // news hands in an answer, unless what it tells is older than what is known: a whole list asked for and a watch may cross.
 func (d *Source) news(l *engine.List, kind policy.ListKind, watched bool) {
 	if d.ctx.Err() != nil {
--- a/internal/kit/nameserver/nameserver.go
+++ b/internal/kit/nameserver/nameserver.go
@@ -3,6 +3,7 @@
 package nameserver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/miekg/dns"
+
+	"craneglade/internal/timing"
 )
 
 // Fault is how one question is answered wrongly.
@@ -33,20 +36,21 @@
 type Server struct {
 	Addr string // host:port
 
-	mu     sync.Mutex
-	zone   map[string][]dns.RR // by lower-case name
-	fault  func(q dns.Question, tcp bool) Fault
-	delay  time.Duration
-	asked  map[uint16]int // questions by type
-	told   func(q dns.Question, m *dns.Msg)
-	servs  []*dns.Server
-	closed chan struct{}
-	wg     sync.WaitGroup
+	mu    sync.Mutex
+	zone  map[string][]dns.RR // by lower-case name
+	fault func(q dns.Question, tcp bool) Fault
+	delay time.Duration
+	asked map[uint16]int // questions by type
+	told  func(q dns.Question, m *dns.Msg)
+	servs []*dns.Server
+	ctx   context.Context // until it is stopped
+	end   context.CancelFunc
+	wg    sync.WaitGroup
 }
 
 // Start listens on a port of 127.0.0.1.
 func Start() (*Server, error) {
-	s := &Server{zone: map[string][]dns.RR{}, asked: map[uint16]int{}, closed: make(chan struct{})}
+	s := &Server{zone: map[string][]dns.RR{}, asked: map[uint16]int{}}
 	var pc net.PacketConn
 	var ln net.Listener
 	var err error
@@ -63,6 +67,7 @@
 		return nil, err
 	}
 	s.Addr = pc.LocalAddr().String()
+	s.ctx, s.end = context.WithCancel(context.Background())
 	for _, d := range []*dns.Server{{PacketConn: pc}, {Listener: ln}} {
 		tcp := d.Listener != nil
 		d.Handler = dns.HandlerFunc(func(w dns.ResponseWriter, q *dns.Msg) { s.answer(w, q, tcp) })
@@ -77,7 +82,7 @@
 
 // Stop shuts the server down.
 func (s *Server) Stop() error {
-	close(s.closed)
+	s.end()
 	var err error
 	for _, d := range s.servs {
 		err = errors.Join(err, d.Shutdown())
@@ -134,7 +139,7 @@
 	}
 	told := s.told
 	s.mu.Unlock()
-	if delay > 0 && !s.wait(delay) {
+	if delay > 0 && !timing.Sleep(s.ctx, delay) {
 		return
 	}
 	switch fault {
@@ -144,7 +149,7 @@
 		if !tcp {
 			m.Answer, m.Extra, m.Truncated = nil, nil, true
 		} else if fault == CutHang {
-			s.wait(time.Minute)
+			timing.Sleep(s.ctx, time.Minute)
 			return
 		}
 	case WrongID:
@@ -182,18 +187,6 @@
 	w.WriteMsg(m)
 }
 
-// wait returns after a time, or false once the server stops.
-func (s *Server) wait(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-s.closed:
-		return false
-	}
-}
-
 // message is the sound answer. s.mu is held.
 func (s *Server) message(q *dns.Msg) *dns.Msg {
 	m := new(dns.Msg)
--- a/internal/kit/relay/relay.go
+++ b/internal/kit/relay/relay.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"craneglade/internal/timing"
 )
 
 const (
@@ -190,7 +192,7 @@
 				continue
 			}
 			r.wg.Go(func() {
-				if r.wait(d) {
+				if timing.Sleep(r.ends, d) {
 					r.udp[to].WriteTo(b, at)
 				}
 			})
@@ -198,17 +200,6 @@
 	}
 }
 
-func (r *Net) wait(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.ends.Done():
-		return false
-	}
-}
-
 // streams carries the streams that are opened to node to.
 func (r *Net) streams(to int) {
 	for {
@@ -217,7 +208,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			if !r.wait(look) {
+			if !timing.Sleep(r.ends, look) {
 				return
 			}
 			continue
@@ -269,7 +260,7 @@
 
 // hold stands still while a link is cut: nobody refuses what nobody hears.
 func (r *Net) hold(from, to int) {
-	for (r.cut(from, to) || r.cut(to, from)) && r.wait(look) {
+	for (r.cut(from, to) || r.cut(to, from)) && timing.Sleep(r.ends, look) {
 	}
 }
 
@@ -289,7 +280,7 @@
 			return
 		}
 		if n > 0 {
-			if t.Delay > 0 && !r.wait(t.Delay) {
+			if t.Delay > 0 && !timing.Sleep(r.ends, t.Delay) {
 				return
 			}
 			if _, err := to.Write(buf[:n]); err != nil {
--- a/internal/kit/run/fleet.go
+++ b/internal/kit/run/fleet.go
@@ -19,6 +19,7 @@
 	"craneglade/internal/kit/trace"
 	"craneglade/internal/peers"
 	"craneglade/internal/shared/counts"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -165,7 +166,7 @@
 	}
 	read := make([]int64, len(r.nodes))
 	for {
-		more := wait(ctx, auditEvery)
+		more := timing.Sleep(ctx, auditEvery)
 		for i, n := range r.nodes {
 			r.audited(n, &read[i])
 		}
--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -23,6 +23,7 @@
 	"craneglade/internal/kit/relay"
 	"craneglade/internal/kit/stand"
 	"craneglade/internal/kit/trace"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -245,7 +246,7 @@
 	tenth := r.plan.Scenario.Length.D() / 10
 	r.background(ctx, func(ctx context.Context) {
 		for i := range 11 {
-			if !wait(ctx, begin+time.Duration(i)*tenth-r.clock().Now()) {
+			if !timing.Sleep(ctx, begin+time.Duration(i)*tenth-r.clock().Now()) {
 				return
 			}
 			var m runtime.MemStats
@@ -283,28 +284,17 @@
 // after calls f in a while, unless the rehearsal is over by then.
 func (r *Rehearsal) after(d time.Duration, f func()) {
 	r.background(r.quit, func(ctx context.Context) {
-		if wait(ctx, d) {
+		if timing.Sleep(ctx, d) {
 			f()
 		}
 	})
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(d, 0))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // beat notes when the kit itself is held up.
 func (r *Rehearsal) beat(ctx context.Context) {
 	for {
 		due := time.Now().Add(heartbeat)
-		if !wait(ctx, heartbeat) {
+		if !timing.Sleep(ctx, heartbeat) {
 			return
 		}
 		if late := time.Since(due); late > lagFrom {
@@ -320,7 +310,7 @@
 		for _, n := range r.nodes {
 			n.use()
 		}
-		if !wait(ctx, useEvery) {
+		if !timing.Sleep(ctx, useEvery) {
 			return
 		}
 		if r.opt.Progress != nil {
@@ -365,7 +355,7 @@
 // steps takes each step of the plan at its time.
 func (r *Rehearsal) steps(ctx context.Context, begin time.Duration) {
 	for _, s := range r.plan.Steps {
-		if !wait(ctx, begin+s.At-r.clock().Now()) {
+		if !timing.Sleep(ctx, begin+s.At-r.clock().Now()) {
 			return
 		}
 		if err := r.step(ctx, s); err != nil && ctx.Err() == nil {
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -19,6 +19,7 @@
 	"craneglade/internal/kit/plan"
 	"craneglade/internal/kit/scenario"
 	"craneglade/internal/kit/trace"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -200,7 +201,7 @@
 		if !again || ctx.Err() != nil || c.clock.Now()+pause >= end {
 			break
 		}
-		if !sleep(ctx, pause) {
+		if !timing.Sleep(ctx, pause) {
 			break
 		}
 		this = id()
@@ -227,20 +228,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // sending is one request.
 type sending struct {
 	need   *plan.Need
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"craneglade/policy"
+
+	"craneglade/internal/timing"
 )
 
 // beliefEvery is how often the debug log tells what is believed of the backends.
@@ -14,19 +16,12 @@
 // beliefs logs, while the log takes debug lines, what the policy believes of each backend: one line each, so that a
 // second of the log can be laid beside what was true in it. It returns when ctx ends.
 func (n *node) beliefs(ctx context.Context) {
-	tick := time.NewTicker(beliefEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	timing.Every(ctx, beliefEvery, func() {
 		ids, all := n.engine.Beliefs()
 		for i := range all {
 			n.log.LogAttrs(ctx, slog.LevelDebug, "belief", slog.String("backend", ids[i]), slog.Any("of", belief(all[i])))
 		}
-	}
+	})
 }
 
 // belief is one as a group of a log line.
--- a/internal/node/sites.go
+++ b/internal/node/sites.go
@@ -8,6 +8,7 @@
 	"craneglade/internal/engine"
 	"craneglade/internal/settings"
 	"craneglade/internal/siting"
+	"craneglade/internal/timing"
 )
 
 // probeTime is how long a connection to a lost site may take to come up.
@@ -20,16 +21,9 @@
 	}
 	n.engine.Watch(siting.New(&n.cfg.Settings.Policy, own.Plan))
 	n.wg.Go(func() {
-		tick := time.NewTicker(siting.Every)
-		defer tick.Stop()
 		var probes sync.WaitGroup
 		defer probes.Wait()
-		for {
-			select {
-			case <-tick.C:
-			case <-ctx.Done():
-				return
-			}
+		timing.Every(ctx, siting.Every, func() {
 			boxes, notes := n.engine.StepSites()
 			for _, x := range notes {
 				n.log.Info(x.Text, x.Args...)
@@ -37,7 +31,7 @@
 			for _, b := range boxes {
 				probes.Go(func() { n.probe(ctx, b) })
 			}
-		}
+		})
 	})
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,7 @@
 	"craneglade/internal/shared/escrow"
 	"craneglade/internal/shared/judgement"
 	"craneglade/internal/shared/roster"
+	"craneglade/internal/timing"
 	"craneglade/policy"
 )
 
@@ -152,9 +153,7 @@
 				p.cfg.Log.Debug("a seed does not answer", "seed", s, "err", err)
 			}
 		}
-		select {
-		case <-time.After(rejoinEvery):
-		case <-ctx.Done():
+		if !timing.Sleep(ctx, rejoinEvery) {
 			return
 		}
 	}
@@ -173,14 +172,7 @@
 }
 
 func (p *Peers) steps(ctx context.Context) {
-	tick := time.NewTicker(stepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	timing.Every(ctx, stepEvery, func() {
 		p.mu.Lock()
 		now := p.now()
 		out := p.replica.Step(now)
@@ -197,7 +189,7 @@
 			}
 		}
 		p.cfg.Changed()
-	}
+	})
 }
 
 // send sends messages to the members that they are for. One that is not known gets none: it will be asked again.
--- a/internal/resolve/source.go
+++ b/internal/resolve/source.go
@@ -11,6 +11,7 @@
 	"github.com/miekg/dns"
 
 	"craneglade/internal/membership"
+	"craneglade/internal/timing"
 )
 
 // Site is one SRV name, whose targets are the boxes of a zone.
@@ -65,12 +66,7 @@
 		default:
 			wait = plan.Good(life, rand.Float64())
 		}
-		t := time.NewTimer(wait)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		timing.Sleep(ctx, wait)
 	}
 }
 
