Kit: a rehearsal reads only what is new of a node's audit

Ten times a second the rehearsal read each node's whole audit and dropped what it had read before, so that the work grew with the square of its length. It reads from where it stopped now. The records are the same: the proof's tests of shared state, sites and scripts, which judge them, pass as before.

--- a/internal/kit/run/fleet.go
+++ b/internal/kit/run/fleet.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -178,11 +180,15 @@
 
 // audited notes the lines of a node's audit that came since the last time.
 func (r *Rehearsal) audited(n *node, from *int64) {
-	text, err := os.ReadFile(n.audit())
-	if err != nil || int64(len(text)) <= *from {
-		return
+	f, err := os.Open(n.audit())
+	if err != nil {
+		return // it has not begun one
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.NewSectionReader(f, *from, math.MaxInt64-*from))
+	if err != nil {
+		return // it is read again from here
 	}
-	text = text[*from:]
 	text = text[:bytes.LastIndexByte(text, '\n')+1]
 	*from += int64(len(text))
 	us := func(ns int64) int64 { return (ns - r.start.UnixNano()) / 1000 }
