A client that leaves is noticed behind all that it sent, and its last answer is not reset

Found by reading (httpfront.answer): once a byte had come behind a request the look for the client's close was over, so that one that sent more and went was never noticed and attempts began for it; one whose close lay unread behind its request began one; a close over unread bytes reset an answer just written.

Change: while a request is answered the node reads on, keeps what its buffer of 4 KiB holds and drops the rest (fast for 1 MiB, then 16 KiB a millisecond); such a connection ends with its answer. Before a request begins one look without waiting takes in what lies behind it. Each last answer is followed by the end of sending and a short wait for the client's close. At shutdown a connection whose request is coming, or lies in the kernel, is served and not cut; one that is cut in the middle of a request is refused (503) and not told 400.

Tests (clients_test.go): all but TestSecondRequestBehindABody, which guards the new look, fail on the code before: waits of 20 s for a close that was never seen, 1 connection to a backend for none, a reset in place of the end.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,8 +43,12 @@
 	silentTime = 200 * time.Millisecond
 	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
 	idleTime   = 5 * time.Second
-	lingerTime = 100 * time.Millisecond // for a rejected client to read why before its connection is reset
+	lingerTime = 100 * time.Millisecond // for a client to read its last answer before its connection is reset
 	lingerSize = 256 << 10              // and how much of what it goes on sending is read meanwhile
+	// Of what comes behind a request that is being answered, a connection's buffer is kept; the rest is read and dropped, as a
+	// client's close can lie behind it: so much as fast as it comes, and then at a pace that leaves a core to others.
+	floodSize = 1 << 20
+	floodRest = time.Millisecond
 )
 
 // Config is what a front is made from.
@@ -93,7 +98,8 @@
 	over  bool // there were too many already when it came
 	extra bool // it is one of those beyond the room
 
-	used bool // a request on it has been answered
+	used    bool   // a request on it has been answered
+	flooded []byte // where what came behind a request and can't be kept was read to; nil where nothing was dropped
 
 	// Guarded by clients.mu.
 	account admission.Conn
@@ -289,14 +295,14 @@
 	}
 }
 
-// closeAll closes the connections that carry no request; with cut it breaks off the others too.
+// closeAll closes the connections that carry no request, not even one that is coming; with cut it breaks off the others too.
 func (s *Front) closeAll(cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if cut {
 			c.Close()
-		} else if c.account.State() != admission.Busy {
+		} else if st := c.account.State(); st != admission.Busy && st != admission.Reading && sock.Pending(c.Conn) != sock.Bytes {
 			s.drop(c)
 		}
 	}
@@ -325,6 +331,13 @@
 	return leave
 }
 
+// dropped tells whether a connection has made room for another, or for the node's end.
+func (s *Front) dropped(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.closing
+}
+
 // rejected notes that a connection brought no request.
 func (s *Front) rejected(c *clientConn) {
 	s.mu.Lock()
@@ -358,6 +371,9 @@
 	for {
 		r, no := s.read(c)
 		if no != nil {
+			if s.dropped(c) { // its client was cut off in the middle of a request, by no fault of its own
+				no = &message.Rejection{Status: http.StatusServiceUnavailable, Text: "this connection ends"}
+			}
 			if no.Status != http.StatusServiceUnavailable { // want of room here is not its client's doing
 				s.rejected(c)
 			}
@@ -374,12 +390,15 @@
 			c.over = true
 		}
 		a, ok := s.answer(c, r)
-		last := r.In.Close || c.over || c.extra || s.closing.Load() || !r.Body.IsDrained() || ok && s.leaves(c)
+		last := r.In.Close || c.over || c.extra || s.closing.Load() || !r.Body.IsDrained() || c.flooded != nil || ok && s.leaves(c)
 		if !ok {
 			return
 		}
 		err := c.write(r.In, a, last)
 		a.reply.Release()
+		if err == nil && last {
+			c.linger()
+		}
 		if err != nil || last || !s.rest(c) {
 			return
 		}
@@ -523,6 +542,13 @@
 		r.Release()
 		return answer{status: http.StatusServiceUnavailable, body: []byte("too much at once\n"), retryAfter: 250 * time.Millisecond}, true
 	}
+	if r.Body.IsDrained() {
+		c.cap.N = message.MaxHead
+		if c.left() {
+			r.Release()
+			return answer{}, false
+		}
+	}
 	if !s.engine.Begin(&r.Request) {
 		r.Release()
 		c.reject(&message.Rejection{Status: http.StatusConflict, Text: "X-Request-Id: a request with this id is open"})
@@ -543,30 +569,69 @@
 	c.SetReadDeadline(time.Time{}) // no bound on waiting, also where the connection is to close behind this answer
 	c.cap.N = message.MaxHead
 	left := make(chan bool, 1)
-	go func() {
-		_, err := c.in.Peek(1)
-		left <- err != nil
-	}()
+	go func() { left <- c.watch() }()
 	select {
 	case a := <-r.Done():
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
 		<-left
 		return told(a), true
 	case gone := <-left:
-		if gone {
-			s.engine.Gone(&r.Request)
-			select {
-			case a := <-r.Done():
-				t := told(a)
-				if t.flow != nil { // it began to come at this moment
-					t.flow.End(context.Canceled)
-				}
-				t.reply.Release()
-			default:
+		if !gone { // by nobody but the node's end
+			return told(<-r.Done()), true
+		}
+		s.engine.Gone(&r.Request)
+		select {
+		case a := <-r.Done():
+			t := told(a)
+			if t.flow != nil { // it began to come at this moment
+				t.flow.End(context.Canceled)
 			}
-			return answer{}, false
+			t.reply.Release()
+		default:
+		}
+		return answer{}, false
+	}
+}
+
+// more reads some of what comes behind a request.
+func (c *clientConn) more() error {
+	if n := c.in.Buffered(); n < c.in.Size() {
+		_, err := c.in.Peek(n + 1)
+		return err
+	}
+	if c.flooded == nil {
+		c.flooded = make([]byte, 16<<10)
+	}
+	_, err := c.Conn.Read(c.flooded)
+	return err
+}
+
+// left tells, without waiting, whether the client has closed its connection behind the request that was read.
+func (c *clientConn) left() bool {
+	for read := 0; read < floodSize; read += len(c.flooded) {
+		switch sock.Pending(c.Conn) {
+		case sock.Nothing:
+			return false
+		case sock.Ended:
+			return true
+		}
+		if c.more() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// watch reads on while a request is being answered, and tells whether the client has closed its connection; not where a
+// deadline in the past ends it.
+func (c *clientConn) watch() (gone bool) {
+	for read := 0; ; read += len(c.flooded) {
+		if err := c.more(); err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		if read >= floodSize {
+			time.Sleep(floodRest)
 		}
-		return told(<-r.Done()), true // the next request is here already, and waits
 	}
 }
 
@@ -593,10 +658,14 @@
 
 // reject answers what is no request.
 func (c *clientConn) reject(no *message.Rejection) {
-	if c.write(nil, answer{status: no.Status, body: []byte(no.Text + "\n"), retryAfter: no.RetryAfter}, true) != nil {
-		return
+	if c.write(nil, answer{status: no.Status, body: []byte(no.Text + "\n"), retryAfter: no.RetryAfter}, true) == nil {
+		c.linger()
 	}
-	// Closing resets a connection on which something is unread, and with it what the client has not read.
+}
+
+// linger waits a little for the client to close after its last answer. Closing resets a connection on which something is
+// unread, or comes later, and with it what the client has not read.
+func (c *clientConn) linger() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
