A list that falls silent, fails or counts anew is told of within the time that counts

Lines at fault: boxlist.askWait and askOver: a silent watch was given up after 25 s, and what it misses counts as told after 22. By reading, of the same kind: a call of a lost list waited 20 s again, so that one that hung lasted 25 s; pushed lists rested up to 3 s between calls with no call open; a watch from a version that a discovery which counts anew has not reached was answered with news that were dropped as old, for ever; each failed call was a line in the log; what came after a lapse was given the whole grace once more.

Change: boxlist.schedule (pure) says what is asked next. Watches of asked lists wait 15 to 20 s, each another time, and 0.7 s more; a silence is followed by one call at once, and while anything is in doubt calls wait 0.1 s only. Pushed: 3 s for a silent watch, then calls every 0.05 to 0.15 s, 0.8 s each. A version behind the one asked from has the whole list asked for. News after failed calls leave a drain no grace. One line for a run of failures, one for its end.

Tests in virtual time, 5,000 scripts each: told 1.8 s (pushed) and 5.5 s (asked, with the module's own timer) after discovery could be reached, at the latest; after a silence 2.5 s and 0.3 s before it counts; after a reload within 4 s. Over connections (discovery_test.go): half a list, noise, resets, 503, an indented list, one byte by byte, a silent watch, a new count, a lapse; all fail on the code before.

--- a/internal/boxlist/boxlist.go
+++ b/internal/boxlist/boxlist.go
@@ -21,14 +21,7 @@
 )
 
 const (
-	pushWait  = 2 * time.Second         // how long a watch waits where it costs nothing: a silent agent is noticed soon
-	askWait   = 20 * time.Second        // and where each call is work for all nodes' discovery
-	pushOver  = 1500 * time.Millisecond // an answer that is later than the wait by this has failed
-	askOver   = 5 * time.Second         // where it may stand in line behind other nodes' calls
-	fetchWait = 5 * time.Second
 	watchRest = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
-	backoff   = 100 * time.Millisecond
-	backoffTo = 2 * time.Second
 	maxList   = 16 << 20
 )
 
@@ -54,12 +47,13 @@
 
 	mu       sync.Mutex
 	watching bool
-	whole    bool // its whole list is still to be asked for
+	plan     schedule
+	failing  bool // the log has that no list comes
 }
 
 // New returns a source that asks for nothing yet.
 func New(cfg Config) *Source {
-	d := &Source{engine: cfg.Engine, addr: cfg.Addr, push: cfg.Push, whole: cfg.Whole, log: cfg.Log,
+	d := &Source{engine: cfg.Engine, addr: cfg.Addr, push: cfg.Push, plan: schedule{push: cfg.Push, whole: cfg.Whole}, log: cfg.Log,
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	d.ctx, d.leave = context.WithCancel(context.Background())
 	return d
@@ -89,47 +83,64 @@
 // loop watches until the discovery is left. Where lists are pushed it goes on after a failure; elsewhere a failure
 // is told to the policy, which says when to ask again.
 func (d *Source) loop() {
-	wait, over := askWait, askOver
-	if d.push {
-		wait, over = pushWait, pushOver
-	}
-	pause := backoff
 	for d.ctx.Err() == nil {
 		begun := time.Now()
 		d.mu.Lock()
-		whole := d.whole
+		c, doubt := d.plan.next(rand.Float64()), d.plan.doubt
 		d.mu.Unlock()
 		since := d.engine.Version()
-		query, limit := fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+over
-		if whole {
-			query, limit = "", fetchWait
+		query := ""
+		if !c.whole {
+			query = fmt.Sprintf("?since=%d&timeout_ms=%d", since, c.wait.Milliseconds())
+		}
+		l, err := d.call(query, c.limit)
+		if d.ctx.Err() != nil {
+			return
 		}
-		l, err := d.call(query, limit)
 		if err == nil {
-			pause = backoff
 			kind := policy.ListDelta
-			if whole || l.Full {
+			if c.whole || l.Full {
 				kind = policy.ListFull
 			}
-			d.news(l, kind, true)
+			behind := !c.whole && !l.Full && l.Version < since // a discovery that counts anew: no watch from here would tell
+			l.Late = doubt
+			d.told(err)
+			d.mu.Lock()
+			d.plan.answered(behind)
+			d.mu.Unlock()
+			if !behind {
+				d.news(l, kind, true)
+			}
 			if rest := watchRest - time.Since(begun); rest > 0 {
 				timing.Sleep(d.ctx, rest)
 			}
 			continue
 		}
-		if d.ctx.Err() != nil {
-			return
-		}
-		d.log.Warn("watching discovery failed", "err", err)
-		if !d.push {
+		d.told(err)
+		d.mu.Lock()
+		rest, again := d.plan.failed(errors.Is(err, context.DeadlineExceeded), rand.Float64())
+		d.mu.Unlock()
+		if !again {
 			d.lost()
 			return
 		}
-		timing.Sleep(d.ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
-		pause = min(2*pause, backoffTo)
+		timing.Sleep(d.ctx, rest)
 	}
 }
 
+// told logs the first failure of several, and that they are over.
+func (d *Source) told(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err != nil && !d.failing:
+		d.log.Warn("discovery tells no list; the one that is known stays in force", "err", err)
+	case err == nil && d.failing:
+		d.log.Info("discovery tells its list again")
+	}
+	d.failing = err != nil
+}
+
 // lost tells that the watch is over.
 func (d *Source) lost() {
 	d.mu.Lock()
@@ -145,13 +156,17 @@
 	if d.ctx.Err() != nil {
 		return
 	}
+	limit := (&schedule{push: d.push, whole: true}).next(0).limit
 	d.wg.Go(func() {
-		l, err := d.call("", fetchWait)
+		l, err := d.call("", limit)
+		if d.ctx.Err() != nil {
+			return
+		}
+		d.told(err)
 		if err == nil {
 			d.news(l, policy.ListFull, false)
 			return
 		}
-		d.log.Warn("asking discovery failed", "err", err)
 		d.engine.Lost(d)
 	})
 }
@@ -184,19 +199,10 @@
 
 // news hands in an answer, unless what it tells is older than what is known: a whole list asked for and a watch may cross.
 func (d *Source) news(l *engine.List, kind policy.ListKind, watched bool) {
-	if d.ctx.Err() != nil {
-		return
-	}
 	d.engine.News(d, l, kind, func(known int64) bool {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		old := l.Version <= known
 		if kind == policy.ListFull { // a watch's comes also from a discovery that counts anew
-			old = l.Version < known && !watched && !d.whole
-		}
-		if !old {
-			d.whole = false
+			return l.Version >= known || watched
 		}
-		return !old
+		return l.Version > known
 	})
 }
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -22,6 +22,9 @@
 	Version int64    `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []Listed `json:"servers"`
+	// Late says that calls for it failed before: what it tells may have counted as told for a while, so that a drain has no
+	// grace left.
+	Late bool `json:"-"`
 }
 
 // Box is one process behind the node.
@@ -192,16 +195,22 @@
 		}
 		e.names[s.ID], e.boxes[b.Number] = b, b
 		x.ID = b.Number
-		entries = append(entries, x)
 		switch x.State {
 		case policy.Active:
 			b.left = false
 			b.Reopen()
 		case policy.Leaving:
 			e.drain(b)
+			if l.Late { // no moment of its grace may be left
+				x.State = policy.Left
+			}
 		case policy.Left:
 			e.drop(b)
 		}
+		if l.Late && x.State == policy.Left {
+			b.ShutFrom(time.Now())
+		}
+		entries = append(entries, x)
 	}
 	if kind != policy.ListDelta {
 		for id, b := range e.names {
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -33,7 +33,7 @@
 // merge takes in a list with what other sources say of its boxes. e.mu is held.
 func (e *Engine) merge(l *List, kind policy.ListKind) {
 	stands := e.members.List(e.clock.Now(), kind != policy.ListDelta, l.Servers)
-	out := List{Version: l.Version, Servers: make([]Listed, 0, len(stands))}
+	out := List{Version: l.Version, Servers: make([]Listed, 0, len(stands)), Late: l.Late}
 	for i := range stands {
 		// What a whole list leaves out is gone by that, and one that is empty must look so.
 		if kind == policy.ListDelta || stands[i].Box.State != membership.Gone {
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -231,6 +231,11 @@
 }
 
 func newRig(t *testing.T, g *registry, settings string, change func(*Config), known ...engine.Listed) *rig {
+	t.Helper()
+	return newRigLogging(t, g, slog.New(slog.DiscardHandler), settings, change, known...)
+}
+
+func newRigLogging(t *testing.T, g *registry, log *slog.Logger, settings string, change func(*Config), known ...engine.Listed) *rig {
 	t.Helper()
 	set, err := wire.DecodeSettings([]byte(settings))
 	if err != nil {
@@ -247,7 +252,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := start(cfg, slog.New(slog.DiscardHandler))
+	n, err := start(cfg, log)
 	if err != nil {
 		t.Fatal(err)
 	}
