Test: what all nodes send a cold backend together stays within N + 2 root N + 2

Suspicion ruled out: 3, 20 and 30 nodes over 2 and 8 warm backends and two that start cold, also where these replace the warm ones, traffic from a fifth to several times the mean, starts heard of up to 1.4 s apart, three sets of budgets, loads of 0.5, 0.85 and 1.3, in virtual time.

--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,201 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// coldFleet is some nodes over few backends, two of which start cold while traffic goes on, in virtual time.
+type coldFleet struct {
+	set   Settings
+	rng   *rand.Rand
+	nodes []*Balancer
+	due   coldAgenda
+	boxes map[uint32]*coldBox
+	seq   int
+}
+
+type coldBox struct {
+	entry Entry
+	held  float64
+	sent  []float64 // moments, in seconds, of what was sent to it
+}
+
+type coldEvent struct {
+	at   float64
+	seq  int
+	node int
+	ev   Event
+}
+
+type coldAgenda []coldEvent
+
+func (a coldAgenda) Len() int { return len(a) }
+func (a coldAgenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a coldAgenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *coldAgenda) Push(x any)   { *a = append(*a, x.(coldEvent)) }
+func (a *coldAgenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+const (
+	coldCores = 4.0
+	coldWork  = 0.05 // core seconds of a mean request
+	coldStart = 8.0  // when the cold ones start, in seconds of the play
+)
+
+func (f *coldFleet) add(at float64, node int, ev Event) {
+	f.seq++
+	heap.Push(&f.due, coldEvent{at, f.seq, node, ev})
+}
+
+// capacity is what a backend carries, in mean requests a second, at a moment of the play.
+func (f *coldFleet) capacity(b *coldBox, at float64) float64 {
+	ramp := 1.0
+	if b.entry.Launched > 0 {
+		age := at - (b.entry.Launched - t0).Seconds()
+		ramp = min(1, f.set.ColdShare+(1-f.set.ColdShare)*max(0, age)/f.set.ColdFor.Seconds())
+	}
+	return ramp * coldCores / coldWork
+}
+
+// play runs nodes over warm backends and two cold ones at a part of what the warm ones carry; with replaced the warm ones leave a
+// second after the cold ones start. It returns the worst window: sends to a
+// cold backend as a part of what its budget of N allows, N + 2 x root of N + 2.
+func (f *coldFleet) play(nodes, warm int, load float64, replaced bool, end float64) (worst float64, sent int) {
+	f.boxes = map[uint32]*coldBox{}
+	var known []Entry
+	for i := range warm + 2 {
+		b := &coldBox{entry: Entry{ID: uint32(i + 1), Place: uint64(i+1) * 0x9e3779b97f4a7c15, Zone: "a", Kind: "k"}}
+		f.boxes[b.entry.ID] = b
+		if i < warm {
+			known = append(known, b.entry)
+		} else {
+			b.entry.Launched = t0 + span(coldStart)
+		}
+	}
+	weight, sum := make([]float64, nodes), 0.0
+	for i := range weight { // uneven: some get several times the mean
+		weight[i] = 0.2 + f.rng.ExpFloat64()
+		sum += weight[i]
+	}
+	rate := load * float64(warm) * coldCores / coldWork
+	for i := range nodes {
+		f.set.Nodes, f.set.Number = nodes, i
+		b, err := New(f.set, f.rng.Uint64())
+		if err != nil {
+			panic(err)
+		}
+		f.nodes = append(f.nodes, b)
+		f.add(0, i, Event{Kind: EvList, List: ListCached, Entries: known})
+		f.add(f.rng.ExpFloat64()*sum/weight[i]/rate, i, Event{Kind: EvRequest})
+		told := coldStart + f.rng.Float64()*1.4
+		for id := warm + 1; id <= warm+2; id++ {
+			f.add(told, i, Event{Kind: EvList, List: ListDelta, Entries: []Entry{f.boxes[uint32(id)].entry}})
+		}
+		if replaced {
+			for _, e := range known {
+				e.State = Left
+				f.add(told+1, i, Event{Kind: EvList, List: ListDelta, Entries: []Entry{e}})
+			}
+		}
+	}
+	var out []Action
+	for n := 0; len(f.due) > 0; n++ {
+		e := heap.Pop(&f.due).(coldEvent)
+		if e.at > end {
+			break
+		}
+		if e.ev.Kind == EvRequest {
+			e.ev = Event{Kind: EvRequest, ID: fmt.Sprint("r", n), Class: "c", Left: time.Second}
+			f.add(e.at+f.rng.ExpFloat64()*sum/weight[e.node]/rate, e.node, Event{Kind: EvRequest})
+		}
+		if e.ev.Kind == EvOutcome {
+			b := f.boxes[e.ev.Server]
+			b.held--
+			e.ev.Load = Load{Known: true, Held: b.held, Queue: max(0, b.held-coldCores)}
+		}
+		out = f.nodes[e.node].Handle(t0+span(e.at), &e.ev, out[:0])
+		for _, a := range out {
+			switch a.Kind {
+			case ActTimer:
+				f.add(max((a.At-t0).Seconds(), e.at+1e-6), e.node, Event{Kind: EvTimer, Token: a.Token})
+			case ActSend:
+				b := f.boxes[a.Server]
+				b.sent = append(b.sent, e.at)
+				b.held++
+				took := coldWork * f.rng.ExpFloat64() * max(1, b.held/coldCores) * coldCores / coldWork / f.capacity(b, e.at)
+				ev := Event{Kind: EvOutcome, ID: a.ID, Server: a.Server, Attempt: 0, Took: span(took), Last: true}
+				if took > a.Wait.Seconds() {
+					ev.Took, ev.Outcome, ev.Last = a.Wait, TimedOut, false
+				}
+				f.add(e.at+ev.Took.Seconds(), e.node, ev)
+			}
+		}
+	}
+	window := f.set.FallFor.Seconds()
+	for id := warm + 1; id <= warm+2; id++ {
+		b := f.boxes[uint32(id)]
+		sent += len(b.sent)
+		for from, to := 0, 0; to < len(b.sent); to++ { // each window that ends with a send
+			for b.sent[to]-b.sent[from] > window {
+				from++
+			}
+			// What the settings allow it then: its capacity grows evenly, so that the window's mean is that of its middle.
+			n := f.set.FallFactor * window * f.capacity(b, b.sent[to]-window/2)
+			worst = max(worst, float64(to-from+1)/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return worst, sent
+}
+
+// The sum of what all nodes send to a cold backend stays within its budget in every window, however many they are, uneven their traffic
+// and different the moments at which they hear of it.
+func TestTheColdBudgetHoldsForTheSumOfAllNodes(t *testing.T) {
+	t.Parallel()
+	for _, set := range []struct {
+		share, factor float64
+		warm, window  time.Duration
+	}{
+		{0.32, 4, 7800 * time.Millisecond, 1500 * time.Millisecond},
+		{0.13, 2.5, 23 * time.Second, 2 * time.Second},
+		{0.25, 3, 14 * time.Second, 1800 * time.Millisecond},
+	} {
+		for _, nodes := range []int{3, 20, 30} {
+			for _, warm := range []int{-2, 2, 8} { // below 0: they are replaced by the cold ones
+				replaced := warm < 0
+				warm = max(warm, -warm)
+				name := fmt.Sprintf("%d nodes, %d warm (replaced %v), multiple %v", nodes, warm, replaced, set.factor)
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					worst, sent := 0.0, 0
+					for seed := range uint64(2) {
+						for _, load := range []float64{0.5, 0.85, 1.3} {
+							f := &coldFleet{rng: rand.New(rand.NewPCG(seed, uint64(nodes))), set: Settings{MaxAttempts: 1, Cancel: true,
+								DrainGrace: 2 * time.Second, ColdShare: set.share, ColdFor: set.warm, FallFactor: set.factor, FallFor: set.window,
+								Classes: []Class{{Name: "c", Aim: 400 * time.Millisecond, Deadline: time.Second, Worth: 1}}}}
+							w, n := f.play(nodes, warm, load, replaced, coldStart+5)
+							worst, sent = max(worst, w), sent+n
+						}
+					}
+					t.Logf("%s: %.2f of the budget at the worst moment, %d sends", name, worst, sent)
+					if worst > 1 {
+						t.Errorf("%.2f times the budget was sent at the worst moment", worst)
+					}
+					if sent == 0 {
+						t.Error("no cold backend was sent anything: that shows nothing")
+					}
+				})
+			}
+		}
+	}
+}
