Shutdown: no connection is left resting, and one that is refused late holds up no step

By reading (httpfront.Serve, rest): an answer worded before the connections are to end and written after left its connection resting with nobody to end it; with all connections beyond the room in use accept waits for one of them before it sees that the listener is closed, and the steps of the departure waited with it.

Change: no connection rests once all are to end; the steps run while accept is still to return.

--- a/cmd/craneglade/main_test.go
+++ b/cmd/craneglade/main_test.go
@@ -110,14 +110,22 @@
 
 func newDiscovery(t *testing.T, backend string) *discovery {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return newDiscoveryAt(t, "127.0.0.1:0", backend, 2) // news to the node
+}
+
+// newDiscoveryAt is newDiscovery at an address, with a list that has reached a version.
+func newDiscoveryAt(t *testing.T, addr, backend string, version int) *discovery {
+	t.Helper()
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	d := &discovery{asked: make(chan struct{}, 100)}
 	agent := stand.NewAgent("n0", false, stand.Clock{Start: time.Now()}, trace.NewWriter(io.Discard, trace.Head{}),
 		[]stand.Entry{{ID: "s-1", Addr: backend, Zone: "n", Kind: "k", State: trace.Ready, Weight: 1}})
-	agent.Apply(stand.Entry{ID: "s-1", Addr: backend, Zone: "n", Kind: "k", State: trace.Ready, Weight: 1}) // version 2: news to the node
+	for range version - 1 {
+		agent.Apply(stand.Entry{ID: "s-1", Addr: backend, Zone: "n", Kind: "k", State: trace.Ready, Weight: 1})
+	}
 	d.AgentServer = stand.ServeAgent(agent, &noted{ln, d.asked})
 	t.Cleanup(d.Close)
 	return d
@@ -181,7 +189,13 @@
 // start starts one with discovery in GW_DISCOVERY and inFile in its file.
 func start(t *testing.T, discovery, inFile string) *program {
 	t.Helper()
-	p := &program{addr: freeAddr(t), config: write(t, config(inFile)), cmd: exec.Command(built(t)), exited: make(chan error, 1)}
+	return startAs(t, exec.Command(built(t)), discovery, config(inFile))
+}
+
+// startAs is start of a command of the caller's, with the text of its file.
+func startAs(t *testing.T, cmd *exec.Cmd, discovery, text string) *program {
+	t.Helper()
+	p := &program{addr: freeAddr(t), config: write(t, text), cmd: cmd, exited: make(chan error, 1)}
 	p.cmd.Stderr = &p.log
 	p.cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_LISTEN="+p.addr, "GW_DISCOVERY="+discovery, "GW_CONFIG="+p.config)
 	if err := p.cmd.Start(); err != nil {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -138,12 +138,13 @@
 	s.log.Info("leaving: serving the connections that there are, then finishing what was taken", "serves", leave.Serves)
 	time.Sleep(acceptFor)
 	err := ln.Close()
-	if e := <-failed; !errors.Is(e, net.ErrClosed) {
-		err = errors.Join(err, e)
-	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		// The loop may wait for one of the connections beyond the room to end before it sees that: the steps below don't.
+		if e := <-failed; !errors.Is(e, net.ErrClosed) {
+			err = errors.Join(err, e)
+		}
 		s.wg.Wait()
 	}()
 	for _, step := range []struct {
@@ -353,7 +354,7 @@
 	defer s.mu.Unlock()
 	c.used = true
 	s.account.Idle(s.now(), &c.account)
-	return !c.closing
+	return !c.closing && !s.closing.Load() // its answer may have been worded just before the node's connections were to end
 }
 
 // answer is what a client is told.
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -1,10 +1,15 @@
 package httpfront
 
 import (
+	"bufio"
+	"io"
 	"log/slog"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
+	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
 	"craneglade/policy"
@@ -39,3 +44,64 @@
 		t.Error("the cheapest class is not refused")
 	}
 }
+
+// A connection whose answer was worded before the node's connections were to end, and written after, does not go on resting: nobody
+// would come to end it.
+func TestNoConnectionRestsOnceAllAreToEnd(t *testing.T) {
+	t.Parallel()
+	f := New(Config{Clock: engine.NewClock(), Log: slog.New(slog.DiscardHandler)})
+	c := &clientConn{}
+	f.account.Add(f.now(), &c.account)
+	f.account.Begin(f.now(), &c.account, false)
+	f.closing.Store(true)
+	f.closeAll(false) // passes over it: it is being answered
+	if f.rest(c) {
+		t.Error("it may rest")
+	}
+}
+
+// A connection that makes room for another in the middle of a request refuses that one: it is not its client's fault, and nothing ran.
+func TestCutInTheMiddleOfARequest(t *testing.T) {
+	t.Parallel()
+	f := New(Config{Clock: engine.NewClock(), Log: slog.New(slog.DiscardHandler)})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &clientConn{Conn: conn, start: time.Now()}
+	c.cap.R, c.account.Owner = conn, c
+	c.in = bufio.NewReader(&c.cap)
+	f.account.Add(f.now(), &c.account)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.talk(c)
+		c.Close()
+	}()
+	if _, err := io.WriteString(client, "GET /api HTTP/1.1\r\nHost"); err != nil {
+		t.Fatal(err)
+	}
+	for cut := false; !cut; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		if cut = c.account.State() == admission.Reading; cut {
+			f.drop(c)
+		}
+		f.mu.Unlock()
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("the client is told %v, %v; want 503 and a close", resp, err)
+	}
+	client.Close()
+	<-done
+}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -121,3 +121,29 @@
 		t.Errorf("behind the answer: %v, want the connection's end", err)
 	}
 }
+
+// A request that is coming in at the moment at which a leaving node ends its connections is read and served; only connections that carry
+// nothing end then.
+func TestRequestThatIsComingWhenConnectionsEnd(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	// The connections end 0.65 s after the signal, and what has begun to come may take 2.5 s.
+	r := newRig(t, newRegistry(t), strings.ReplaceAll(settingsJSON, `"aim_s":30,"deadline_s":60`, `"aim_s":3,"deadline_s":3`), nil, b.entry("s-1"))
+	coming, resting := r.dial(t), r.dial(t)
+	for i, c := range []*client{coming, resting} {
+		if resp, _ := c.ask(view(fmt.Sprint("v", i))); resp.StatusCode != 200 {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+	}
+	r.leave()
+	wait(t, "the node's leaving", r.front.Leaving)
+	text := quote("late").text()
+	coming.send(text[:len(text)-3]) // its head is there, and a part of its body
+	if _, err := resting.in.ReadByte(); err != io.EOF {
+		t.Fatalf("a resting connection: %v, want its end", err)
+	}
+	coming.send(text[len(text)-3:])
+	if resp, body := coming.answer(); resp.StatusCode != 200 || body != "done late" || !resp.Close {
+		t.Errorf("answered %d %q, close %v; want it served, and the connection's end", resp.StatusCode, body, resp.Close)
+	}
+}
