--- /dev/null
+++ b/internal/tool/knownred/main_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestRead(t *testing.T) {
+	t.Parallel()
+	root := t.TempDir()
+	write := func(name, text string) string {
+		t.Helper()
+		path := filepath.Join(root, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	write("a_test.go", "package a\n\nfunc TestOne(t *testing.T) {}\nfunc TestTwo(t *testing.T) {}\nfunc TestThree(t *testing.T) {}\nfunc TestFour(t *testing.T) {}\n")
+	for _, c := range []struct{ name, text, want, fails string }{
+		{"one", "TestOne, a list that crosses a reload, 33\n", "^TestOne$", ""},
+		{"a part of one", "TestOne/push.x, cause, 33\n", `^TestOne$/^push\.x$`, ""},
+		{"three", "TestOne, a, 1\nTestTwo, b, 2\nTestThree, c, 3\n", "^TestOne$|^TestTwo$|^TestThree$", ""},
+		{"four", "TestOne, a, 1\nTestTwo, b, 2\nTestThree, c, 3\nTestFour, d, 4\n", "", "at most 3"},
+		{"one that is not there", "TestFive, a, 1\n", "", "no test TestFive"},
+		{"a name that is only a beginning", "TestT, a, 1\n", "", "no test TestT"},
+		{"no issue", "TestOne, a cause\n", "", "the cause and the issue"},
+		{"nothing", "", "", "the cause and the issue"},
+		{"a pattern", "Test.*, a, 1\n", "", "the cause and the issue"},
+	} {
+		got, err := read(write("red.txt", c.text), root)
+		if got != c.want || (err == nil) != (c.fails == "") || err != nil && !strings.Contains(err.Error(), c.fails) {
+			t.Errorf("%s: %q, %v; want %q or an error with %q", c.name, got, err, c.want, c.fails)
+		}
+	}
+}
