An answer without a length is served once its connection ends, as its head says

Found by a test that was to show that a reset is no end: an answer that says Connection: close, has no length and ends whole was held to be spoilt too. Line at fault: httpcarrier.read asked the parsed head for Connection, which net/http takes off. So no such answer was ever served, and each left a request that may have run.

Change: the head is looked at as it lies in the buffer. One that does not say so, or whose connection is reset, stays spoilt. TestAnswerWithoutLength/ended fails on the code before.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -294,6 +294,7 @@
 		if err := c.SetReadDeadline(time.Now().Add(answerTime)); err != nil {
 			return nil, nil, err
 		}
+		head := c.head()
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 		if err != nil {
 			return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
@@ -314,7 +315,7 @@
 		if resp.ContentLength > message.MaxBody {
 			return nil, nil, fmt.Errorf("%w: %d bytes", errSpoilt, resp.ContentLength)
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !strings.EqualFold(resp.Header.Get("Connection"), "close") {
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !saysClose(head) {
 			return nil, nil, fmt.Errorf("%w: no length", errSpoilt)
 		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
@@ -328,6 +329,40 @@
 	}
 }
 
+// head is an answer's head, without the empty line, as long as no more is read; nil where it doesn't end, or not within the buffer.
+func (c *boxConn) head() []byte {
+	for {
+		n := c.in.Buffered()
+		text, _ := c.in.Peek(n)
+		if i := bytes.Index(text, []byte("\r\n\r\n")); i >= 0 {
+			return text[:i+2]
+		}
+		if n == c.in.Size() {
+			return nil
+		}
+		if _, err := c.in.Peek(n + 1); err != nil {
+			return nil
+		}
+	}
+}
+
+// saysClose tells whether a head says that the connection ends with its answer: only then its end is that of an answer without a
+// length. net/http takes the header off what it has parsed.
+func saysClose(head []byte) bool {
+	for line := range strings.Lines(string(head)) {
+		name, value, _ := strings.Cut(line, ":")
+		if !strings.EqualFold(name, "Connection") {
+			continue
+		}
+		for token := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // judge tells what an answer means.
 func (n *Carrier) judge(b *engine.Box, resp *http.Response, body []byte) engine.Result {
 	res := engine.Result{Outcome: policy.Failed}
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -167,3 +167,37 @@
 		t.Errorf("the backend was told %d us, %v; want less than %v", told, err, most)
 	}
 }
+
+// An answer without a length ends with its connection, and a reset is no end: what came before it is served to nobody.
+func TestAnswerWithoutLength(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, text string
+		end        func(c *net.TCPConn)
+		want       int
+	}{
+		{"ended", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it", func(c *net.TCPConn) { c.Close() }, 200},
+		{"reset", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, 500},
+		{"reset before its body", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, 500},
+		{"half a line", "HTTP/1.1 20", func(c *net.TCPConn) { c.Close() }, 500},
+		{"half a head", "HTTP/1.1 200 OK\r\nConnection: cl", func(c *net.TCPConn) { c.Close() }, 500},
+		{"not said to end", "HTTP/1.1 200 OK\r\n\r\na part", func(c *net.TCPConn) { c.Close() }, 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBox(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(conn, c.text)
+				c.end(conn.(*net.TCPConn))
+				return false
+			})
+			r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+			resp, body := r.dial(t).ask(quote("q"))
+			if resp.StatusCode != c.want || c.want == 200 && body != "all of it" {
+				t.Errorf("answered %d %q, want %d", resp.StatusCode, body, c.want)
+			}
+			if n := len(b.requests()); n != 1 {
+				t.Errorf("the backend got %d requests, want 1", n)
+			}
+		})
+	}
+}
