Looking at a connection takes no memory, and a long rest is not waited for

A request waits for a connection's rest for a twentieth of the shortest aim at most; where it would be longer another connection is opened, and where there is no descriptor for one it waits.

TestRestIsWaitedForOnlyIfShort: one connection with an aim of 30 s, two with 0.1 s.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -34,15 +34,18 @@
 
 // Config is what a carrier is made from.
 type Config struct {
-	Room    *rooms.Room    // descriptors for connections to boxes
-	Idle    time.Duration  // boxes close connections idle for this long, as the settings have it; 0 when not told
-	Reports bool           // answers may hold load reports
-	Bodies  *message.Store // room for answers; one that has none, or is over message.MaxBody, is passed on while it comes
-	Dial    func(ctx context.Context, addr string) (net.Conn, error)
-	DialOn  func(ctx context.Context, network, addr string) (net.Conn, error) // for boxes with several addresses, of any kind
-	Now     func() time.Time                                                  // what connections age by; nil for time.Now
-	Pause   func(ctx context.Context, d time.Duration) bool                   // waits; nil for timing.Sleep
-	Log     *slog.Logger
+	Room *rooms.Room   // descriptors for connections to boxes
+	Idle time.Duration // boxes close connections idle for this long, as the settings have it; 0 when not told
+	// RestWait is how long a request may wait for the rest of a connection that was used a moment ago. Opening another costs the
+	// backend work.
+	RestWait time.Duration
+	Reports  bool           // answers may hold load reports
+	Bodies   *message.Store // room for answers; one that has none, or is over message.MaxBody, is passed on while it comes
+	Dial     func(ctx context.Context, addr string) (net.Conn, error)
+	DialOn   func(ctx context.Context, network, addr string) (net.Conn, error) // for boxes with several addresses, of any kind
+	Now      func() time.Time                                                  // what connections age by; nil for time.Now
+	Pause    func(ctx context.Context, d time.Duration) bool                   // waits; nil for timing.Sleep
+	Log      *slog.Logger
 }
 
 // Carrier is an engine.Carrier of message.Requests.
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -33,6 +33,7 @@
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	reach *reach.Dialer // for boxes with several addresses
 	room  *rooms.Room
+	wait  time.Duration // for how long a request waits for a connection's rest; where it would be longer another is opened
 	idle  time.Duration // a connection that stood for this long is closed
 	told  time.Duration // for how long boxes keep them, as the settings have it
 	now   func() time.Time
@@ -47,7 +48,7 @@
 }
 
 func newPool(cfg Config) *pool {
-	p := &pool{room: cfg.Room, dial: cfg.Dial, now: cfg.Now, pause: cfg.Pause}
+	p := &pool{room: cfg.Room, dial: cfg.Dial, now: cfg.Now, pause: cfg.Pause, wait: cfg.RestWait}
 	if p.now == nil {
 		p.now = time.Now
 	}
@@ -95,6 +96,7 @@
 	net.Conn
 	cap    io.LimitedReader // between the socket and in: no answer goes on without end
 	in     *bufio.Reader
+	look   *sock.Look
 	box    *kept
 	addr   string         // of a box that has several; "" for others
 	rested time.Duration  // for how long it had when it was taken; 0 for one that has carried nothing yet
@@ -106,14 +108,20 @@
 // not be sent twice goes only on a connection that the box is sure to have kept.
 func (p *pool) get(ctx context.Context, k *kept, box *engine.Box, once bool) (*boxConn, error) {
 	for {
-		c := p.take(k, once)
+		c := p.take(k, once, p.wait)
 		if c == nil {
-			return p.connect(ctx, k, box)
+			fresh, err := p.connect(ctx, k, box)
+			if !errors.Is(err, errSockets) {
+				return fresh, err
+			}
+			if c = p.take(k, once, restTime); c == nil {
+				return nil, err
+			}
 		}
 		if wait := restTime - p.now().Sub(c.since); wait > 0 {
 			p.pause(ctx, wait)
 		}
-		if sock.Pending(c.Conn) == sock.Nothing {
+		if c.look.Pending() == sock.Nothing {
 			return c, nil
 		}
 		p.close(c) // the backend has closed it, or sent what nobody asked for: seen in time, and no harm
@@ -135,8 +143,9 @@
 }
 
 // take returns the latest used of b's connections that have rested, else the one that has rested for longest; none where
-// it has rested for longer than b is known to keep one, or, for what must not be sent twice, is sure to.
-func (p *pool) take(b *kept, once bool) *boxConn {
+// it has rested for longer than b is known to keep one, or, for what must not be sent twice, is sure to, and none where it
+// has longer to rest than wait.
+func (p *pool) take(b *kept, once bool, wait time.Duration) *boxConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, known := p.now(), b.ages
@@ -154,7 +163,7 @@
 		}
 	}
 	rested := now.Sub(c.since)
-	if once && rested > known.Sure() {
+	if once && rested > known.Sure() || restTime-rested > wait {
 		return nil
 	}
 	p.remove(c)
@@ -192,7 +201,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &boxConn{Conn: conn, box: k, addr: addr}
+	c := &boxConn{Conn: conn, look: sock.NewLook(conn), box: k, addr: addr}
 	c.cap.R = conn
 	c.in = bufio.NewReader(&c.cap)
 	return c, nil
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -98,6 +98,7 @@
 	over  bool // there were too many already when it came
 	extra bool // it is one of those beyond the room
 
+	look    *sock.Look
 	used    bool   // a request on it has been answered
 	flooded []byte // where what came behind a request and can't be kept was read to; nil where nothing was dropped
 
@@ -184,7 +185,7 @@
 			}
 			return err
 		}
-		c := &clientConn{Conn: conn, start: time.Now()}
+		c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
 		c.cap.R, c.account.Owner, c.account.From = conn, c, host(conn.RemoteAddr())
 		c.in = bufio.NewReader(&c.cap)
 		c.granted = s.room.Claim(s.Yield)
@@ -610,7 +611,7 @@
 // left tells, without waiting, whether the client has closed its connection behind the request that was read.
 func (c *clientConn) left() bool {
 	for read := 0; read < floodSize; read += len(c.flooded) {
-		switch sock.Pending(c.Conn) {
+		switch c.look.Pending() {
 		case sock.Nothing:
 			return false
 		case sock.Ended:
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -12,6 +12,7 @@
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
+	"craneglade/internal/sock"
 	"craneglade/policy"
 )
 
@@ -78,7 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &clientConn{Conn: conn, start: time.Now()}
+	c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
 	c.cap.R, c.account.Owner = conn, c
 	c.in = bufio.NewReader(&c.cap)
 	f.account.Add(f.now(), &c.account)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,14 +3,17 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/go-json-experiment/json/jsontext"
 
@@ -129,7 +132,7 @@
 	if dial == nil {
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	}
-	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle,
+	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle, RestWait: cfg.restWait(),
 		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now, Pause: cfg.pause, Dial: dial, DialOn: dialer.DialContext})
 	var carrier engine.Carrier = n.carrier
 	if own.JSONRPC.Listen != "" {
@@ -247,6 +250,18 @@
 	return rooms.New(total, total*3/8)
 }
 
+// restWait is a small part of the shortest aim, or deadline of a class without one.
+func (cfg *Config) restWait() time.Duration {
+	const part = 20
+	wait := time.Duration(math.MaxInt64)
+	for _, c := range cfg.Settings.Policy.Classes {
+		if t := cmp.Or(c.Aim, c.Deadline); t > 0 {
+			wait = min(wait, t/part)
+		}
+	}
+	return wait
+}
+
 // shares are the tenants' parts of this node's requests, in requests a second.
 func (cfg *Config) shares() map[string]float64 {
 	p := &cfg.Settings.Policy
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -201,3 +202,28 @@
 		})
 	}
 }
+
+// Where a connection's rest is long beside what a class aims at, a request does not wait for it.
+func TestRestIsWaitedForOnlyIfShort(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		aim   string
+		conns int
+	}{{"30", 1}, {"0.1", 2}} {
+		b := newBox(t, served)
+		stands := time.Now()
+		r := newRig(t, newRegistry(t), strings.ReplaceAll(settingsJSON, `"aim_s":30`, `"aim_s":`+c.aim), func(cfg *Config) {
+			cfg.now = func() time.Time { return stands } // no rest is ever over
+			cfg.pause = func(context.Context, time.Duration) bool { return true }
+		}, b.entry("s-1"))
+		cl := r.dial(t)
+		for i := range 2 {
+			if resp, _ := cl.ask(view(fmt.Sprint("v", i))); resp.StatusCode != 200 {
+				t.Fatalf("answered %d", resp.StatusCode)
+			}
+		}
+		if n := b.connections(); n != c.conns {
+			t.Errorf("aim %s s: %d connections, want %d", c.aim, n, c.conns)
+		}
+	}
+}
--- a/internal/sock/pending.go
+++ b/internal/sock/pending.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"unsafe"
 )
 
 // Waiting is what can be read from a socket at this moment.
@@ -15,25 +16,39 @@
 )
 
 // Pending looks at what a socket has received, without taking any of it and without waiting.
-func Pending(c net.Conn) Waiting {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return Ended
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return Ended
+func Pending(c net.Conn) Waiting { return NewLook(c).Pending() }
+
+// Look is Pending again and again on one socket, for one goroutine at a time, without memory for each time.
+type Look struct {
+	raw  syscall.RawConn // nil for what is no socket
+	seen Waiting
+	look func(fd uintptr)
+}
+
+// NewLook returns the look at a socket.
+func NewLook(c net.Conn) *Look {
+	l := &Look{}
+	if s, ok := c.(syscall.Conn); ok {
+		l.raw, _ = s.SyscallConn()
 	}
-	w := Ended
-	raw.Control(func(fd uintptr) { // an error means that it is closed here
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	l.look = func(fd uintptr) {
+		var b byte
+		n, _, err := syscall.Syscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b)), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
 		switch {
-		case n > 0:
-			w = Bytes
 		case err == syscall.EAGAIN:
-			w = Nothing
+			l.seen = Nothing
+		case err == 0 && n > 0:
+			l.seen = Bytes
 		}
-	})
-	return w
+	}
+	return l
+}
+
+// Pending looks once.
+func (l *Look) Pending() Waiting {
+	l.seen = Ended
+	if l.raw != nil {
+		l.raw.Control(l.look) // an error means that it is closed here
+	}
+	return l.seen
 }
