Rename: boxlist is discovery, rooms are quotas of descriptors

The field's names for the package that follows discovery and for the descriptor quotas of the node's two sides. No change of behaviour; formats, keys, commands and log lines stay.

--- a/internal/boxlist/boxlist.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package boxlist follows the box list that PROTOCOL describes, from one address, over HTTP/1.1: watched where it is
+// Package discovery follows the box list that PROTOCOL describes, from one address, over HTTP/1.1: watched where it is
 // pushed, asked where it must be.
-package boxlist
+package discovery
 
 import (
 	"context"
--- a/internal/boxlist/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -1,4 +1,4 @@
-package boxlist
+package discovery
 
 import (
 	"math/rand/v2"
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -18,8 +18,8 @@
 	"craneglade/internal/bodies"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
+	"craneglade/internal/quota"
 	"craneglade/internal/reach"
-	"craneglade/internal/rooms"
 	"craneglade/internal/wire"
 	"craneglade/policy"
 )
@@ -34,8 +34,8 @@
 
 // Config is what a carrier is made from.
 type Config struct {
-	Room *rooms.Room   // descriptors for connections to boxes
-	Idle time.Duration // boxes close connections idle for this long, as the settings have it; 0 when not told
+	Quota *quota.Quota  // descriptors for connections to boxes
+	Idle  time.Duration // boxes close connections idle for this long, as the settings have it; 0 when not told
 	// RestWait is how long a request may wait for the rest of a connection that was used a moment ago. Opening another costs the
 	// backend work.
 	RestWait time.Duration
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -14,8 +14,8 @@
 
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
+	"craneglade/internal/quota"
 	"craneglade/internal/reach"
-	"craneglade/internal/rooms"
 	"craneglade/internal/sock"
 	"craneglade/internal/timing"
 )
@@ -32,7 +32,7 @@
 type pool struct {
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	reach *reach.Dialer // for boxes with several addresses
-	room  *rooms.Room
+	quota *quota.Quota
 	wait  time.Duration // for how long a request waits for a connection's rest; where it would be longer another is opened
 	idle  time.Duration // a connection that stood for this long is closed
 	told  time.Duration // for how long boxes keep them, as the settings have it
@@ -48,7 +48,7 @@
 }
 
 func newPool(cfg Config) *pool {
-	p := &pool{room: cfg.Room, dial: cfg.Dial, now: cfg.Now, pause: cfg.Pause, wait: cfg.RestWait}
+	p := &pool{quota: cfg.Quota, dial: cfg.Dial, now: cfg.Now, pause: cfg.Pause, wait: cfg.RestWait}
 	if p.now == nil {
 		p.now = time.Now
 	}
@@ -56,7 +56,7 @@
 		p.pause = timing.Sleep
 	}
 	begun := time.Now()
-	p.reach = &reach.Dialer{Base: cfg.DialOn, Now: func() time.Duration { return time.Since(begun) }, Take: p.room.Take, Give: p.room.Give}
+	p.reach = &reach.Dialer{Base: cfg.DialOn, Now: func() time.Duration { return time.Since(begun) }, Take: p.quota.Take, Give: p.quota.Give}
 	// A request written to a connection that the box has just closed ends as a reset: retire it before.
 	p.idle = cfg.Idle * 9 / 10
 	p.told, p.start = cfg.Idle, p.now()
@@ -181,7 +181,7 @@
 
 // connect opens a connection, for which one to another box makes room where there are too many.
 func (p *pool) connect(ctx context.Context, k *kept, box *engine.Box) (*boxConn, error) {
-	if !p.room.Claim(p.spare) { // what it closes is another box's: this one has none
+	if !p.quota.Claim(p.spare) { // what it closes is another box's: this one has none
 		return nil, errSockets
 	}
 	p.mu.Lock()
@@ -235,7 +235,7 @@
 // gone counts a connection that has ended. p.mu is held.
 func (p *pool) gone() {
 	p.open--
-	p.room.Give()
+	p.quota.Give()
 }
 
 // spare closes the connection that has rested for longest, and tells whether there was one.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -24,7 +24,7 @@
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
-	"craneglade/internal/rooms"
+	"craneglade/internal/quota"
 	"craneglade/internal/sock"
 	"craneglade/policy"
 )
@@ -56,7 +56,7 @@
 	Engine *engine.Engine
 	Bodies *message.Store
 	Clock  engine.Clock
-	Room   *rooms.Room                  // descriptors for connections of clients,
+	Quota  *quota.Quota                 // descriptors for connections of clients,
 	Extra  int                          // and so many beyond them, for telling clients that there is no room
 	Asking int                          // connections that carry requests at a time
 	Shares map[string]float64           // requests a second that each tenant has a share in this node of
@@ -78,7 +78,7 @@
 	ctx     context.Context // ends when the front has
 	stop    context.CancelFunc
 
-	room  *rooms.Room
+	quota *quota.Quota
 	extra chan struct{}
 	wg    sync.WaitGroup // connections
 
@@ -111,7 +111,7 @@
 // New returns a front that answers nobody yet.
 func New(cfg Config) *Front {
 	s := &Front{engine: cfg.Engine, bodies: cfg.Bodies, clock: cfg.Clock, log: cfg.Log,
-		room: cfg.Room, extra: make(chan struct{}, max(1, cfg.Extra)), conns: map[*clientConn]struct{}{},
+		quota: cfg.Quota, extra: make(chan struct{}, max(1, cfg.Extra)), conns: map[*clientConn]struct{}{},
 		tenants: admission.NewTenants(cfg.Shares),
 		account: admission.NewClients(admission.Limits{Asking: cfg.Asking, Silent: silentTime, Slow: readTime})}
 	if s.waited = cfg.Waited; s.waited == nil {
@@ -188,7 +188,7 @@
 		c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
 		c.cap.R, c.account.Owner, c.account.From = conn, c, host(conn.RemoteAddr())
 		c.in = bufio.NewReader(&c.cap)
-		c.granted = s.room.Claim(s.Yield)
+		c.granted = s.quota.Claim(s.Yield)
 		s.mu.Lock()
 		if c.extra = !c.granted; c.extra {
 			c.over = !s.account.Behind(c.account.From) // one of a client that holds little is served all the same
@@ -245,7 +245,7 @@
 func (s *Front) release(c *clientConn) {
 	if c.granted {
 		c.granted = false
-		s.room.Give()
+		s.quota.Give()
 	}
 }
 
--- a/internal/kit/lab/list.go
+++ b/internal/kit/lab/list.go
@@ -9,7 +9,7 @@
 	"craneglade/policy"
 )
 
-// The waits of the daemon's calls where each is work for the list's service (internal/boxlist).
+// The waits of the daemon's calls where each is work for the list's service (internal/discovery).
 const (
 	watchWait = 20 * time.Second
 	callOver  = 5 * time.Second // an answer later than its wait by this has failed
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"craneglade/internal/engine"
-	"craneglade/internal/rooms"
+	"craneglade/internal/quota"
 	"craneglade/internal/settings"
 	"craneglade/internal/wire"
 	"craneglade/policy"
@@ -31,11 +31,11 @@
 	Settings  wire.Settings
 	Own       *settings.File // this program's own; nil where there is none
 
-	dial    dial                                      // opens connections to boxes; nil for the system's own
-	boxRoom *rooms.Room                               // descriptors for connections to boxes, in place of the node's own
-	waited  func(net.Conn) time.Duration              // how long bytes of clients lay unread; nil for what the kernel says
-	now     func() time.Time                          // what connections to boxes age by; nil for the system's clock
-	pause   func(context.Context, time.Duration) bool // how they rest between two requests; nil for a timer
+	dial         dial                                      // opens connections to boxes; nil for the system's own
+	backendQuota *quota.Quota                              // descriptors for connections to boxes, in place of the node's own
+	waited       func(net.Conn) time.Duration              // how long bytes of clients lay unread; nil for what the kernel says
+	now          func() time.Time                          // what connections to boxes age by; nil for the system's clock
+	pause        func(context.Context, time.Duration) bool // how they rest between two requests; nil for a timer
 }
 
 // dial opens a connection to an address.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,13 +18,13 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"craneglade/internal/admission"
-	"craneglade/internal/boxlist"
+	"craneglade/internal/discovery"
 	"craneglade/internal/engine"
 	"craneglade/internal/httpcarrier"
 	"craneglade/internal/httpfront"
 	"craneglade/internal/message"
 	"craneglade/internal/peers"
-	"craneglade/internal/rooms"
+	"craneglade/internal/quota"
 	"craneglade/internal/rpccarrier"
 	"craneglade/internal/rpcfront"
 	"craneglade/internal/settings"
@@ -50,7 +50,7 @@
 	wg      sync.WaitGroup     // and this is that
 
 	mu   sync.Mutex
-	list *boxlist.Source
+	list *discovery.Source
 }
 
 // Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
@@ -122,21 +122,21 @@
 	if n.bodies, err = message.NewStore(cfg.MemoryMB, &own.Bodies, clock); err != nil {
 		return nil, fmt.Errorf("bodies: %w", err)
 	}
-	both := cfg.rooms()
+	both := cfg.quotas()
 	boxes := both.Side(admission.BoxSide)
-	if cfg.boxRoom != nil {
-		boxes = cfg.boxRoom
+	if cfg.backendQuota != nil {
+		boxes = cfg.backendQuota
 	}
 	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	dial := cfg.dial
 	if dial == nil {
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	}
-	n.carrier = httpcarrier.New(httpcarrier.Config{Room: boxes, Idle: cfg.Settings.ConnIdle, RestWait: cfg.restWait(),
+	n.carrier = httpcarrier.New(httpcarrier.Config{Quota: boxes, Idle: cfg.Settings.ConnIdle, RestWait: cfg.restWait(),
 		Reports: cfg.Settings.Reports, Bodies: n.bodies, Log: log, Now: cfg.now, Pause: cfg.pause, Dial: dial, DialOn: dialer.DialContext})
 	var carrier engine.Carrier = n.carrier
 	if own.JSONRPC.Listen != "" {
-		n.rpc = rpccarrier.New(rpccarrier.Config{Conns: own.JSONRPC.Conns, Room: boxes, Beside: own.JSONRPC.Beside, Reports: cfg.Settings.Reports,
+		n.rpc = rpccarrier.New(rpccarrier.Config{Conns: own.JSONRPC.Conns, Quota: boxes, Beside: own.JSONRPC.Beside, Reports: cfg.Settings.Reports,
 			Dial: dial, Log: log})
 		carrier = carriers{n.carrier, n.rpc}
 	}
@@ -147,11 +147,11 @@
 		return nil, err
 	}
 	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock,
-		Room: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Waited: cfg.waited, Log: log})
+		Quota: both.Side(admission.ClientSide), Extra: cfg.extra(), Asking: cfg.Sockets / 3, Shares: cfg.shares(), Waited: cfg.waited, Log: log})
 	both.Yields(admission.ClientSide, func() bool { return n.front.Lend() || n.rpcs != nil && n.rpcs.Yield() })
 	both.Yields(admission.BoxSide, n.carrier.Yield)
 	if n.rpc != nil {
-		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Room: both.Side(admission.ClientSide),
+		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: both.Side(admission.ClientSide),
 			Methods: cfg.methods(), Inflight: own.JSONRPC.Inflight, Batch: own.JSONRPC.Batch, Idle: own.JSONRPC.Idle.D(), Log: log})
 	}
 	n.list = n.source(cfg.Discovery, false)
@@ -240,14 +240,14 @@
 	return max(1, (cfg.Sockets-ownSockets)/16)
 }
 
-// rooms shares the descriptors out: three eighths are clients' in any case, three eighths boxes', and the rest goes to
+// quotas shares the descriptors out: three eighths are clients' in any case, three eighths boxes', and the rest goes to
 // whoever needs it.
-func (cfg *Config) rooms() *rooms.Rooms {
+func (cfg *Config) quotas() *quota.Quotas {
 	if cfg.Sockets == 0 {
-		return rooms.New(0, 0)
+		return quota.New(0, 0)
 	}
 	total := cfg.Sockets - ownSockets - cfg.extra()
-	return rooms.New(total, total*3/8)
+	return quota.New(total, total*3/8)
 }
 
 // restWait is a small part of the shortest aim, or deadline of a class without one.
@@ -272,8 +272,8 @@
 	return out
 }
 
-func (n *node) source(addr string, whole bool) *boxlist.Source {
-	return boxlist.New(boxlist.Config{Engine: n.engine, Addr: addr, Push: !n.cfg.Settings.Policy.MustAsk, Whole: whole, Log: n.log})
+func (n *node) source(addr string, whole bool) *discovery.Source {
+	return discovery.New(discovery.Config{Engine: n.engine, Addr: addr, Push: !n.cfg.Settings.Policy.MustAsk, Whole: whole, Log: n.log})
 }
 
 // reload takes in a configuration that was read again. The boxes stay until the new discovery tells its list.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -403,7 +403,7 @@
 func TestIdleBackendConnectionMakesRoom(t *testing.T) {
 	t.Parallel()
 	one, two := newBox(t, served), newBox(t, served)
-	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.boxRoom = roomFor(1) }, one.entry("s-1"), two.entry("s-2"))
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.backendQuota = quotaFor(1) }, one.entry("s-1"), two.entry("s-2"))
 	c := r.dial(t)
 	for i := range 40 {
 		if resp, _ := c.ask(view(fmt.Sprint(i))); resp.StatusCode != 200 {
@@ -836,7 +836,7 @@
 		<-release
 		return served(c, r, nth)
 	})
-	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets, c.boxRoom = 64, roomFor(100) }, b.entry("s-1"))
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets, c.backendQuota = 64, quotaFor(100) }, b.entry("s-1"))
 	var open []*client
 	for i := range 29 { // what clients may hold while boxes hold nothing
 		c := r.dial(t)
@@ -1099,7 +1099,7 @@
 	be := &engine.Box{ID: "s-1", Addr: b.entry("s-1").Addr}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	none := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.boxRoom = roomFor(0) })
+	none := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.backendQuota = quotaFor(0) })
 	if o := none.attempt(ctx, be, quote("q"), patience); o != policy.Moot {
 		t.Errorf("with no descriptor: outcome %d, want it never sent", o)
 	}
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -17,7 +17,7 @@
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
-	"craneglade/internal/rooms"
+	"craneglade/internal/quota"
 	"craneglade/internal/wire"
 	"craneglade/policy"
 )
@@ -196,9 +196,9 @@
 	return append([]string(nil), g.urls...)
 }
 
-// roomFor holds so many connections to boxes.
-func roomFor(n int) *rooms.Room {
-	r := rooms.New(n+1, 0)
+// quotaFor holds so many connections to boxes.
+func quotaFor(n int) *quota.Quota {
+	r := quota.New(n+1, 0)
 	r.Side(admission.ClientSide).Take() // a total of 0 would mean no bound
 	return r.Side(admission.BoxSide)
 }
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -14,7 +14,7 @@
 
 	"craneglade/internal/engine"
 	"craneglade/internal/jsonrpc"
-	"craneglade/internal/rooms"
+	"craneglade/internal/quota"
 	"craneglade/policy"
 )
 
@@ -30,7 +30,7 @@
 // Config is what a carrier is made from.
 type Config struct {
 	Conns   int // connections to one box at a time
-	Room    *rooms.Room
+	Quota   *quota.Quota
 	Beside  bool // boxes are told a call's id, deadline, key and tenant in a member of the node's own
 	Reports bool // answers may hold load reports
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
@@ -245,7 +245,7 @@
 	}
 	if n.ended || ls.retired {
 		l.Close()
-		n.cfg.Room.Give()
+		n.cfg.Quota.Give()
 		return nil, errBroken
 	}
 	ls.all = append(ls.all, l)
@@ -254,12 +254,12 @@
 }
 
 func (n *Carrier) connect(ctx context.Context, ls *links, addr string) (*link, error) {
-	if !n.cfg.Room.Claim(nil) {
+	if !n.cfg.Quota.Claim(nil) {
 		return nil, errNoRoom
 	}
 	conn, err := n.cfg.Dial(ctx, addr)
 	if err != nil {
-		n.cfg.Room.Give()
+		n.cfg.Quota.Give()
 		return nil, err
 	}
 	return &link{Conn: conn, carrier: n, of: ls, writing: make(chan struct{}, 1), calls: map[string]chan jsonrpc.Message{}}, nil
@@ -349,7 +349,7 @@
 		}
 	}
 	n.mu.Unlock()
-	n.cfg.Room.Give()
+	n.cfg.Quota.Give()
 }
 
 // answer hands a message to its call. One of no open call is dropped: an answer that came late, or twice.
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -22,7 +22,7 @@
 
 	"craneglade/internal/engine"
 	"craneglade/internal/jsonrpc"
-	"craneglade/internal/rooms"
+	"craneglade/internal/quota"
 	"craneglade/internal/rpccarrier"
 	"craneglade/policy"
 )
@@ -55,7 +55,7 @@
 // Config is what a front is made from.
 type Config struct {
 	Engine   *engine.Engine
-	Room     *rooms.Room
+	Quota    *quota.Quota
 	Methods  map[string]Method
 	Inflight int           // open calls on one connection; with more, nothing is read from it
 	Batch    int           // members of a batch at the most
@@ -160,7 +160,7 @@
 		}
 		c := &conn{Conn: nc, front: f, slots: make(chan struct{}, f.cfg.Inflight), open: map[string]bool{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
-		if !f.cfg.Room.Claim(f.Yield) {
+		if !f.cfg.Quota.Claim(f.Yield) {
 			c.write(jsonrpc.AppendError(nil, jsonrpc.Null, Refused, "no room for a connection", refusal(refuseWait)))
 			c.Close()
 			continue
@@ -201,7 +201,7 @@
 	f.wake(c)
 	if c.granted {
 		c.granted = false
-		f.cfg.Room.Give()
+		f.cfg.Quota.Give()
 	}
 }
 
