Rename: what the engine and the carriers send to is a Backend, its connections backendConn

engine.Box, Attempt.Box and boxConn where they mean a backend process. The list's own entries (membership.Box) and the kit keep their names, and so do log lines and keys. No change of behaviour.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,7 +78,7 @@
 // Attempt is one send of a request to a box.
 type Attempt struct {
 	Request *Request
-	Box     *Box
+	Backend *Backend
 	Wait    time.Duration // it ends after this at the latest
 	Effect  policy.Effect // what repeating the request would do; Unsafe where nobody told of its class
 	By      time.Time     // its last byte must be out by then, or never: backends drop repeats until then; zero for no bound
@@ -92,7 +92,7 @@
 // MayBegin tells whether the attempt may still go out: its request waits for an answer, its backend's drain grace is not
 // over, and neither is the time in which repeats are dropped. Carriers ask right before the first byte.
 func (a *Attempt) MayBegin() bool {
-	return !a.Request.answered.Load() && !a.Box.Shut() && (a.By.IsZero() || time.Now().Before(a.By))
+	return !a.Request.answered.Load() && !a.Backend.Shut() && (a.By.IsZero() || time.Now().Before(a.By))
 }
 
 // Deliver gives the request an answer that is still coming, unless it has one. The attempt's result, in the end, tells
@@ -128,7 +128,7 @@
 	// up. It returns only once nothing of the attempt can reach the box any more.
 	Carry(ctx context.Context, a *Attempt) Result
 	// Retire is told that a box has left, or is another process now: what is kept for it goes. It must not block.
-	Retire(b *Box)
+	Retire(b *Backend)
 }
 
 // Source is where lists come from. Its methods are called with the engine locked, and must neither block nor call back;
@@ -167,8 +167,8 @@
 	bal      *policy.Balancer
 	actions  []policy.Action
 	requests map[string]*Request // by the clients' ids
-	names    map[string]*Box     // listed boxes by the list's id
-	boxes    map[uint32]*Box     // the same by the module's number, and those that left until their grace is over
+	names    map[string]*Backend // listed boxes by the list's id
+	boxes    map[uint32]*Backend // the same by the module's number, and those that left until their grace is over
 	nextNum  uint32
 	version  int64 // of the list
 	ready    bool  // some box is listed as ready
@@ -189,7 +189,7 @@
 		return nil, err
 	}
 	e := &Engine{set: cfg.Settings, clock: cfg.Clock, log: cfg.Log, carrier: cfg.Carrier, bal: bal, members: cfg.Members,
-		requests: map[string]*Request{}, names: map[string]*Box{}, boxes: map[uint32]*Box{}}
+		requests: map[string]*Request{}, names: map[string]*Backend{}, boxes: map[uint32]*Backend{}}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.tells = cfg.Log.Enabled(e.ctx, slog.LevelDebug)
 	return e, nil
@@ -317,17 +317,17 @@
 	}
 	now := e.clock.Now()
 	if e.tells {
-		e.log.LogAttrs(e.ctx, slog.LevelDebug, "attempt", slog.String("request", r.ID), slog.String("backend", a.Box.ID), slog.String("zone", a.Box.Zone),
+		e.log.LogAttrs(e.ctx, slog.LevelDebug, "attempt", slog.String("request", r.ID), slog.String("backend", a.Backend.ID), slog.String("zone", a.Backend.Zone),
 			slog.String("class", r.Class), slog.Int("nth", a.index), slog.Any("outcome", res.Outcome), slog.Duration("took", now-a.sent),
 			slog.Bool("fresh", res.Fresh), slog.Float64("held", res.Load.Held), slog.Float64("queue", res.Load.Queue))
 	}
 	if e.sharer != nil {
-		e.sharer.Outcome(a.Box.key, res.Outcome)
+		e.sharer.Outcome(a.Backend.key, res.Outcome)
 	}
 	if e.sites != nil {
-		e.sites.Ended(now, a.Box.Number, res.Outcome, now-a.sent)
+		e.sites.Ended(now, a.Backend.Number, res.Outcome, now-a.sent)
 	}
-	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.Box.Number, Attempt: a.index,
+	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.Backend.Number, Attempt: a.index,
 		Took: now - a.sent, Last: r.answered.Load(), Outcome: res.Outcome, Load: res.Load})
 	e.forget(r)
 }
@@ -410,7 +410,7 @@
 	} else {
 		r.attempts = r.list[:0]
 	}
-	*a = Attempt{Request: r, Box: e.boxes[act.Server], engine: e, index: len(r.attempts), sent: now}
+	*a = Attempt{Request: r, Backend: e.boxes[act.Server], engine: e, index: len(r.attempts), sent: now}
 	a.Effect, _ = e.Effect(r.Class)
 	if act.By > 0 && a.Effect == policy.Keyed {
 		a.By = time.Now().Add(act.By - now)
@@ -425,8 +425,8 @@
 	r.open++
 	if e.sites != nil {
 		e.sites.Sent(now, act.Server)
-		if e.sharer != nil && a.Box != nil && e.sites.Node.Crosses(a.Box.Zone) {
-			e.sharer.Crossed(a.Box.Zone)
+		if e.sharer != nil && a.Backend != nil && e.sites.Node.Crosses(a.Backend.Zone) {
+			e.sharer.Crossed(a.Backend.Zone)
 		}
 	}
 	e.wg.Add(1)
@@ -434,8 +434,8 @@
 		defer e.wg.Done()
 		defer cancel()
 		res := Result{Outcome: policy.Moot}
-		if a.Box == nil {
-			a.Box = &Box{Number: act.Server} // in none of the lists: never sent
+		if a.Backend == nil {
+			a.Backend = &Backend{Number: act.Server} // in none of the lists: never sent
 		} else {
 			res = e.carrier.Carry(ctx, a)
 		}
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -27,8 +27,8 @@
 	Late bool `json:"-"`
 }
 
-// Box is one process behind the node.
-type Box struct {
+// Backend is one process behind the node.
+type Backend struct {
 	Number uint32 // the module's name for it
 	ID     string // the list's
 	Addr   string
@@ -44,7 +44,7 @@
 }
 
 // Addrs are all addresses of the box where it has several; nil for Addr alone.
-func (b *Box) Addrs() []string {
+func (b *Backend) Addrs() []string {
 	if p := b.addrs.Load(); p != nil {
 		return *p
 	}
@@ -52,7 +52,7 @@
 }
 
 // SetAddrs sets all addresses of the box; with less than two it answers at Addr alone.
-func (b *Box) SetAddrs(addrs []string) {
+func (b *Backend) SetAddrs(addrs []string) {
 	if len(addrs) < 2 {
 		b.addrs.Store(nil)
 		return
@@ -61,19 +61,19 @@
 }
 
 // Shut tells whether nothing new may be written to the box any more: its drain's grace is over.
-func (b *Box) Shut() bool {
+func (b *Backend) Shut() bool {
 	stop := b.stop.Load()
 	return stop != 0 && time.Now().UnixNano() >= stop
 }
 
 // ShutFrom has nothing new written to the box from t on, or from an earlier moment that was told before.
-func (b *Box) ShutFrom(t time.Time) {
+func (b *Backend) ShutFrom(t time.Time) {
 	for old := b.stop.Load(); (old == 0 || t.UnixNano() < old) && !b.stop.CompareAndSwap(old, t.UnixNano()); old = b.stop.Load() {
 	}
 }
 
 // Reopen takes a ShutFrom back.
-func (b *Box) Reopen() { b.stop.Store(0) }
+func (b *Backend) Reopen() { b.stop.Store(0) }
 
 // Follow sets the source of lists, with the list that is known before it tells one.
 func (e *Engine) Follow(s Source, known *List) {
@@ -184,10 +184,10 @@
 				}
 			}
 			e.nextNum++
-			b = &Box{Number: e.nextNum, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)}
+			b = &Backend{Number: e.nextNum, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)}
 		case b.started != s.StartedMS:
 			old := b
-			b = &Box{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)} // the module tells the two apart by the start
+			b = &Backend{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)} // the module tells the two apart by the start
 			e.carrier.Retire(old)
 		}
 		if len(s.Addrs) > 1 || x.State == policy.Active { // news of a drain need not tell them
@@ -229,14 +229,14 @@
 }
 
 // drain lets nothing new be written to a box once its grace is over, less the time that the news took.
-func (e *Engine) drain(b *Box) {
+func (e *Engine) drain(b *Backend) {
 	grace := e.set.DrainGrace * 9 / 10
 	b.ShutFrom(time.Now().Add(grace))
 }
 
 // drop takes a box off the list. It stays known until its grace is over: the module may go on with the last of a list
 // that came empty, and a box that is listed again keeps its number and its connections.
-func (e *Engine) drop(b *Box) {
+func (e *Engine) drop(b *Backend) {
 	if b.left {
 		return
 	}
--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -33,7 +33,7 @@
 
 // StepSites brings the sites' standing up to the time. It returns the boxes to which a connection is to be tried, for
 // Probed, and what an operator should know.
-func (e *Engine) StepSites() (probe []*Box, notes []sites.Note) {
+func (e *Engine) StepSites() (probe []*Backend, notes []sites.Note) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ctx.Err() != nil {
@@ -53,7 +53,7 @@
 }
 
 // Probed tells whether a connection that StepSites asked for came up.
-func (e *Engine) Probed(b *Box, up bool) {
+func (e *Engine) Probed(b *Backend, up bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sites.Probed(e.clock.Now(), b.Number, up)
--- a/internal/httpcarrier/addresses_test.go
+++ b/internal/httpcarrier/addresses_test.go
@@ -87,12 +87,12 @@
 			t.Fatal(err)
 		}
 		n := New(Config{Quota: quota.New(0, 0).Side(admission.BoxSide), Bodies: bodies, DialOn: dial, Log: slog.New(slog.DiscardHandler)})
-		box := &engine.Box{ID: "b"}
+		box := &engine.Backend{ID: "b"}
 		box.SetAddrs([]string{"unix:/first", "127.0.0.1:1"})
 		in, _ := http.NewRequest("POST", "http://x/api", strings.NewReader("a door"))
 		m := &message.Request{In: in, Body: &message.Body{Memory: []byte("a door")}}
 		m.Payload = m
-		res := n.Carry(t.Context(), &engine.Attempt{Request: &m.Request, Box: box, Wait: time.Second, Effect: policy.Unsafe})
+		res := n.Carry(t.Context(), &engine.Attempt{Request: &m.Request, Backend: box, Wait: time.Second, Effect: policy.Unsafe})
 		n.Stop()
 		wg.Wait()
 		if res.Outcome != c.want || len(got) != c.sent {
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -72,10 +72,10 @@
 func (n *Carrier) Yield() bool { return n.pool.spare() }
 
 // Retire closes the connections to a box that carry nothing. Those that carry something follow.
-func (n *Carrier) Retire(b *engine.Box) { n.pool.clear(n.pool.of(b), true) }
+func (n *Carrier) Retire(b *engine.Backend) { n.pool.clear(n.pool.of(b), true) }
 
 // Reach tells whether a connection to a box comes up while ctx lasts, and keeps it for requests if it does.
-func (n *Carrier) Reach(ctx context.Context, b *engine.Box) bool {
+func (n *Carrier) Reach(ctx context.Context, b *engine.Backend) bool {
 	if b.Shut() {
 		return false
 	}
@@ -107,11 +107,11 @@
 	if !ok {
 		return engine.Result{Outcome: policy.Moot} // another protocol's: never sent
 	}
-	b := n.pool.of(a.Box)
+	b := n.pool.of(a.Backend)
 	heard := b.heard.Load()
 	// A request whose last byte was not written goes on to the box's next address, within the same time.
 	wait := a.Wait
-	for again := len(a.Box.Addrs()); ; again-- {
+	for again := len(a.Backend.Addrs()); ; again-- {
 		res, part := n.send(ctx, a, r, wait, b, heard, fresh)
 		if !part || again <= 1 {
 			return res
@@ -137,7 +137,7 @@
 		until, cancel = context.WithDeadlineCause(ctx, a.By, errLate)
 		defer cancel()
 	}
-	c, err := n.pool.get(until, b, a.Box, a.Effect == policy.Unsafe)
+	c, err := n.pool.get(until, b, a.Backend, a.Effect == policy.Unsafe)
 	*fresh = *fresh || c == nil && !errors.Is(err, errSockets) || c != nil && c.rested == 0
 	switch {
 	case errors.Is(err, errSockets), errors.Is(err, reach.ErrStopped), err != nil && errors.Is(context.Cause(until), errLate):
@@ -245,10 +245,10 @@
 			// connection kept from before would swallow one more request, and reset one when it is back.
 			n.pool.clear(b, false)
 		}
-		n.log.Debug("an attempt broke off", "box", a.Box.ID, "err", err)
+		n.log.Debug("an attempt broke off", "box", a.Backend.ID, "err", err)
 		return engine.Result{Outcome: outcome}, c.addr != "" && !whole && ctx.Err() == nil && (p == nil || p.Memory != nil)
 	}
-	res = n.judge(a.Box, resp, body)
+	res = n.judge(a.Backend, resp, body)
 	if p, ok := res.Reply.(*message.Reply); ok && held > 0 {
 		p.Holds(n.bodies, held)
 	} else if held > 0 {
@@ -288,7 +288,7 @@
 
 // read reads one answer whole, before any of it goes on: one that breaks can still be tried again. Of a served one that
 // hold, asked with its size, has no room for, it reads the head. Larger ones than most are spoilt.
-func (c *boxConn) read(method string, hold func(size int64) bool, most int64) (*http.Response, []byte, error) {
+func (c *backendConn) read(method string, hold func(size int64) bool, most int64) (*http.Response, []byte, error) {
 	c.cap.N = message.MaxHead + message.MaxBody
 	for {
 		if _, err := c.in.Peek(1); err != nil {
@@ -333,7 +333,7 @@
 }
 
 // head is an answer's head, without the empty line, as long as no more is read; nil where it doesn't end, or not within the buffer.
-func (c *boxConn) head() []byte {
+func (c *backendConn) head() []byte {
 	for {
 		n := c.in.Buffered()
 		text, _ := c.in.Peek(n)
@@ -367,7 +367,7 @@
 }
 
 // judge tells what an answer means.
-func (n *Carrier) judge(b *engine.Box, resp *http.Response, body []byte) engine.Result {
+func (n *Carrier) judge(b *engine.Backend, resp *http.Response, body []byte) engine.Result {
 	res := engine.Result{Outcome: policy.Failed}
 	if reports := resp.Header["X-Load"]; len(reports) > 0 && n.reports {
 		load, err := wire.DecodeLoad(reports[0])
@@ -390,8 +390,8 @@
 
 // flow passes on an answer that is too large to be held. Once it has begun the request has its final answer; where that
 // breaks off, the client sees it by its length.
-func (n *Carrier) flow(ctx context.Context, a *engine.Attempt, c *boxConn, resp *http.Response, giveUp func() bool) engine.Result {
-	res := n.judge(a.Box, resp, nil)
+func (n *Carrier) flow(ctx context.Context, a *engine.Attempt, c *backendConn, resp *http.Response, giveUp func() bool) engine.Result {
+	res := n.judge(a.Backend, resp, nil)
 	f := message.NewFlow(resp.Body, c.Conn, resp.ContentLength)
 	err := context.Canceled
 	if a.Deliver(&message.Reply{Header: resp.Header, Flow: f}) {
@@ -411,7 +411,7 @@
 	case errors.Is(err, message.ErrClient), errors.Is(err, context.Canceled):
 		res.Outcome = policy.Canceled
 	default:
-		n.log.Debug("an answer broke off on its way", "box", a.Box.ID, "err", err)
+		n.log.Debug("an answer broke off on its way", "box", a.Backend.ID, "err", err)
 		res.Outcome = policy.Reset
 	}
 	return res
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -43,7 +43,7 @@
 	mu    sync.Mutex
 	ages  *admission.Ages // for how long boxes keep connections, from all of them together
 	open  int
-	rest  lists.List // of *boxConn: those with no owner, the longest idle first
+	rest  lists.List // of *backendConn: those with no owner, the longest idle first
 	sweep *time.Timer
 }
 
@@ -70,19 +70,19 @@
 
 	// Guarded by pool.mu.
 	ages    *admission.Ages
-	conns   []*boxConn // those with no owner, the latest last
-	retired bool       // no connection is kept any more
+	conns   []*backendConn // those with no owner, the latest last
+	retired bool           // no connection is kept any more
 }
 
 // of is what is kept for a box.
-func (p *pool) of(b *engine.Box) *kept {
+func (p *pool) of(b *engine.Backend) *kept {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.ofLocked(b)
 }
 
 // ofLocked is of. p.mu is held.
-func (p *pool) ofLocked(b *engine.Box) *kept {
+func (p *pool) ofLocked(b *engine.Backend) *kept {
 	if k, ok := b.Kept.(*kept); ok {
 		return k
 	}
@@ -91,8 +91,8 @@
 	return k
 }
 
-// boxConn is a connection to a backend.
-type boxConn struct {
+// backendConn is a connection to a backend.
+type backendConn struct {
 	net.Conn
 	cap    io.LimitedReader // between the socket and in: no answer goes on without end
 	in     *bufio.Reader
@@ -106,7 +106,7 @@
 
 // get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close. What must
 // not be sent twice goes only on a connection that the box is sure to have kept.
-func (p *pool) get(ctx context.Context, k *kept, box *engine.Box, once bool) (*boxConn, error) {
+func (p *pool) get(ctx context.Context, k *kept, box *engine.Backend, once bool) (*backendConn, error) {
 	for {
 		c := p.take(k, once, p.wait)
 		if c == nil {
@@ -129,7 +129,7 @@
 }
 
 // learn notes whether a connection that had rested held when it was used again.
-func (p *pool) learn(c *boxConn, held bool) {
+func (p *pool) learn(c *backendConn, held bool) {
 	if c.rested == 0 {
 		return
 	}
@@ -145,7 +145,7 @@
 // take returns the latest used of b's connections that have rested, else the one that has rested for longest; none where
 // it has rested for longer than b is known to keep one, or, for what must not be sent twice, is sure to, and none where it
 // has longer to rest than wait.
-func (p *pool) take(b *kept, once bool, wait time.Duration) *boxConn {
+func (p *pool) take(b *kept, once bool, wait time.Duration) *backendConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, known := p.now(), b.ages
@@ -172,7 +172,7 @@
 }
 
 // remove takes a connection out of those with no owner. p.mu is held.
-func (p *pool) remove(c *boxConn) {
+func (p *pool) remove(c *backendConn) {
 	p.rest.Remove(c.place)
 	c.place = nil
 	i := slices.Index(c.box.conns, c)
@@ -180,7 +180,7 @@
 }
 
 // connect opens a connection, for which one to another box makes room where there are too many.
-func (p *pool) connect(ctx context.Context, k *kept, box *engine.Box) (*boxConn, error) {
+func (p *pool) connect(ctx context.Context, k *kept, box *engine.Backend) (*backendConn, error) {
 	if !p.quota.Claim(p.spare) { // what it closes is another box's: this one has none
 		return nil, errSockets
 	}
@@ -201,14 +201,14 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &boxConn{Conn: conn, look: sock.NewLook(conn), box: k, addr: addr}
+	c := &backendConn{Conn: conn, look: sock.NewLook(conn), box: k, addr: addr}
 	c.cap.R = conn
 	c.in = bufio.NewReader(&c.cap)
 	return c, nil
 }
 
 // put takes a connection back.
-func (p *pool) put(c *boxConn) {
+func (p *pool) put(c *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.box.retired {
@@ -225,7 +225,7 @@
 }
 
 // close ends a connection that its owner has done with.
-func (p *pool) close(c *boxConn) {
+func (p *pool) close(c *backendConn) {
 	c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -244,13 +244,13 @@
 	defer p.mu.Unlock()
 	oldest := p.rest.Front()
 	if oldest != nil {
-		p.discard(oldest.Value.(*boxConn))
+		p.discard(oldest.Value.(*backendConn))
 	}
 	return oldest != nil
 }
 
 // discard closes a connection with no owner. p.mu is held.
-func (p *pool) discard(c *boxConn) {
+func (p *pool) discard(c *backendConn) {
 	p.remove(c)
 	c.Close()
 	p.gone()
@@ -262,7 +262,7 @@
 	defer p.mu.Unlock()
 	p.sweep = nil
 	for e := p.rest.Front(); e != nil; e = p.rest.Front() {
-		c := e.Value.(*boxConn)
+		c := e.Value.(*backendConn)
 		if left := p.idle - p.now().Sub(c.since); left > 0 {
 			p.sweep = time.AfterFunc(left, p.expire)
 			return
@@ -286,7 +286,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for e := p.rest.Front(); e != nil; e = p.rest.Front() {
-		p.discard(e.Value.(*boxConn))
+		p.discard(e.Value.(*backendConn))
 	}
 	if p.sweep != nil {
 		p.sweep.Stop()
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -207,7 +207,7 @@
 	if n := len(b.requests()); n != 0 {
 		t.Errorf("the backend got %d requests", n)
 	}
-	if o := r.attempt(context.Background(), &engine.Box{ID: "s-9", Addr: b.entry("s-9").Addr}, quote("other"), patience); o != policy.OK {
+	if o := r.attempt(context.Background(), &engine.Backend{ID: "s-9", Addr: b.entry("s-9").Addr}, quote("other"), patience); o != policy.OK {
 		t.Errorf("another backend at that moment: outcome %d", o)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -211,7 +211,7 @@
 	return c.http.Carry(ctx, a)
 }
 
-func (c carriers) Retire(b *engine.Box) {
+func (c carriers) Retire(b *engine.Backend) {
 	c.http.Retire(b)
 	c.rpc.Retire(b)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -538,7 +538,7 @@
 	t.Parallel()
 	b := newBox(t, served)
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	be := &engine.Box{ID: "s-1", Addr: b.entry("s-1").Addr}
+	be := &engine.Backend{ID: "s-1", Addr: b.entry("s-1").Addr}
 	for _, q := range []call{view("v"), save("s")} {
 		be.ShutFrom(time.Now().Add(-time.Millisecond))
 		if o := r.attempt(context.Background(), be, q, patience); o != policy.Moot {
@@ -940,7 +940,7 @@
 		return served(c, r, nth)
 	})
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	be := &engine.Box{ID: "s-1", Addr: b.entry("s-1").Addr}
+	be := &engine.Backend{ID: "s-1", Addr: b.entry("s-1").Addr}
 	run := func(wait time.Duration) policy.Outcome {
 		return r.attempt(context.Background(), be, quote("q"), wait)
 	}
@@ -1096,7 +1096,7 @@
 func TestOwnTroubleIsNotTheBackends(t *testing.T) {
 	t.Parallel()
 	b := newBox(t, served)
-	be := &engine.Box{ID: "s-1", Addr: b.entry("s-1").Addr}
+	be := &engine.Backend{ID: "s-1", Addr: b.entry("s-1").Addr}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	none := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.backendQuota = quotaFor(0) })
@@ -1105,7 +1105,7 @@
 	}
 	r := newRig(t, newRegistry(t), settingsJSON, nil)
 	cancel()
-	if o := r.attempt(ctx, &engine.Box{ID: "s-1", Addr: be.Addr}, quote("q"), patience); o != policy.Canceled {
+	if o := r.attempt(ctx, &engine.Backend{ID: "s-1", Addr: be.Addr}, quote("q"), patience); o != policy.Canceled {
 		t.Errorf("given up before it was sent: outcome %d, want cancelled", o)
 	}
 	if n := len(b.requests()); n != 0 {
--- a/internal/node/sites.go
+++ b/internal/node/sites.go
@@ -36,7 +36,7 @@
 }
 
 // probe tries a connection to a box, which is kept for requests if it comes up.
-func (n *node) probe(ctx context.Context, b *engine.Box) {
+func (n *node) probe(ctx context.Context, b *engine.Backend) {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	n.engine.Probed(b, n.carrier.Reach(ctx, b))
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -204,11 +204,11 @@
 }
 
 // attempt is one send to a box, without a request of a client.
-func (r *rig) attempt(ctx context.Context, b *engine.Box, q call, wait time.Duration) policy.Outcome {
+func (r *rig) attempt(ctx context.Context, b *engine.Backend, q call, wait time.Duration) policy.Outcome {
 	in, _ := http.NewRequest(q.method, "http://x/api", nil)
 	m := &message.Request{In: in, Body: &message.Body{Memory: []byte(q.body)}}
 	m.Payload = m
-	return r.carrier.Carry(ctx, &engine.Attempt{Request: &m.Request, Box: b, Wait: wait, Effect: policy.Unsafe}).Outcome
+	return r.carrier.Carry(ctx, &engine.Attempt{Request: &m.Request, Backend: b, Wait: wait, Effect: policy.Unsafe}).Outcome
 }
 
 // numbered is the module's number of the box with an id; 0 where none is listed.
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -44,7 +44,7 @@
 	next atomic.Uint64  // ids: none comes twice, so that a box that mixes up its connections still answers nobody else
 
 	mu    sync.Mutex
-	boxes map[*engine.Box]*links
+	boxes map[*engine.Backend]*links
 	ended bool
 }
 
@@ -73,11 +73,11 @@
 
 // New returns a carrier with no connection.
 func New(cfg Config) *Carrier {
-	return &Carrier{cfg: cfg, boxes: map[*engine.Box]*links{}}
+	return &Carrier{cfg: cfg, boxes: map[*engine.Backend]*links{}}
 }
 
 // Retire closes the connections to a box that carry nothing, and the others once they carry nothing.
-func (n *Carrier) Retire(b *engine.Box) {
+func (n *Carrier) Retire(b *engine.Backend) {
 	n.mu.Lock()
 	ls := n.boxes[b]
 	delete(n.boxes, b)
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, a.Wait, errTimeout)
 	defer cancel()
 	c, ok := a.Request.Payload.(*Call)
-	if !ok || a.Box.RPC == "" {
+	if !ok || a.Backend.RPC == "" {
 		return engine.Result{Outcome: policy.Moot}
 	}
 	early := func() engine.Result { // it was never sent
@@ -123,7 +123,7 @@
 		}
 		return engine.Result{Outcome: policy.ConnectFailed}
 	}
-	l, err := n.link(ctx, a.Box)
+	l, err := n.link(ctx, a.Backend)
 	if errors.Is(err, errNoRoom) || err != nil && !a.MayBegin() {
 		return engine.Result{Outcome: policy.Moot}
 	} else if err != nil {
@@ -184,7 +184,7 @@
 		}
 		res, err := judge(&m, n.cfg.Reports)
 		if err != nil {
-			n.cfg.Log.Debug("an answer makes no sense", "box", a.Box.ID, "err", err)
+			n.cfg.Log.Debug("an answer makes no sense", "box", a.Backend.ID, "err", err)
 		}
 		return res
 	case <-ctx.Done():
@@ -197,7 +197,7 @@
 }
 
 // link returns the connection to a box with the fewest calls, or opens one where all have some and there may be more.
-func (n *Carrier) link(ctx context.Context, b *engine.Box) (*link, error) {
+func (n *Carrier) link(ctx context.Context, b *engine.Backend) (*link, error) {
 	var ls *links
 	var best *link
 	for {
