--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -232,8 +232,8 @@
 	return true
 }
 
-// Gone tells that a request's client has left, unless it has its answer by now.
-func (e *Engine) Gone(r *Request) {
+// Cancel tells that a request's client has left or canceled it, unless it has its answer by now.
+func (e *Engine) Cancel(r *Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.answered.Load() {
--- a/internal/engine/leave.go
+++ b/internal/engine/shutdown.go
@@ -15,17 +15,17 @@
 	writeSlack = 2 * time.Second
 )
 
-// Departure is the time table of a node that is to end, counted from the moment it is told.
-type Departure struct {
+// Shutdown is the time table of a node that is to end, counted from the moment it is told.
+type Shutdown struct {
 	Serves time.Duration // requests are taken as ever
 	Killed time.Duration // it may be killed from then on
 	Last   time.Duration // whoever has not read its answer by then does not read
 }
 
-// Leave says how a node leaves that is told so now. It may be killed once the longest deadline, of LongestTold at the
+// Shutdown says how a node leaves that is told so now. It may be killed once the longest deadline, of LongestTold at the
 // most, and killSlack have passed; what it takes last still has the longest aim until then, and what comes from now on
 // gets no more time than that leaves.
-func (e *Engine) Leave() Departure {
+func (e *Engine) Shutdown() Shutdown {
 	var longest, aim time.Duration
 	for _, c := range e.set.Classes {
 		longest, aim = max(longest, c.Deadline), max(aim, c.Aim)
@@ -33,5 +33,5 @@
 	longest = cmp.Or(longest, LongestTold)
 	killed := min(longest, LongestTold) + killSlack
 	e.killed.Store(time.Now().Add(killed).UnixNano())
-	return Departure{Serves: killed - aim - 5*Transit, Killed: killed, Last: max(killed, longest+Transit) + writeSlack}
+	return Shutdown{Serves: killed - aim - 5*Transit, Killed: killed, Last: max(killed, longest+Transit) + writeSlack}
 }
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -134,9 +134,9 @@
 	// Connections go on coming for a while, and clients go on using those that they have. What a node answers until it
 	// is killed is not missing elsewhere: it serves them for as long as their answers can still be in time.
 	begun := time.Now()
-	leave := s.engine.Leave()
+	shutdown := s.engine.Shutdown()
 	s.leaving.Store(true)
-	s.log.Info("leaving: serving the connections that there are, then finishing what was taken", "serves", leave.Serves)
+	s.log.Info("leaving: serving the connections that there are, then finishing what was taken", "serves", shutdown.Serves)
 	time.Sleep(acceptFor)
 	err := ln.Close()
 	done := make(chan struct{})
@@ -152,11 +152,11 @@
 		after time.Duration
 		do    func()
 	}{
-		{max(acceptFor, leave.Serves), func() {
+		{max(acceptFor, shutdown.Serves), func() {
 			s.closing.Store(true) // each answer now tells its client to close
 			s.closeAll(false)     // and the clients of connections that carry no request turn to other nodes
 		}},
-		{leave.Last, func() { s.closeAll(true) }}, // the last deadline has passed
+		{shutdown.Last, func() { s.closeAll(true) }}, // the last deadline has passed
 	} {
 		select {
 		case <-done:
@@ -581,7 +581,7 @@
 		if !gone { // by nobody but the node's end
 			return told(<-r.Done()), true
 		}
-		s.engine.Gone(&r.Request)
+		s.engine.Cancel(&r.Request)
 		select {
 		case a := <-r.Done():
 			t := told(a)
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -110,7 +110,7 @@
 	case <-ctx.Done():
 	}
 	begun := time.Now()
-	leave := f.cfg.Engine.Leave()
+	shutdown := f.cfg.Engine.Shutdown()
 	f.leaving.Store(true)
 	time.Sleep(acceptFor)
 	err := ln.Close()
@@ -126,7 +126,7 @@
 	select {
 	case <-done:
 		return err
-	case <-time.After(time.Until(begun.Add(leave.Last))):
+	case <-time.After(time.Until(begun.Add(shutdown.Last))):
 	}
 	f.each(func(c *conn) { c.Close() })
 	<-done
@@ -500,7 +500,7 @@
 		case a := <-call.Done():
 			c.finish(id, answer, told(id, a))
 		case <-c.ctx.Done():
-			f.cfg.Engine.Gone(&call.Request)
+			f.cfg.Engine.Cancel(&call.Request)
 			c.finish(id, answer, nil)
 		}
 	}()
