A deadline that has passed is no client's close

On the last reading: the look before a request begins took any error for a close, also the deadline in the past by which a connection makes room for another, so that a request whose last bytes had just come could end with no answer where something lay behind it.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -617,6 +617,7 @@
 		case sock.Ended:
 			return true
 		}
+		c.SetReadDeadline(time.Time{}) // what bounded the request's reading, or made room for another, is no close
 		if c.more() != nil {
 			return true
 		}
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -61,24 +61,59 @@
 	}
 }
 
-// A connection that makes room for another in the middle of a request refuses that one: it is not its client's fault, and nothing ran.
-func TestCutInTheMiddleOfARequest(t *testing.T) {
-	t.Parallel()
-	f := New(Config{Clock: engine.NewClock(), Log: slog.New(slog.DiscardHandler)})
+// tcpPair is both ends of a connection.
+func tcpPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	client, err := net.Dial("tcp", ln.Addr().String())
+	client, err = net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
-	conn, err := ln.Accept()
+	t.Cleanup(func() { client.Close() })
+	server, err = ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { server.Close() })
+	return client, server
+}
+
+// A deadline that has passed is no client's close: a request whose connection made room for another while its last bytes came is
+// still answered, also where something lies behind it.
+func TestAPassedDeadlineIsNoClose(t *testing.T) {
+	t.Parallel()
+	client, conn := tcpPair(t)
+	c := &clientConn{Conn: conn, look: sock.NewLook(conn)}
+	c.cap.R, c.cap.N = conn, message.MaxHead
+	c.in = bufio.NewReader(&c.cap)
+	if _, err := io.WriteString(client, "x"); err != nil {
+		t.Fatal(err)
+	}
+	for c.look.Pending() != sock.Bytes {
+		time.Sleep(time.Millisecond)
+	}
+	c.SetReadDeadline(time.Unix(1, 0))
+	if c.left() {
+		t.Fatal("it counts as closed")
+	}
+	client.Close()
+	for c.look.Pending() != sock.Ended {
+		time.Sleep(time.Millisecond)
+	}
+	if !c.left() {
+		t.Error("a close does not count")
+	}
+}
+
+// A connection that makes room for another in the middle of a request refuses that one: it is not its client's fault, and nothing ran.
+func TestCutInTheMiddleOfARequest(t *testing.T) {
+	t.Parallel()
+	f := New(Config{Clock: engine.NewClock(), Log: slog.New(slog.DiscardHandler)})
+	client, conn := tcpPair(t)
 	c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
 	c.cap.R, c.account.Owner = conn, c
 	c.in = bufio.NewReader(&c.cap)
