Settings of the control plane: [control], and a file for its own processes

Change: a node names its service, region, parents, cluster and key; a control process its role, addresses, state folder and limits. Both are checked whole with file and line; addresses, cluster and keys by the checks that [fleet] has. Off without it.

--- /dev/null
+++ b/internal/settings/control_test.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func keyFile(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(path, []byte("000102030405060708090a0b0c0d0e0f\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// refusals parses good with each replacement, and wants one line that has want in it.
+func refusals(t *testing.T, good string, parse func(text []byte) error, all []struct{ old, new, want string }) {
+	t.Helper()
+	for _, x := range all {
+		text := strings.Replace(good, x.old, x.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the file", x.old)
+		}
+		if err := parse([]byte(text)); err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q:\n got %v\nwant %s", x.new, x.old, err, x.want)
+		}
+	}
+}
+
+func TestControl(t *testing.T) {
+	good := fmt.Sprintf(`[control]
+services = ["configurator"]
+region = "north"
+cluster = "company"
+key_file = %q
+[[control.parent]]
+name = "relay-1"
+address = "127.0.0.1:7960"
+zone = "north-a"
+`, keyFile(t))
+	f, err := Parse("own.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c := f.Control; !c.On() || c.Bytes != 8<<10 || len(c.Keys) != 1 || len(c.Parents) != 1 || c.Parents[0].Zone != "north-a" {
+		t.Errorf("%+v", c)
+	}
+	if f, err := Parse("own.toml", nil); err != nil || f.Control.On() {
+		t.Errorf("without the section: %v, on %v", err, f.Control.On())
+	}
+	refusals(t, good, func(text []byte) error { _, err := Parse("own.toml", text); return err }, []struct{ old, new, want string }{
+		{`services = ["configurator"]`, ``, "own.toml:1: control.services: it is missing, and control.region does nothing without it"},
+		{`["configurator"]`, `["a", "b"]`, "own.toml:2: control.services: 2 are named, and a process serves one service"},
+		{`["configurator"]`, `[""]`, "own.toml:2: control.services"},
+		{`"north"`, `""`, `own.toml:3: control.region: "" is not a name of 1 to 255 bytes`},
+		{`"company"`, `""`, "own.toml:4: control.cluster"},
+		{`key_file`, "bytes = \"12B\"\nkey_file", "own.toml:5: control.bytes: 12 is outside 1KiB to 1GiB a second"},
+		{`key_file`, "byts = \"12KiB\"\nkey_file", "own.toml:5: control.byts: no such key; did you mean bytes?"},
+		{`"127.0.0.1:7960"`, `"relay:7960"`, `own.toml:8: control.parent[0].address: "relay:7960" is not an IP address and a port`},
+		{`zone = "north-a"`, "[[control.parent]]\nname = \"relay-1\"", `control.parent[1].name: "relay-1" is there twice`},
+		{`"relay-1"`, `""`, "own.toml:7: control.parent[0].name"},
+		{good[strings.Index(good, "[[control.parent]]"):], "", "control.parent: none is named"},
+	})
+}
+
+func TestControlProcess(t *testing.T) {
+	key, state := keyFile(t), t.TempDir()
+	writer := fmt.Sprintf(`role = "writer"
+name = "north-1"
+region = "north"
+zone = "north-a"
+listen = "127.0.0.1:7960"
+socket = "/run/craneglade/north-1.sock"
+cluster = "company"
+key_file = %q
+state = %q
+[[region_parent]]
+region = "south"
+name = "south-1"
+address = "127.0.0.1:7970"
+`, key, state)
+	parse := func(text []byte) error { _, err := ParseControlProcess("control.toml", text); return err }
+	c, err := ParseControlProcess("control.toml", []byte(writer))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Limits.Heartbeat.D() != time.Second || c.Limits.Snapshots != 8 || c.Limits.Subscribers != 1000 || c.Limits.Bytes != 1<<20 || c.Regions[0] != "north" {
+		t.Errorf("%+v", c)
+	}
+	refusals(t, writer, parse, []struct{ old, new, want string }{
+		{`"writer"`, `"reader"`, `control.toml:1: role: "reader" is neither "writer" nor "relay"`},
+		{`"writer"`, `"relay"`, `control.toml:9: state: it is for a writer, and this is a relay`},
+		{fmt.Sprintf("%q", state), `"/no/such/folder"`, `control.toml:9: state: "/no/such/folder" is not a folder that is there`},
+		{fmt.Sprintf("state = %q", state), ``, `state: it is missing`},
+		{`"north-1"`, `""`, "control.toml:2: name"},
+		{`"127.0.0.1:7960"`, `"7960"`, "control.toml:5: listen"},
+		{`"/run/craneglade/north-1.sock"`, `"north-1.sock"`, "control.toml:6: socket"},
+		{`"company"`, `""`, "control.toml:7: cluster"},
+		{`"south"`, `"north"`, `control.toml:11: region_parent[0].region: "north" is this writer's own region`},
+		{`"127.0.0.1:7970"`, `"south:7970"`, "control.toml:13: region_parent[0].address"},
+		{`[[region_parent]]`, "[[parent]]\nname = \"x\"\naddress = \"127.0.0.1:1\"\n[[region_parent]]", "a writer has no parent"},
+		{`[[region_parent]]`, "[limits]\nheartbeat = \"1ms\"\n[[region_parent]]", "control.toml:11: limits.heartbeat: 1ms is outside 50ms to 10s"},
+		{`[[region_parent]]`, "[limits]\nsubscribers = 0\n[[region_parent]]", "control.toml:11: limits.subscribers: 0 is outside 1 to 10000"},
+		{`zone`, "regions = [\"south\"]\nzone", "control.toml:4: regions: a writer follows the regions of [[region_parent]]"},
+		{`zone`, "epoch = -1\nzone", "control.toml:4: epoch: -1 is negative"},
+	})
+	relay := fmt.Sprintf(`role = "relay"
+name = "relay-1"
+region = "north"
+regions = ["north", "south"]
+listen = "127.0.0.1:7961"
+socket = "/run/craneglade/relay-1.sock"
+cluster = "company"
+key_file = %q
+[[parent]]
+name = "north-1"
+address = "127.0.0.1:7960"
+`, key)
+	if err := parse([]byte(relay)); err != nil {
+		t.Fatal(err)
+	}
+	refusals(t, relay, parse, []struct{ old, new, want string }{
+		{`["north", "south"]`, `["north", "north"]`, "control.toml:4: regions: one of them is there twice"},
+		{relay[strings.Index(relay, "[[parent]]"):], "", "parent: none is named"},
+	})
+}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -82,35 +82,22 @@
 		}
 		return nil
 	}
-	address := func(key, addr string) error {
-		host, port, err := net.SplitHostPort(addr)
-		if err != nil || net.ParseIP(host) == nil || port == "" {
-			return keys.Problem(key, "%q is not an IP address and a port, such as 127.0.0.1:7946", addr)
-		}
-		return nil
-	}
-	if err := address("fleet.listen", f.Listen); err != nil {
+	if err := checkAddress(keys, "fleet.listen", f.Listen); err != nil {
 		return err
 	}
 	if f.Advertise == "" {
 		f.Advertise = f.Listen
 	}
-	if err := address("fleet.advertise", f.Advertise); err != nil {
+	if err := checkAddress(keys, "fleet.advertise", f.Advertise); err != nil {
 		return err
 	}
 	for _, s := range f.Seeds {
-		if err := address("fleet.seeds", s); err != nil {
+		if err := checkAddress(keys, "fleet.seeds", s); err != nil {
 			return err
 		}
 	}
-	if f.Cluster == "" || len(f.Cluster) > 255 {
-		return keys.Problem("fleet.cluster", "%q: give all nodes of this fleet, and no other's, one name of 1 to 255 bytes", f.Cluster)
-	}
-	if f.Key == "" {
-		return keys.Problem("fleet.key_file", "it is missing: name a file with a key of 16, 24 or 32 bytes in hexadecimal")
-	}
-	if f.Keys, err = readKeys(f.Key); err != nil {
-		return keys.Problem("fleet.key_file", "%v", err)
+	if f.Keys, err = checkCluster(keys, "fleet.", f.Cluster, f.Key); err != nil {
+		return err
 	}
 	f.Used = shared.Use{Quotas: true}
 	if keys.Has("fleet.use") {
@@ -138,6 +125,30 @@
 	return nil
 }
 
+// checkAddress says what is wrong with the address of a process of this fleet.
+func checkAddress(keys *tomlfile.Keys, key, addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return keys.Problem(key, "%q is not an IP address and a port, such as 127.0.0.1:7946", addr)
+	}
+	return nil
+}
+
+// checkCluster checks the cluster's name and reads the keys of the table that prefix names.
+func checkCluster(keys *tomlfile.Keys, prefix, cluster, keyFile string) ([][]byte, error) {
+	if cluster == "" || len(cluster) > 255 {
+		return nil, keys.Problem(prefix+"cluster", "%q: give all nodes of this fleet, and no other's, one name of 1 to 255 bytes", cluster)
+	}
+	if keyFile == "" {
+		return nil, keys.Problem(prefix+"key_file", "it is missing: name a file with a key of 16, 24 or 32 bytes in hexadecimal")
+	}
+	all, err := readKeys(keyFile)
+	if err != nil {
+		return nil, keys.Problem(prefix+"key_file", "%v", err)
+	}
+	return all, nil
+}
+
 func readKeys(path string) (all [][]byte, err error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 	DNS     DNS     `toml:"dns"`
 	Fleet   Fleet   `toml:"fleet"`
 	Sites   Sites   `toml:"sites"`
+	Control Control `toml:"control"`
 }
 
 // DNS is a second source of boxes beside the list. Without a site there is none.
@@ -144,6 +145,9 @@
 	if err := f.Sites.check(keys); err != nil {
 		return nil, err
 	}
+	if err := f.Control.check(keys); err != nil {
+		return nil, err
+	}
 	if f.Fleet.Used.Crossing && f.Sites.Plan == nil {
 		return nil, keys.Problem("fleet.use", "crossing needs a plan: [[sites.site]]")
 	}
