Rendezvous ranking of parents, own zone first

A child of the hierarchy has to choose its parents as everybody else would, and a lost parent's children have to spread evenly.

--- /dev/null
+++ b/internal/controlplane/parents/parents_test.go
@@ -0,0 +1,87 @@
+package parents
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func relays(zones, each int) []Candidate {
+	var candidates []Candidate
+	for z := range zones {
+		for i := range each {
+			candidates = append(candidates, Candidate{Name: fmt.Sprintf("relay-%d-%d", z, i), Zone: fmt.Sprintf("zone-%d", z)})
+		}
+	}
+	return candidates
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	ranked := Rank("node-1", "zone-2", relays(4, 3))
+	for i, candidate := range ranked {
+		if own := candidate.Zone == "zone-2"; own != (i < 3) {
+			t.Errorf("place %d is %s of %s", i, candidate.Name, candidate.Zone)
+		}
+	}
+}
+
+func TestNoZonePrefersNone(t *testing.T) {
+	first := map[string]bool{}
+	for i := range 100 {
+		first[Rank(fmt.Sprint("node-", i), "", relays(4, 3))[0].Zone] = true
+	}
+	if len(first) != 4 {
+		t.Errorf("the first parents of 100 children are in zones %v, want all four", first)
+	}
+}
+
+// TestOrderOfOthersStays: a candidate that comes or goes moves no other, and the order handed in doesn't matter.
+func TestOrderOfOthersStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := relays(rapid.IntRange(1, 5).Draw(t, "zones"), rapid.IntRange(1, 5).Draw(t, "each"))
+		child := rapid.String().Draw(t, "child")
+		ranked := Rank(child, "zone-0", candidates)
+		gone := rapid.IntRange(0, len(candidates)-1).Draw(t, "gone")
+		want := slices.DeleteFunc(slices.Clone(ranked), func(c Candidate) bool { return c == candidates[gone] })
+		rest := slices.Delete(slices.Clone(candidates), gone, gone+1)
+		slices.Reverse(rest)
+		if got := Rank(child, "zone-0", rest); !slices.Equal(got, want) {
+			t.Fatalf("without %v: %v, want %v", candidates[gone], got, want)
+		}
+	})
+}
+
+// TestEvenSpread: 3,900 children of a zone with four relays, and again the children of a lost relay over the other three,
+// stay within a tenth of an even share.
+func TestEvenSpread(t *testing.T) {
+	candidates := relays(1, 4)
+	first, second := map[string]int{}, map[string]int{}
+	for i := range 3900 {
+		ranked := Rank(fmt.Sprint("node-", i), "zone-0", candidates)
+		first[ranked[0].Name]++
+		if ranked[0] == candidates[0] {
+			second[ranked[1].Name]++
+		}
+	}
+	for name, n := range first {
+		if n < 975*9/10 || n > 975*11/10 {
+			t.Errorf("%s is first for %d of 3900 children", name, n)
+		}
+	}
+	share := first[candidates[0].Name] / 3
+	for name, n := range second {
+		if n < share*85/100 || n > share*115/100 {
+			t.Errorf("%s takes %d of the %d children of a lost relay", name, n, 3*share)
+		}
+	}
+}
+
+func BenchmarkRank(b *testing.B) {
+	candidates := relays(15, 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		Rank("node-17", "zone-3", candidates)
+	}
+}
