--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"craneglade/internal/controlplane/resource"
 	"craneglade/internal/reach"
 	"craneglade/internal/tomlfile"
 )
@@ -34,7 +35,7 @@
 	defaultControlBytes      = 8 << 10 // a second
 	minControlBytes          = 1 << 10
 	maxControlBytes          = 1 << 30
-	maxNameBytes             = 255
+	maxNameBytes             = resource.MaxNameBytes
 	maxParents               = 64
 	defaultHeartbeat         = time.Second
 	defaultServedBytes       = 1 << 20 // a second, to all subscribers together
--- a/internal/settings/control_test.go
+++ b/internal/settings/control_test.go
@@ -57,7 +57,7 @@
 		{`services = ["configurator"]`, ``, "own.toml:1: control.services: it is missing, and control.region does nothing without it"},
 		{`["configurator"]`, `["a", "b"]`, "own.toml:2: control.services: 2 are named, and a process serves one service"},
 		{`["configurator"]`, `[""]`, "own.toml:2: control.services"},
-		{`"north"`, `""`, `own.toml:3: control.region: "" is not a name of 1 to 255 bytes`},
+		{`"north"`, `""`, `own.toml:3: control.region: "" is not a name of 1 to 128 bytes`},
 		{`"company"`, `""`, "own.toml:4: control.cluster"},
 		{`key_file`, "bytes = \"12B\"\nkey_file", "own.toml:5: control.bytes: 12 is outside 1KiB to 1GiB a second"},
 		{`key_file`, "byts = \"12KiB\"\nkey_file", "own.toml:5: control.byts: no such key; did you mean bytes?"},
