--- a/internal/admission/tenants.go
+++ b/internal/admission/tenants.go
@@ -27,6 +27,25 @@
 	return &Tenants{shares: shares, seen: map[string]*rate{}}
 }
 
+// ShareChange sets a tenant's share of this node in requests a second, or takes it away.
+type ShareChange struct {
+	Tenant string
+	Share  float64
+	Gone   bool
+}
+
+// Change sets and takes away shares. What was counted of a tenant that keeps one stays.
+func (t *Tenants) Change(changes []ShareChange) {
+	for _, c := range changes {
+		if c.Gone {
+			delete(t.shares, c.Tenant)
+			delete(t.seen, c.Tenant)
+		} else {
+			t.shares[c.Tenant] = c.Share
+		}
+	}
+}
+
 // Past counts a request and tells whether its tenant is past its share.
 func (t *Tenants) Past(now time.Duration, tenant string) bool {
 	share, ok := t.shares[tenant]
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -310,6 +310,14 @@
 	}
 }
 
+// ChangeShares changes the shares of tenants in this node. The lock that it takes is that of all connections: the caller
+// hands in few changes at a time.
+func (s *Front) ChangeShares(changes []admission.ShareChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tenants.Change(changes)
+}
+
 // begin notes that a request is to be answered, and tells whether its connection still counts.
 func (s *Front) begin(c *clientConn, r *message.Request) bool {
 	s.mu.Lock()
