--- a/internal/peers/frame/frame.go
+++ b/internal/peers/frame/frame.go
@@ -26,7 +26,7 @@
 // Sizes in bytes.
 const (
 	// MaxMessage is the largest message that a frame carries.
-	MaxMessage = 1 << 20
+	MaxMessage = 4 << 20
 	// maxFirst is the largest first message of a session: until it is opened nobody has shown that the other side has a key.
 	maxFirst = 4 << 10
 
