Sessions, processes and the node of the control plane: craneglade control, [control]

Change: internal/controlnet drives subscribers and a publisher over sealed sessions (bounded queues, a lock that is never held during I/O, one line for each note) and runs the writer of a region's log and relays; operators ask over a Unix socket (status, apply, get). A node with [control] takes endpoints and tenants' shares from there in place of discovery, and tells position and age on its local socket.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 	Lab      labCmd           `cmd:"" help:"Play a scenario in virtual time, over seeds and settings of the decision module, and compare them."`
 	Judge    judgeCmd         `cmd:"" help:"Judge the trace of a rehearsal again."`
 	Fleet    fleetCmd         `cmd:"" help:"Print what a running node believes of each box, and why."`
+	Control  controlCmd       `cmd:"" help:"The control plane: run one of its processes, or ask one."`
 	Plan     planCmd          `cmd:"" help:"Work a plan through before the day."`
 	Check    checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
 }
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -61,7 +61,8 @@
 		var m struct {
 			node.Member
 			node.Sites
-			Fleet *peers.Report `json:"fleet"`
+			Control *node.ControlStatus `json:"control"`
+			Fleet   *peers.Report       `json:"fleet"`
 		}
 		if err := in.Decode(&m); errors.Is(err, io.EOF) {
 			return w.Flush()
@@ -74,6 +75,12 @@
 			}
 			continue
 		}
+		if m.Control != nil {
+			if err := errors.Join(w.Flush(), printControl(a.out, m.Control)); err != nil {
+				return err
+			}
+			continue
+		}
 		if m.Fleet != nil {
 			if err := w.Flush(); err != nil {
 				return err
@@ -95,6 +102,20 @@
 	}
 }
 
+// printControl prints where the node's configuration stands.
+func printControl(out io.Writer, c *node.ControlStatus) error {
+	position, age := "none yet", "-"
+	if c.Version > 0 {
+		position = fmt.Sprintf("%d.%d", c.Epoch, c.Version)
+		age = (time.Duration(c.AgeMS) * time.Millisecond).Round(100 * time.Millisecond).String()
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nCONFIGURATION\tREGION\tIN FORCE\tAGE\tFROM\tPARENTS\tREFUSED")
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", c.Service, c.Region, position, age, cmp.Or(c.Source, "-"),
+		cmp.Or(strings.Join(c.Parents, ", "), "-"), cmp.Or(c.Refused, "-"))
+	return w.Flush()
+}
+
 // standings prints how each site stands.
 func standings(out io.Writer, all *node.Sites) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- /dev/null
+++ b/internal/controlnet/accept.go
@@ -0,0 +1,112 @@
+package controlnet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"craneglade/internal/controlplane/message"
+	"craneglade/internal/controlplane/publisher"
+	"craneglade/internal/peers/frame"
+	"craneglade/internal/timing"
+)
+
+// acceptPause is how long accepting rests after it has failed, as where no descriptor is left.
+const acceptPause = 50 * time.Millisecond
+
+// maxHandshakes is how many connections may be at their beginning at a time.
+const maxHandshakes = 128
+
+// accept takes subscribers' connections until ctx ends.
+func (p *Process) accept(ctx context.Context, ln net.Listener) {
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	places, handshakes := make(chan struct{}, p.cfg.MaxSubscribers), make(chan struct{}, maxHandshakes)
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			p.warnings.warn("a connection could not be accepted", "err", err)
+			if !timing.Sleep(ctx, acceptPause) {
+				return
+			}
+			continue
+		}
+		select {
+		case handshakes <- struct{}{}:
+			p.sessions.Go(func() { p.receive(ctx, conn, handshakes, places) })
+		default:
+			p.turnAway(conn, "a connection was turned away: too many are at their beginning")
+		}
+	}
+}
+
+// receive makes a session of a connection, and carries it where there is a place. It holds a token of handshakes until the
+// other side has shown that it has a key, so that strangers take no place of a subscriber.
+func (p *Process) receive(ctx context.Context, conn net.Conn, handshakes, places chan struct{}) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	s, err := p.welcome(conn)
+	<-handshakes
+	if err != nil {
+		p.counters.strangers.Add(1)
+		p.warnings.warn("a connection is no subscriber's", "from", conn.RemoteAddr(), "err", err)
+		return
+	}
+	select {
+	case places <- struct{}{}:
+		p.serve(ctx, s)
+		<-places
+	default:
+		p.turnAway(conn, "a subscriber was turned away: limits.subscribers is reached")
+	}
+}
+
+func (p *Process) turnAway(conn net.Conn, why string) {
+	p.counters.turnedAway.Add(1)
+	p.warnings.warn(why, "from", conn.RemoteAddr())
+	conn.Close()
+}
+
+// serve carries one subscriber's session.
+func (p *Process) serve(ctx context.Context, s *session) {
+	var id publisher.SessionID
+	p.Do(func() {
+		p.lastID++
+		id = p.lastID
+		p.downstreams[id] = s
+		p.cfg.Publisher.Connected(p.cfg.Clock(), id)
+	})
+	err := s.run(ctx, func(m message.Message) {
+		p.Do(func() {
+			if err := p.cfg.Publisher.Receive(p.cfg.Clock(), id, m); err != nil {
+				p.counters.bad.Add(1)
+				p.warnings.warn("a subscriber's message was dropped", "from", s.peer, "err", err)
+			}
+		})
+	}, p.unreadable(s))
+	p.Do(func() {
+		delete(p.downstreams, id)
+		p.cfg.Publisher.Disconnected(p.cfg.Clock(), id)
+	})
+	if errors.Is(err, errSlow) {
+		p.warnings.warn("a subscriber was disconnected", "name", s.peer, "err", err)
+	}
+	p.cfg.Log.Debug("a subscriber's session has ended", "name", s.peer, "err", err)
+}
+
+// welcome makes a session of a connection, or closes it.
+func (p *Process) welcome(conn net.Conn) (*session, error) {
+	framed, err := frame.Accept(conn, p.frames)
+	if err != nil {
+		return nil, err
+	}
+	s, err := greet(framed, p, nil) // the publisher itself keeps to its budget
+	if err != nil {
+		return nil, errors.Join(err, framed.Close())
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/controlnet/daemon.go
@@ -0,0 +1,264 @@
+package controlnet
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"craneglade/internal/controlplane/changelog"
+	"craneglade/internal/controlplane/parents"
+	"craneglade/internal/controlplane/publisher"
+	"craneglade/internal/controlplane/resource"
+	"craneglade/internal/controlplane/subscriber"
+	"craneglade/internal/settings"
+)
+
+// daemon is a process of the control plane: the writer of a region's log, or a relay.
+type daemon struct {
+	cfg     *settings.ControlProcess
+	log     *slog.Logger
+	clock   func() time.Duration
+	process *Process
+	writer  *writer // nil for a relay
+	stores  []*changelog.Store
+}
+
+// Serve runs a process of the control plane until ctx ends.
+func Serve(ctx context.Context, cfg *settings.ControlProcess, log *slog.Logger) error {
+	d := &daemon{cfg: cfg, log: log, clock: monotonic()}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if err := d.open(); err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	if d.writer != nil {
+		defer d.writer.close()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	operators, err := listenUnix(cfg.Socket)
+	if err != nil {
+		return errors.Join(fmt.Errorf("socket: %w", err), ln.Close())
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.answerOperators(ctx, operators)
+	}()
+	log.Info("serving", "role", cfg.Role, "region", cfg.Region, "listen", cfg.Listen)
+	d.process.Run(ctx, ln)
+	<-done
+	return nil
+}
+
+// monotonic is a clock that never steps back, from its start on.
+func monotonic() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+// open makes the state machines that the role needs.
+func (d *daemon) open() error {
+	var subscribers []*subscriber.Subscriber
+	if d.cfg.Role == settings.RoleWriter {
+		w, torn, err := openWriter(d.cfg.State, d.cfg.Region, uint64(max(0, d.cfg.Epoch-1)))
+		if err != nil {
+			return fmt.Errorf("state: %w", err)
+		}
+		if torn > 0 {
+			d.log.Warn("the end of the log was not written whole, and is cut off", "bytes", torn)
+		}
+		d.log.Info("the log is open", "epoch", w.epoch, "position", w.served.Position(), "resources", w.served.Len())
+		d.writer = w
+		d.stores = append(d.stores, w.served)
+		subscribers = d.otherRegions()
+	} else {
+		subscribers = []*subscriber.Subscriber{d.subscriber(d.cfg.Regions, d.cfg.Parents)}
+	}
+	for _, s := range subscribers {
+		for _, region := range s.Status(d.clock()).Regions {
+			d.stores = append(d.stores, s.Store(region.Region))
+		}
+	}
+	d.serveWith(subscribers)
+	return nil
+}
+
+// otherRegions are the subscribers of a writer to the logs of other regions, one for each.
+func (d *daemon) otherRegions() (all []*subscriber.Subscriber) {
+	byRegion := map[string][]settings.Parent{}
+	for _, o := range d.cfg.Others {
+		byRegion[o.Region] = append(byRegion[o.Region], settings.Parent{Name: o.Name, Address: o.Address, Zone: o.Zone})
+	}
+	for region, candidates := range byRegion {
+		all = append(all, d.subscriber([]string{region}, candidates))
+	}
+	return all
+}
+
+func (d *daemon) subscriber(regions []string, from []settings.Parent) *subscriber.Subscriber {
+	return subscriber.New(subscriber.Config{Name: d.cfg.Name, Zone: d.cfg.Zone, Regions: regions, Filter: changelog.Filter{All: true},
+		Candidates: Candidates(from), Seed: seed(d.cfg.Name), Limits: LimitsFor(d.cfg.Limits.Silence.D())}, d.clock())
+}
+
+// Candidates are the parents that settings name.
+func Candidates(all []settings.Parent) (candidates []parents.Candidate) {
+	for _, p := range all {
+		candidates = append(candidates, parents.Candidate{Name: p.Name, Address: p.Address, Zone: p.Zone})
+	}
+	return candidates
+}
+
+// seed draws differ between processes of different names and between their starts.
+func seed(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64() ^ uint64(time.Now().UnixNano())
+}
+
+// serveWith makes the process that carries the state machines.
+func (d *daemon) serveWith(subscribers []*subscriber.Subscriber) {
+	limits := &d.cfg.Limits
+	p := publisher.New(publisher.Config{
+		BytesPerSecond:    float64(limits.Bytes),
+		Burst:             burstSeconds * float64(limits.Bytes),
+		MaxSnapshots:      limits.Snapshots,
+		HeartbeatInterval: limits.Heartbeat.D(),
+		Seed:              seed(d.cfg.Name),
+		Age:               func(region string, now time.Duration) time.Duration { return age(subscribers, region, now) },
+	})
+	for _, store := range d.stores {
+		p.Publish(store)
+	}
+	d.process = NewProcess(Config{Name: d.cfg.Name, Keys: d.cfg.Keys, Cluster: d.cfg.Cluster, MaxSubscribers: limits.Subscribers, StaleAfter: limits.Silence.D(),
+		Subscribers: subscribers, Publisher: p, Clock: d.clock, Log: d.log})
+	if d.writer != nil {
+		d.writer.process = d.process
+	}
+}
+
+// age is how old the replica of a region is; a log of which this process is the writer is as new as can be.
+func age(subscribers []*subscriber.Subscriber, region string, now time.Duration) time.Duration {
+	for _, s := range subscribers {
+		if s.Store(region) != nil {
+			return s.Age(region, now)
+		}
+	}
+	return 0
+}
+
+// LogStatus is the state of one log in a process, for operators.
+type LogStatus struct {
+	Region    string             `json:"region"`
+	Writer    bool               `json:"writer"` // this process is the log's writer
+	Epoch     uint64             `json:"epoch,omitempty"`
+	Position  string             `json:"position"`
+	AgeMS     int64              `json:"age_ms"`
+	Resources int                `json:"resources"`
+	Source    string             `json:"source,omitempty"`
+	Refused   string             `json:"refused,omitempty"`
+	Counts    *subscriber.Counts `json:"counts,omitempty"`
+}
+
+// SessionStatus is what one subscriber has of one log, for operators.
+type SessionStatus struct {
+	Name           string `json:"name"`
+	Region         string `json:"region"`
+	State          string `json:"state"`
+	Standby        bool   `json:"standby,omitempty"`
+	Position       string `json:"position"`
+	Refused        string `json:"refused,omitempty"`
+	Unacknowledged int    `json:"unacknowledged_bytes"`
+}
+
+// DaemonStatus is the state of a process of the control plane, for operators.
+type DaemonStatus struct {
+	Name        string          `json:"name"`
+	Role        string          `json:"role"`
+	Logs        []LogStatus     `json:"logs"`
+	Connected   []string        `json:"parents"`
+	Dropped     uint64          `json:"dropped"` // messages of parents that were wrong
+	Subscribers []SessionStatus `json:"subscribers"`
+	Counts      Counts          `json:"counts"`
+}
+
+// status reports the state of the process.
+func (d *daemon) status() DaemonStatus {
+	status := d.process.Status()
+	out := DaemonStatus{Name: d.cfg.Name, Role: string(d.cfg.Role), Counts: status.Counts}
+	for _, p := range status.Parents {
+		out.Connected = append(out.Connected, p.Connected...)
+		out.Dropped += p.Dropped
+	}
+	d.process.Do(func() {
+		for _, store := range d.stores {
+			out.Logs = append(out.Logs, LogStatus{Region: store.Region(), Position: show(store.Position()), Resources: store.Len()})
+		}
+	})
+	for i := range out.Logs {
+		l := &out.Logs[i]
+		if d.writer != nil && l.Region == d.cfg.Region {
+			l.Writer, l.Epoch = true, d.writer.epoch
+		} else if r, ok := status.Region(l.Region); ok {
+			l.AgeMS, l.Source, l.Refused, l.Counts = r.Age.Milliseconds(), r.Source, r.Refused, &r.Counts
+		}
+	}
+	for _, s := range status.Subscribers {
+		out.Subscribers = append(out.Subscribers, SessionStatus{Name: status.Names[s.Session], Region: s.Region, State: s.State,
+			Standby: s.Standby, Position: show(s.Position), Refused: s.Refused, Unacknowledged: s.Unacknowledged})
+	}
+	slices.SortFunc(out.Subscribers, func(a, b SessionStatus) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Region, b.Region))
+	})
+	return out
+}
+
+// show is a position as operators read it.
+func show(p resource.Position) string {
+	if p.IsZero() {
+		return "-"
+	}
+	return p.String()
+}
+
+// resources are those of a service in the log of a region, or of all; of one kind and name, where these are given.
+func (d *daemon) resources(region, service string, kind resource.Kind, name string) ([]resource.Resource, error) {
+	at := slices.IndexFunc(d.stores, func(s *changelog.Store) bool { return s.Region() == region })
+	if at < 0 {
+		return nil, fmt.Errorf("this process has no log of region %q", region)
+	}
+	filter := changelog.Filter{All: service == ""}
+	if service != "" {
+		filter.Services = []string{service}
+	}
+	var all []resource.Resource
+	d.process.Do(func() { all = d.stores[at].Snapshot(filter) })
+	return slices.DeleteFunc(all, func(r resource.Resource) bool {
+		return kind != 0 && r.Key.Kind != kind || name != "" && r.Key.Name != name
+	}), nil
+}
+
+// removeStale takes away the socket file that a process left behind when it was killed.
+func removeStale(path string) error {
+	info, err := os.Lstat(path)
+	if err != nil {
+		return err
+	}
+	if info.Mode().Type() != os.ModeSocket {
+		return fmt.Errorf("%s is there and is no socket: give a path at which nothing is", path)
+	}
+	if c, err := net.Dial("unix", path); err == nil {
+		c.Close()
+		return fmt.Errorf("another process answers on %s: give each process a path of its own", path)
+	}
+	return os.Remove(path)
+}
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -104,6 +104,11 @@
 					n.log.Debug("who asked for the fleet did not read it", "err", err)
 				}
 			}
+			if n.control != nil {
+				if err := out.Encode(Control{n.control.status()}); err != nil {
+					n.log.Debug("who asked for the fleet did not read it", "err", err)
+				}
+			}
 			if n.peers != nil {
 				if err := out.Encode(Shared{n.peers.Report()}); err != nil {
 					n.log.Debug("who asked for the fleet did not read it", "err", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,11 +46,12 @@
 	rpc     *rpccarrier.Carrier
 	rpcs    *rpcfront.Front    // nil where the settings name no address
 	peers   *peers.Peers       // nil for a node that shares nothing
+	control *control           // nil where the list comes from discovery
 	stop    context.CancelFunc // ends what hangs on no part
 	wg      sync.WaitGroup     // and this is that
 
 	mu   sync.Mutex
-	list *discovery.Source
+	list *discovery.Source // nil where the list comes from the control plane
 }
 
 // Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
@@ -154,10 +155,9 @@
 		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: both.Side(admission.ClientSide),
 			Methods: cfg.methods(), Inflight: own.JSONRPC.Inflight, Batch: own.JSONRPC.Batch, Idle: own.JSONRPC.Idle.D(), Log: log})
 	}
-	n.list = n.source(cfg.Discovery, false)
-	n.engine.Follow(n.list, &cfg.Known)
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
+	n.follow(ctx, &own.Control)
 	n.names(ctx, &own.DNS)
 	if own.Fleet.Listen != "" {
 		n.peers, err = peers.Start(peers.Config{Fleet: &own.Fleet, Name: cfg.Name, Policy: &cfg.Settings.Policy, Sites: own.Sites.Names(), Clock: clock.Now,
@@ -180,6 +180,18 @@
 	return n, nil
 }
 
+// follow has the engine's list come from the control plane, or from discovery where there is none, until ctx ends.
+func (n *node) follow(ctx context.Context, own *settings.Control) {
+	if !own.On() {
+		n.list = n.source(n.cfg.Discovery, false)
+		n.engine.Follow(n.list, &n.cfg.Known)
+		return
+	}
+	n.control = n.newControl(own)
+	n.engine.Follow(n.control.endpoints, &n.cfg.Known)
+	n.wg.Go(func() { n.control.run(ctx) })
+}
+
 // end ends what start started.
 func (n *node) end() {
 	n.engine.Stop()
@@ -190,7 +202,9 @@
 	n.wg.Wait()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.list.Stop()
+	if n.list != nil {
+		n.list.Stop()
+	}
 	n.carrier.Stop()
 	if n.rpc != nil {
 		n.rpc.Stop()
@@ -281,7 +295,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old := n.list
-	if cfg.Discovery == old.Addr() {
+	if old == nil || cfg.Discovery == old.Addr() {
 		return
 	}
 	n.log.Info("following another discovery", "from", old.Addr(), "to", cfg.Discovery)
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -14,13 +14,14 @@
 // Control says from where a node takes the configuration and the endpoints of its service, in place of discovery. Without
 // a service there is no control plane for it.
 type Control struct {
-	Services []string      `toml:"services"` // that this node serves: one, for now
-	Region   string        `toml:"region"`   // the home region of the service
-	Cluster  string        `toml:"cluster"`  // as fleet.cluster
-	Key      string        `toml:"key_file"` // as fleet.key_file
-	Bytes    tomlfile.Size `toml:"bytes"`    // a second that this node sends to its parents at most
-	Parents  []Parent      `toml:"parent"`   // relays, or control processes where there are none
-	Keys     [][]byte      `toml:"-"`        // what key_file holds
+	Services []string          `toml:"services"` // that this node serves: one, for now
+	Region   string            `toml:"region"`   // the home region of the service
+	Cluster  string            `toml:"cluster"`  // as fleet.cluster
+	Key      string            `toml:"key_file"` // as fleet.key_file
+	Bytes    tomlfile.Size     `toml:"bytes"`    // a second that this node sends to its parents at most
+	Silence  tomlfile.Duration `toml:"silence"`  // after which a parent is given up; several of its heartbeats
+	Parents  []Parent          `toml:"parent"`   // relays, or control processes where there are none
+	Keys     [][]byte          `toml:"-"`        // what key_file holds
 }
 
 // Parent is a process that serves logs to others.
@@ -38,7 +39,10 @@
 	maxNameBytes             = resource.MaxNameBytes
 	maxParents               = 64
 	defaultHeartbeat         = time.Second
-	defaultServedBytes       = 1 << 20 // a second, to all subscribers together
+	defaultSilence           = 3 * time.Second
+	minSilence               = 200 * time.Millisecond
+	maxSilence               = time.Minute
+	defaultServedBytes       = 8 << 20 // a second, to all subscribers together
 	defaultServedSnapshots   = 8
 	defaultServedSubscribers = 1000
 	maxServedSubscribers     = 10000
@@ -50,7 +54,7 @@
 // check fills in what is left out and says what is wrong.
 func (c *Control) check(keys *tomlfile.Keys) (err error) {
 	if !c.On() {
-		for _, k := range []string{"region", "cluster", "key_file", "bytes", "parent[0]"} {
+		for _, k := range []string{"region", "cluster", "key_file", "bytes", "silence", "parent[0]"} {
 			if keys.Has("control." + k) {
 				return keys.Problem("control.services", "it is missing, and control.%s does nothing without it", k)
 			}
@@ -75,6 +79,9 @@
 	if err := checkBytes(keys, "control.bytes", c.Bytes); err != nil {
 		return err
 	}
+	if c.Silence, err = checkSilence(keys, "control.silence", c.Silence); err != nil {
+		return err
+	}
 	if len(c.Parents) == 0 {
 		return keys.Problem("control.parent", "none is named: give name, address and zone of two or more in [[control.parent]]")
 	}
@@ -88,6 +95,17 @@
 	return nil
 }
 
+// checkSilence returns how long a parent may be silent: value, or the default where the file names none.
+func checkSilence(keys *tomlfile.Keys, key string, value tomlfile.Duration) (tomlfile.Duration, error) {
+	if !keys.Has(key) {
+		return tomlfile.Duration(defaultSilence), nil
+	}
+	if value.D() < minSilence || value.D() > maxSilence {
+		return 0, keys.Problem(key, "%v is outside %v to %v", value, minSilence, maxSilence)
+	}
+	return value, nil
+}
+
 func checkBytes(keys *tomlfile.Keys, key string, size tomlfile.Size) error {
 	if size < minControlBytes || size > maxControlBytes {
 		return keys.Problem(key, "%d is outside 1KiB to 1GiB a second", size)
@@ -160,6 +178,7 @@
 	Snapshots   int               `toml:"snapshots"`   // that it sends at a time
 	Subscribers int               `toml:"subscribers"` // sessions at a time
 	Heartbeat   tomlfile.Duration `toml:"heartbeat"`   // how often each subscriber is told that nothing has changed
+	Silence     tomlfile.Duration `toml:"silence"`     // after which this process gives a parent of its own up
 }
 
 // LoadControlProcess reads the file of a process of the control plane and checks it whole. An error is one line that names
@@ -270,7 +289,7 @@
 	return checkParents(keys, "region_parent", parents)
 }
 
-func (l *ControlLimits) check(keys *tomlfile.Keys) error {
+func (l *ControlLimits) check(keys *tomlfile.Keys) (err error) {
 	if !keys.Has("limits.bytes") {
 		l.Bytes = defaultServedBytes
 	}
@@ -291,5 +310,8 @@
 	case l.Heartbeat.D() < 50*time.Millisecond || l.Heartbeat.D() > 10*time.Second:
 		return keys.Problem("limits.heartbeat", "%v is outside 50ms to 10s", l.Heartbeat.D())
 	}
+	if l.Silence, err = checkSilence(keys, "limits.silence", l.Silence); err != nil {
+		return err
+	}
 	return checkBytes(keys, "limits.bytes", l.Bytes)
 }
