--- a/internal/controlnet/session.go
+++ b/internal/controlnet/session.go
@@ -79,9 +79,8 @@
 
 // send queues an encoded message, which nobody may change, and ends the session if there is no room for it.
 func (s *session) send(encoded []byte) {
-	if !s.outgoing.push(encoded) {
+	if !s.outgoing.push(encoded) && s.close(errSlow) {
 		s.counters.slow.Add(1)
-		s.close(errSlow)
 	}
 }
 
@@ -99,13 +98,15 @@
 	return s.err
 }
 
-// close ends the session for a reason, of which the first counts.
-func (s *session) close(err error) {
+// close ends the session for a reason. It reports whether it is the first, which counts.
+func (s *session) close(err error) (first bool) {
 	s.once.Do(func() {
+		first = true
 		s.err = err
 		close(s.closed)
 		s.conn.Close()
 	})
+	return first
 }
 
 func (s *session) write() error {
