--- a/internal/settings/control_test.go
+++ b/internal/settings/control_test.go
@@ -131,3 +131,48 @@
 		{relay[strings.Index(relay, "[[parent]]"):], "", "parent: none is named"},
 	})
 }
+
+// The example is good as it stands, but for its paths, and so is all that is commented out in it.
+func TestControlExample(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/control.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	paths := strings.NewReplacer("/etc/craneglade/fleet.key", keyFile(t), "/var/lib/craneglade/control", t.TempDir())
+	if _, err := ParseControlProcess("control.toml", []byte(paths.Replace(string(text)))); err != nil {
+		t.Error(err)
+	}
+	without := func(text string, lines ...string) string {
+		var out []string
+		for line := range strings.Lines(text) {
+			keep := true
+			for _, l := range lines {
+				keep = keep && !strings.HasPrefix(line, l)
+			}
+			if keep {
+				out = append(out, line)
+			}
+		}
+		return strings.Join(out, "")
+	}
+	all := strings.ReplaceAll(paths.Replace(string(text)), "\n# ", "\n")
+	all = without(all, "A process of", "uses one", "# A process")
+	at := strings.Index(all, "[[parent]]")
+	other := strings.Index(all, "[[region_parent]]")
+	relay := without(strings.Replace(all[:other], `"writer"`, `"relay"`, 1), "state", "epoch")
+	writer := without(all[:at]+all[other:], "regions")
+	for _, text := range []string{relay, writer} {
+		if _, err := ParseControlProcess("control.toml", []byte(text)); err != nil {
+			t.Errorf("%v\n%s", err, text)
+		}
+	}
+	own, err := os.ReadFile("../../deploy/craneglade.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section := string(own)[strings.Index(string(own), "# [control]"):]
+	section = paths.Replace(strings.ReplaceAll("\n"+strings.ReplaceAll(section, "\n#\n", "\n"), "\n# ", "\n"))
+	if f, err := Parse("craneglade.toml", []byte(section)); err != nil || !f.Control.On() {
+		t.Errorf("%v\n%s", err, section)
+	}
+}
