Quorum: one writer of a region's log, elected and fenced by Raft, driven by its caller

A region's log has one writer at a time, and what an older one sends late must change nothing. A Replica wraps go.etcd.io/raft/v3 (PreVote and CheckQuorum on, no forwarding): the epoch is the leader's term, a leader is the writer only once it was handed all entries of earlier epochs, each entry carries its proposer's epoch, and one whose epoch is not that in which it was appended is dropped by every replica, counted and told in one line. What the algorithm takes for impossible ends the replica and not the process.

--- /dev/null
+++ b/internal/controlplane/quorum/cluster_test.go
@@ -0,0 +1,485 @@
+package quorum
+
+import (
+	"bytes"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// seededReader makes the algorithm's election timeouts, which it draws from crypto/rand.Reader, repeatable by seed.
+type seededReader struct{ random *rand.Rand }
+
+func (s seededReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = byte(s.random.Uint32())
+	}
+	return len(b), nil
+}
+
+// profile is how rough a script is; seeds take turns.
+type profile struct {
+	electionTicks int // few make for elections with several candidates; a message takes up to 3 ticks
+	crashOneIn    int // of the places in its work where a process may crash
+}
+
+var profiles = []profile{{10, 600}, {10, 80}, {4, 60}, {4, 1000}}
+
+// stopsWithin is how many ticks after it lost the majority a writer is no longer one, at the latest.
+func (p profile) stopsWithin() int { return 5*p.electionTicks/2 + 5 }
+
+// faults are planted: each breaks one thing that the checks of a cluster have to see.
+type faults struct {
+	noFence         bool // entries of deposed writers are taken
+	noBarrier       bool // a leader is the writer before it was handed the entries of earlier epochs
+	noCheckQuorum   bool // a writer that is cut off goes on as one
+	forgetVotes     bool // the storage loses the term and the vote
+	forgetEntries   bool // the storage loses its last entries at a crash, after they were confirmed
+	keepConflicts   bool // entries that were replaced stay in the storage
+	ignoreSnapshots bool // what a snapshot stands for is not taken
+}
+
+// process is a control process: a replica, its storage, and what it made of the committed entries.
+type process struct {
+	id       uint64
+	replica  *Replica
+	stored   State
+	applied  []Entry
+	cutSince int // the tick from which on it reached no majority; -1 where it does
+}
+
+const networkCapacity = 150 // messages on their way; further ones are lost
+
+// packet is a message on its way.
+type packet struct {
+	due      int
+	from, to uint64
+	data     []byte
+}
+
+// cluster is control processes in virtual time.
+type cluster struct {
+	profile
+	random    *rand.Rand
+	faults    faults
+	peers     []uint64
+	processes []*process
+	network   []packet
+	now       int
+	loss      float64
+	group     map[uint64]int // who reaches whom: those of the same group
+	committed map[uint64]Entry
+	indexes   []uint64          // of committed, sorted
+	writers   map[uint64]uint64 // by epoch
+	proposals [][]byte          // stamped, of all writers so far
+	proposed  int
+	snapshots int
+	fenced    uint64 // in processes that were restarted since
+	restarts  int
+}
+
+func newCluster(size int, seed uint64, planted faults) *cluster {
+	c := &cluster{
+		profile:   profiles[seed%uint64(len(profiles))],
+		random:    rand.New(rand.NewPCG(seed, uint64(size))),
+		faults:    planted,
+		group:     map[uint64]int{},
+		committed: map[uint64]Entry{},
+		writers:   map[uint64]uint64{},
+	}
+	cryptorand.Reader = seededReader{rand.New(rand.NewPCG(seed, 99))}
+	for id := range uint64(size) {
+		c.peers = append(c.peers, id+1)
+		c.processes = append(c.processes, &process{id: id + 1, cutSince: -1})
+	}
+	return c
+}
+
+// start makes a process of what its storage has.
+func (c *cluster) start(p *process) error {
+	state := State{Hard: p.stored.Hard, Snapshot: p.stored.Snapshot, Entries: slices.Clone(p.stored.Entries)}
+	replica, err := newReplica(Config{ID: p.id, Peers: c.peers, State: state, ElectionTicks: c.electionTicks, SnapshotRetryTicks: 30}, func(settings *raft.Config) {
+		settings.CheckQuorum = !c.faults.noCheckQuorum
+	})
+	if err != nil {
+		return err
+	}
+	if c.faults.noFence {
+		replica.stale = func(uint64, uint64) bool { return false }
+	}
+	if c.faults.noBarrier {
+		replica.caughtUp = func(uint64, uint64) bool { return true }
+	}
+	p.replica = replica
+	p.applied = decodeHistory(p.stored.Snapshot.Data)
+	return nil
+}
+
+// restart crashes a process and starts it anew.
+func (c *cluster) restart(p *process) error {
+	c.restarts++
+	c.fenced += p.replica.FencedEntries()
+	if c.faults.forgetVotes {
+		p.stored.Hard = HardState{Term: lastTerm(&p.stored), Commit: p.stored.Hard.Commit}
+	}
+	if c.faults.forgetEntries {
+		p.stored.Entries = p.stored.Entries[:max(0, len(p.stored.Entries)-3)]
+		p.stored.Hard.Commit = min(p.stored.Hard.Commit, p.stored.lastIndex())
+	}
+	return c.start(p)
+}
+
+func lastTerm(s *State) uint64 {
+	term, _ := s.term(s.lastIndex())
+	return term
+}
+
+// persist keeps what a Ready says.
+func (c *cluster) persist(p *process, what Persist) error {
+	if c.faults.keepConflicts && len(what.Entries) > 0 && what.Entries[0].Index <= p.stored.lastIndex() {
+		kept := slices.Clone(p.stored.Entries)
+		if err := p.stored.Take(what); err != nil {
+			return err
+		}
+		copy(p.stored.Entries, kept[:min(len(kept), len(p.stored.Entries))])
+		return nil
+	}
+	return p.stored.Take(what)
+}
+
+// work does all that a process has to do. It may crash before and after each part of it.
+func (c *cluster) work(p *process, mayCrash bool) error {
+	for {
+		ready, ok := p.replica.Ready()
+		if !ok {
+			return p.replica.Failure()
+		}
+		if mayCrash && c.random.IntN(c.crashOneIn) == 0 {
+			return c.restart(p) // before anything was kept
+		}
+		voting := votes(p.stored.Hard, ready.Persist.Hard)
+		if err := c.persist(p, ready.Persist); err != nil {
+			return err
+		}
+		if mayCrash && c.random.IntN(c.crashOneIn) == 0 {
+			return c.restart(p) // kept, and nothing was sent
+		}
+		for _, m := range ready.Send {
+			c.send(p.id, m)
+		}
+		if mayCrash && (c.random.IntN(c.crashOneIn) == 0 || voting && c.random.IntN(3) == 0) {
+			return c.restart(p) // sent, and nothing was taken
+		}
+		if ready.Restore != nil && !c.faults.ignoreSnapshots {
+			p.applied = decodeHistory(ready.Restore.Data)
+			c.snapshots++
+		}
+		for _, e := range ready.Committed {
+			if err := c.apply(p, e); err != nil {
+				return err
+			}
+		}
+		p.replica.Advance()
+	}
+}
+
+// votes reports whether a replica votes for another one or itself: a bad time to forget.
+func votes(before HardState, after *HardState) bool {
+	return after != nil && after.Vote != 0 && (after.Vote != before.Vote || after.Term != before.Term)
+}
+
+// send puts a message on the network, which loses, doubles, delays and turns the order of messages.
+func (c *cluster) send(from uint64, m Outgoing) {
+	for range 1 + c.random.IntN(20)/19 {
+		if c.random.Float64() >= c.loss && c.group[from] == c.group[m.To] && len(c.network) < networkCapacity {
+			c.network = append(c.network, packet{c.now + 1 + c.random.IntN(3), from, m.To, m.Data})
+		}
+	}
+}
+
+// apply takes a committed entry and checks it against all that was ever committed.
+func (c *cluster) apply(p *process, e Entry) error {
+	if known, ok := c.committed[e.Index]; ok && (known.Epoch != e.Epoch || !bytes.Equal(known.Data, e.Data)) {
+		return fmt.Errorf("replica %d: entry %d is %q of epoch %d, and elsewhere %q of epoch %d", p.id, e.Index, e.Data, e.Epoch, known.Data, known.Epoch)
+	}
+	if len(p.applied) > 0 {
+		last := p.applied[len(p.applied)-1]
+		if e.Index <= last.Index || e.Epoch < last.Epoch {
+			return fmt.Errorf("replica %d: entry %d of epoch %d after entry %d of epoch %d", p.id, e.Index, e.Epoch, last.Index, last.Epoch)
+		}
+	}
+	if writer, ok := c.writers[e.Epoch]; !ok || !bytes.HasPrefix(e.Data, fmt.Appendf(nil, "by %d in %d:", writer, e.Epoch)) {
+		return fmt.Errorf("replica %d: entry %d, %q, is not of the writer of epoch %d", p.id, e.Index, e.Data, e.Epoch)
+	}
+	if at, known := slices.BinarySearch(c.indexes, e.Index); !known {
+		c.indexes = slices.Insert(c.indexes, at, e.Index)
+		c.committed[e.Index] = Entry{e.Index, e.Epoch, bytes.Clone(e.Data)}
+	}
+	p.applied = append(p.applied, c.committed[e.Index])
+	return nil
+}
+
+// check looks at all processes between two ticks.
+func (c *cluster) check() error {
+	for _, p := range c.processes {
+		if err := c.checkGaps(p); err != nil {
+			return err
+		}
+		id, epoch := p.replica.Writer()
+		if id != p.id {
+			continue
+		}
+		if other, ok := c.writers[epoch]; ok && other != id {
+			return fmt.Errorf("epoch %d has two writers, %d and %d", epoch, other, id)
+		}
+		if _, known := c.writers[epoch]; !known {
+			if err := c.checkCaughtUp(p, epoch); err != nil {
+				return err
+			}
+		}
+		c.writers[epoch] = id
+		if p.cutSince >= 0 && c.now-p.cutSince > c.stopsWithin() {
+			return fmt.Errorf("replica %d is the writer of epoch %d, %d ticks after it lost the majority", id, epoch, c.now-p.cutSince)
+		}
+	}
+	return nil
+}
+
+// checkGaps holds what a process took against all that was committed up to there.
+func (c *cluster) checkGaps(p *process) error {
+	if len(p.applied) == 0 {
+		return nil
+	}
+	last := p.applied[len(p.applied)-1].Index
+	count, _ := slices.BinarySearch(c.indexes, last+1)
+	if count != len(p.applied) {
+		return fmt.Errorf("replica %d took %d entries up to %d, and %d were committed", p.id, len(p.applied), last, count)
+	}
+	return nil
+}
+
+// checkCaughtUp holds a new writer against what earlier ones committed.
+func (c *cluster) checkCaughtUp(p *process, epoch uint64) error {
+	for index, e := range c.committed {
+		if e.Epoch < epoch && !slices.ContainsFunc(p.applied, func(a Entry) bool { return a.Index == index }) {
+			return fmt.Errorf("replica %d is the writer of epoch %d without entry %d of epoch %d", p.id, epoch, index, e.Epoch)
+		}
+	}
+	return nil
+}
+
+// step is one tick of all processes.
+func (c *cluster) step(mayCrash bool) error {
+	c.now++
+	for _, p := range c.processes {
+		c.noteCut(p)
+		if c.random.IntN(10) > 0 { // clocks drift
+			p.replica.Tick()
+		}
+		if err := c.work(p, mayCrash); err != nil {
+			return err
+		}
+	}
+	if err := c.deliver(mayCrash); err != nil {
+		return err
+	}
+	return c.check()
+}
+
+func (c *cluster) noteCut(p *process) {
+	reached := 0
+	for _, id := range c.peers {
+		if c.group[id] == c.group[p.id] {
+			reached++
+		}
+	}
+	switch {
+	case 2*reached > len(c.peers):
+		p.cutSince = -1
+	case p.cutSince < 0:
+		p.cutSince = c.now
+	}
+}
+
+func (c *cluster) deliver(mayCrash bool) error {
+	c.random.Shuffle(len(c.network), func(i, j int) { c.network[i], c.network[j] = c.network[j], c.network[i] })
+	due := slices.Clone(c.network)
+	c.network = slices.DeleteFunc(c.network, func(p packet) bool { return p.due <= c.now })
+	for _, sent := range due {
+		if sent.due > c.now || c.group[sent.from] != c.group[sent.to] {
+			continue
+		}
+		p := c.processes[sent.to-1]
+		if err := p.replica.Receive(sent.data); err != nil && !errors.Is(err, ErrMessage) {
+			return err
+		}
+		if err := c.work(p, mayCrash); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// propose lets each process that is the writer propose, at times.
+func (c *cluster) propose() error {
+	for _, p := range c.processes {
+		writer, epoch := p.replica.Writer()
+		if writer != p.id || c.random.IntN(3) > 0 {
+			continue
+		}
+		if writer, known := c.writers[epoch]; known && writer != p.id {
+			return fmt.Errorf("epoch %d has two writers, %d and %d", epoch, writer, p.id)
+		}
+		c.proposed++
+		data := fmt.Appendf(nil, "by %d in %d: %d", p.id, epoch, c.proposed)
+		if err := p.replica.Propose(data); err != nil && !errors.Is(err, ErrBusy) {
+			return fmt.Errorf("replica %d, the writer: %w", p.id, err)
+		}
+		c.proposals = append(c.proposals, stamp(epoch, data))
+		if err := c.work(p, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// proposeLate sends what an earlier writer proposed once more, as a process would that was asleep since.
+func (c *cluster) proposeLate() {
+	if len(c.proposals) == 0 {
+		return
+	}
+	data := c.proposals[c.random.IntN(len(c.proposals))]
+	if epoch, _ := unstamp(data); epoch >= c.newestEpoch() {
+		return
+	}
+	from := c.peers[c.random.IntN(len(c.peers))]
+	for _, to := range c.peers {
+		if to == from {
+			continue
+		}
+		m := &pb.Message{Type: pb.MsgProp.Enum(), From: &from, To: &to, Entries: []*pb.Entry{{Data: data}}}
+		encoded, err := proto.Marshal(m)
+		if err != nil {
+			panic(err)
+		}
+		c.send(from, Outgoing{To: to, Data: encoded})
+	}
+}
+
+func (c *cluster) newestEpoch() uint64 {
+	newest := uint64(0)
+	for epoch := range c.writers {
+		newest = max(newest, epoch)
+	}
+	return newest
+}
+
+// disturb cuts, heals, crashes, compacts and has late writers come back, at times.
+func (c *cluster) disturb() error {
+	switch choice := c.random.IntN(120); {
+	case choice < 1:
+		clear(c.group)
+		c.group[c.writers[c.newestEpoch()]] = 1
+	case choice < 3:
+		for _, id := range c.peers {
+			c.group[id] = c.random.IntN(2)
+		}
+	case choice < 5:
+		clear(c.group)
+	case choice < 7:
+		c.loss = []float64{0, 0.05, 0.3}[c.random.IntN(3)]
+	case choice < 10:
+		return c.restart(c.processes[c.random.IntN(len(c.processes))])
+	case choice < 20:
+		p := c.processes[c.random.IntN(len(c.processes))]
+		return p.replica.Compact(encodeHistory(p.applied))
+	case choice < 32:
+		c.proposeLate()
+	}
+	return nil
+}
+
+// run plays a number of ticks with faults, then heals all and checks that the cluster goes on, with nothing lost.
+func (c *cluster) run(ticks int) error {
+	for _, p := range c.processes {
+		if err := c.start(p); err != nil {
+			return err
+		}
+	}
+	for range ticks {
+		if err := c.disturb(); err != nil {
+			return err
+		}
+		if err := c.step(true); err != nil {
+			return err
+		}
+		if err := c.propose(); err != nil {
+			return err
+		}
+	}
+	return c.heal()
+}
+
+func (c *cluster) heal() error {
+	clear(c.group)
+	c.loss = 0
+	before := len(c.committed)
+	for range 300 {
+		if err := c.step(false); err != nil {
+			return err
+		}
+		if err := c.propose(); err != nil {
+			return err
+		}
+	}
+	for range 20 {
+		if err := c.step(false); err != nil {
+			return err
+		}
+	}
+	if len(c.committed) == before {
+		return errors.New("nothing was committed after all was healed")
+	}
+	for _, p := range c.processes {
+		if len(p.applied) != len(c.committed) {
+			return fmt.Errorf("replica %d took %d of %d entries after all was healed", p.id, len(p.applied), len(c.committed))
+		}
+		c.fenced += p.replica.FencedEntries()
+	}
+	return nil
+}
+
+// encodeHistory is what a process keeps of the entries that it compacts.
+func encodeHistory(entries []Entry) []byte {
+	var b []byte
+	for _, e := range entries {
+		b = binary.AppendUvarint(b, e.Index)
+		b = binary.AppendUvarint(b, e.Epoch)
+		b = binary.AppendUvarint(b, uint64(len(e.Data)))
+		b = append(b, e.Data...)
+	}
+	return b
+}
+
+func decodeHistory(b []byte) []Entry {
+	var entries []Entry
+	next := func() uint64 {
+		value, size := binary.Uvarint(b)
+		b = b[size:]
+		return value
+	}
+	for len(b) > 0 {
+		e := Entry{Index: next(), Epoch: next()}
+		size := next()
+		e.Data, b = b[:size], b[size:]
+		entries = append(entries, e)
+	}
+	return entries
+}
