--- a/internal/controlplane/subscriber/receive.go
+++ b/internal/controlplane/subscriber/receive.go
@@ -16,6 +16,9 @@
 	}
 	s.position = m.Position
 	s.freshAt = r.now - min(m.Age, ageUnknown) - r.waited()
+	if p == r.source {
+		r.unserved = m.Sent.IsZero() && m.Position == r.store.Position() && !m.Position.IsZero()
+	}
 	verified := true
 	if p == r.source && !m.Sent.IsZero() {
 		verified = r.compareSent(p, m)
@@ -297,12 +300,17 @@
 	return r.finish(p, m)
 }
 
-// behindInForce refuses a snapshot that would take the log back.
+// behindInForce refuses a snapshot that would take the log back, or is in force already.
 func (r *replica) behindInForce(p *parent, m *message.SnapshotPart) bool {
 	inForce := r.store.Position()
-	if m.Position.Compare(inForce) >= 0 || r.faults.acceptOldSnapshots {
+	order := m.Position.Compare(inForce)
+	if order > 0 || order == 0 && (r.resync || r.assembly.active || inForce.IsZero()) || r.faults.acceptOldSnapshots {
 		return false
 	}
+	if order == 0 { // a part of the last snapshot again; where the digests differ, the next heartbeat shows it
+		r.counts.Duplicates++
+		return true
+	}
 	if m.Index == 0 {
 		r.counts.StaleSnapshots++
 		if m.Position.Epoch < inForce.Epoch {
--- a/internal/controlplane/subscriber/replica.go
+++ b/internal/controlplane/subscriber/replica.go
@@ -20,6 +20,7 @@
 
 	lag        lag
 	progressAt time.Duration // when the source last brought something, or had nothing more
+	unserved   bool          // the source stands where this replica does, and doesn't take it for a subscriber
 	askAgain   bool          // at askAt
 	askAt      time.Duration
 	askTo      resource.Position // not needed any more once this is in force; zero for at any rate
@@ -213,7 +214,7 @@
 	r.breakOff()
 	r.source = p
 	r.lag = lag{}
-	r.askAgain = false
+	r.askAgain, r.unserved = false, false
 	r.attempts = 0
 	r.progressAt = r.now
 }
@@ -264,14 +265,14 @@
 }
 
 // checkProgress asks again where the source has more than is in force and sends nothing of it, where a snapshot stopped in
-// the middle, or where it is silent and nobody is better.
+// the middle, or where it is silent and nobody is better. A request that was lost shows by the same.
 func (r *replica) checkProgress() {
 	r.returnToPreferred()
 	if r.source == nil || r.source.state != parentConnected || r.askAgain {
 		return
 	}
 	more := r.session(r.source).position.Compare(r.store.Position()) > 0 && r.refused == ""
-	if !more && !r.resync && !r.silent(r.source) {
+	if !more && !r.resync && !r.assembly.active && !r.unserved && !r.silent(r.source) {
 		r.progressAt = r.now
 		return
 	}
@@ -334,7 +335,7 @@
 		if r.resync {
 			m.Have, m.Digest = resource.Position{}, 0
 		}
-		r.askAgain = false
+		r.askAgain, r.unserved = false, false
 		r.progressAt = r.now
 		r.breakOff()
 	}
--- a/internal/controlplane/subscriber/subscriber.go
+++ b/internal/controlplane/subscriber/subscriber.go
@@ -332,7 +332,11 @@
 	if gap <= s.cfg.Limits.Silence/2 {
 		return
 	}
-	s.stall, s.stallUntil = gap, now+s.cfg.Limits.Silence/2
+	if now-gap > s.stallUntil {
+		s.stall = 0 // what was on its way in the last stall has come, or its connection was given up
+	}
+	s.stall += gap
+	s.stallUntil = now + s.cfg.Limits.Silence + s.cfg.Limits.Silence/checksPerSilence
 	for _, p := range s.parents {
 		p.excuse(gap)
 	}
