--- a/internal/controlplane/subscriber/connections.go
+++ b/internal/controlplane/subscriber/connections.go
@@ -31,6 +31,7 @@
 	failures  int // in a row
 	retryAt   time.Duration
 	settledAt time.Duration // when it is preferred again, if nothing happens until then
+	skipped   bool          // the next message held what this version doesn't know
 	sessions  []session     // by the index of the region
 }
 
@@ -111,6 +112,7 @@
 	s.started = true
 	p.state, p.since, p.heardAt = parentConnected, s.now, s.now
 	p.settledAt = s.now + s.jittered(s.cfg.Limits.ReturnAfter)
+	p.skipped = false
 	for i := range p.sessions {
 		p.sessions[i] = session{heardAt: s.now, freshAt: s.now}
 	}
--- a/internal/controlplane/subscriber/receive.go
+++ b/internal/controlplane/subscriber/receive.go
@@ -41,7 +41,7 @@
 	switch order := m.Sent.Compare(inForce); {
 	case order < 0:
 		return false
-	case m.Digest == r.store.Digest(r.filter) || r.faults.moveUnchecked:
+	case m.Digest == r.digest() || r.faults.moveUnchecked:
 		if order > 0 {
 			r.moveTo(m.Sent)
 		}
@@ -96,7 +96,7 @@
 }
 
 // delta takes a delta that follows from what is in force.
-func (r *replica) delta(p *parent, s *session, m *message.Delta) error {
+func (r *replica) delta(p *parent, s *session, m *message.Delta, skipped bool) error {
 	name := p.candidate.Name
 	switch {
 	case s.asked == askedNothing:
@@ -119,7 +119,7 @@
 		}
 		return r.drop(name, r.region, DropNotSubscribed, shorten(service))
 	}
-	return r.apply(p, m)
+	return r.apply(p, m, skipped)
 }
 
 // foreign finds a change outside of the subscription.
@@ -169,9 +169,9 @@
 }
 
 // apply brings a delta into force, whole or not at all.
-func (r *replica) apply(p *parent, m *message.Delta) error {
+func (r *replica) apply(p *parent, m *message.Delta, skipped bool) error {
 	digest, changes := r.effect(m.Changes)
-	if digest != m.Digest && !r.faults.ignoreDigests {
+	if digest != m.Digest && !skipped && !r.faults.ignoreDigests {
 		if err := resource.ValidateEach(m.Changes); err != nil {
 			return r.refuse(p, m.To, err)
 		}
@@ -186,6 +186,7 @@
 		return r.refuse(p, m.To, err)
 	}
 	r.counts.Deltas++
+	r.takeUnread(m.Digest, skipped)
 	r.inForce(p)
 	if len(changes) > 0 {
 		r.applied(Applied{Region: r.region, Position: m.To, Changes: changes})
@@ -193,6 +194,14 @@
 	return nil
 }
 
+// takeUnread keeps what a message's digest counts that could not be read.
+func (r *replica) takeUnread(told message.Digest, skipped bool) {
+	if skipped {
+		r.counts.LaterVersions++
+		r.unread = told - r.store.Digest(r.filter)
+	}
+}
+
 // inForce is called when something came into force.
 func (r *replica) inForce(p *parent) {
 	r.refused = ""
@@ -202,7 +211,7 @@
 
 // effect is the digest after changes, and those of them that change something.
 func (r *replica) effect(changes []resource.Change) (message.Digest, []resource.Change) {
-	digest := r.store.Digest(r.filter)
+	digest := r.digest()
 	effective := changes
 	dropped := false
 	for i := range changes {
@@ -262,11 +271,12 @@
 	active    bool
 	position  resource.Position
 	next      uint32
+	skipped   bool // a part held what this version doesn't know
 	resources []resource.Resource
 }
 
 // snapshotPart takes the next part of a snapshot, and brings the snapshot into force with the last one.
-func (r *replica) snapshotPart(p *parent, s *session, m *message.SnapshotPart) error {
+func (r *replica) snapshotPart(p *parent, s *session, m *message.SnapshotPart, skipped bool) error {
 	name := p.candidate.Name
 	switch {
 	case s.asked == askedNothing:
@@ -292,6 +302,7 @@
 	}
 	r.assembly.resources = append(r.assembly.resources, m.Resources...)
 	r.assembly.next++
+	r.assembly.skipped = r.assembly.skipped || skipped
 	r.progressAt = r.now
 	if !m.Last {
 		r.acknowledge(p, "")
@@ -347,9 +358,9 @@
 
 // finish brings a whole snapshot into force.
 func (r *replica) finish(p *parent, m *message.SnapshotPart) error {
-	position, all := r.assembly.position, r.assembly.resources
+	position, all, skipped := r.assembly.position, r.assembly.resources, r.assembly.skipped
 	r.assembly = assembly{}
-	if message.DigestOf(all) != m.Digest && !r.faults.ignoreDigests && !r.faults.acceptTornSnapshots {
+	if message.DigestOf(all) != m.Digest && !skipped && !r.faults.ignoreDigests && !r.faults.acceptTornSnapshots {
 		r.counts.Torn++
 		r.ask(resource.Position{})
 		return nil
@@ -359,6 +370,8 @@
 		return r.refuse(p, position, err)
 	}
 	r.counts.Snapshots++
+	r.unread = 0
+	r.takeUnread(m.Digest, skipped)
 	r.resync, r.askAgain = false, false
 	r.inForce(p)
 	if len(changes) > 0 {
--- a/internal/controlplane/subscriber/replica.go
+++ b/internal/controlplane/subscriber/replica.go
@@ -18,6 +18,9 @@
 	// freshAt is when the writer was known to stand at the store's position.
 	freshAt time.Duration
 
+	// unread is the part of the parents' digest that stems from fields and resources which this version doesn't know.
+	unread message.Digest
+
 	lag        lag
 	progressAt time.Duration // when the source last brought something, or had nothing more
 	unserved   bool          // the source stands where this replica does, and doesn't take it for a subscriber
@@ -98,6 +101,9 @@
 	}
 }
 
+// digest is that of the subscription as parents have it.
+func (r *replica) digest() message.Digest { return r.store.Digest(r.filter) + r.unread }
+
 // prune drops resources of services that are not subscribed to.
 func (r *replica) prune() {
 	var changes []resource.Change
@@ -113,6 +119,7 @@
 		r.note(TransactionRefused{r.region, "", r.store.Position(), r.store.Position(), err})
 		return
 	}
+	r.unread = 0
 	r.applied(Applied{Region: r.region, Position: r.store.Position(), Snapshot: true, Changes: changes})
 }
 
@@ -331,7 +338,7 @@
 	m := &message.Subscribe{Region: r.region, Have: r.store.Position(), Standby: as == askedStandby}
 	if as == askedStream {
 		m.All, m.Services = r.filter.All, r.filter.Services
-		m.Digest = r.store.Digest(r.filter)
+		m.Digest = r.digest()
 		if r.resync {
 			m.Have, m.Digest = resource.Position{}, 0
 		}
--- a/internal/controlplane/subscriber/subscriber.go
+++ b/internal/controlplane/subscriber/subscriber.go
@@ -110,6 +110,7 @@
 	Busy           uint64 // requests that a parent put off
 	Resubscribes   uint64 // requests repeated on a session
 	SourceChanges  uint64
+	LaterVersions  uint64 // deltas and snapshots with fields or resources of a later version
 	StaleSnapshots uint64 // snapshots behind what is in force, refused
 }
 
@@ -253,10 +254,14 @@
 		return r.heartbeat(p, session, m)
 	case *message.Delta:
 		p.heardAt, session.heardAt = s.now, s.now
-		return r.delta(p, session, m)
+		skipped := p.skipped
+		p.skipped = false
+		return r.delta(p, session, m, skipped)
 	case *message.SnapshotPart:
 		p.heardAt, session.heardAt = s.now, s.now
-		return r.snapshotPart(p, session, m)
+		skipped := p.skipped
+		p.skipped = false
+		return r.snapshotPart(p, session, m, skipped)
 	case *message.Busy:
 		p.heardAt, session.heardAt = s.now, s.now
 		return r.busy(p, m)
@@ -264,6 +269,15 @@
 	return s.drop(parent, m.RegionName(), DropUnexpected, fmt.Sprintf("%T", m))
 }
 
+// Skipped tells that the next message of a parent held fields or resources of a later version that could not be read. Its
+// digest counts them, so the replica takes it as it is, and goes on from there.
+func (s *Subscriber) Skipped(now time.Duration, parent string) {
+	s.advance(now)
+	if p := s.byName[parent]; p != nil {
+		p.skipped = true
+	}
+}
+
 // DroppedError tells of a message that was dropped, in one line.
 type DroppedError struct{ MessageDropped }
 
