--- a/internal/controlplane/simulate/script.go
+++ b/internal/controlplane/simulate/script.go
@@ -75,8 +75,8 @@
 }
 
 // RunScript plays one script: faults and changes drawn from the seed of the options for a while; then all heals and all
-// replicas have to reach the writers' states in time; then a change has to get through in time while one relay is stalled,
-// and again while one relay is cut off from the control processes.
+// replicas have to reach the writers' states in time; then a change has to get through in time while all relays of a zone
+// are stalled, and again while one relay is cut off from the control processes.
 func RunScript(options Options) Report {
 	n := New(options)
 	s := &script{network: n, options: n.options, random: rand.New(rand.NewPCG(options.Seed, scriptStream))}
@@ -86,10 +86,8 @@
 	n.CheckAll(CheckConverged)
 	n.Run(n.now + settleTime)
 	s.quiet()
-	s.probe(CheckStall, func(relay *Process) func() { return relay.Stall() })
-	s.probe(CheckLag, func(relay *Process) func() {
-		return n.Cut(func(a, b *Process) bool { return a == relay && b.Role == RoleControl })
-	})
+	s.probeStall()
+	s.probeLag()
 	report := Report{Seed: options.Seed, Violations: n.Violations(), Log: s.log}
 	for _, p := range n.processes {
 		report.Traffic = append(report.Traffic, p.Traffic)
@@ -231,25 +229,74 @@
 	}
 }
 
-// probe changes all logs while one relay has a fault. All others have to have the change in force in time.
-func (s *script) probe(check Check, fault func(relay *Process) (end func())) {
-	n := s.network
+// probeStall stalls all relays of a zone, so that its nodes have to go to another zone's.
+func (s *script) probeStall() {
+	zone := s.anyRelay().Zone
+	var stalled []*Process
+	var wakes []func()
+	for _, p := range s.network.processes {
+		if p.Role == RoleRelay && p.Zone == zone {
+			stalled = append(stalled, p)
+			wakes = append(wakes, p.Stall())
+		}
+	}
+	s.note("all relays of %s stall", zone)
+	s.probe(CheckStall, stalled)
+	for _, wake := range wakes {
+		wake()
+	}
+	s.settle()
+}
+
+// probeLag cuts a relay off from the control processes. Its children still hear of it.
+func (s *script) probeLag() {
+	relay := s.anyRelay()
+	heal := s.network.Cut(func(a, b *Process) bool { return a == relay && b.Role == RoleControl })
+	s.note("%s is cut off from the control processes", relay.Name)
+	s.probe(CheckLag, []*Process{relay})
+	heal()
+	s.settle()
+}
+
+func (s *script) anyRelay() *Process {
 	var relays []*Process
-	for _, p := range n.processes {
+	for _, p := range s.network.processes {
 		if p.Role == RoleRelay {
 			relays = append(relays, p)
 		}
 	}
-	relay := relays[s.random.IntN(len(relays))]
-	end := fault(relay)
-	s.note("%s: %s", check, relay.Name)
+	return relays[s.random.IntN(len(relays))]
+}
+
+// probe changes all logs a second after a fault. All but the processes at fault have to have the change in force in time.
+func (s *script) probe(check Check, atFault []*Process) {
+	n := s.network
 	n.Run(n.now + time.Second)
 	for r := range s.options.Regions {
 		s.change(regionName(r))
 	}
 	n.Run(n.now + InForceWithin)
-	n.CheckAll(check, relay)
-	end()
-	n.Run(n.now + settleTime)
-	n.CheckAll(CheckConverged)
+	n.CheckAll(check, atFault...)
+}
+
+// settle waits until all is as it was before a fault.
+func (s *script) settle() {
+	s.network.Run(s.network.now + settleTime)
+	s.network.CheckAll(CheckConverged)
+}
+
+// FailedChecks plays scripts with the seeds from 0 and counts by check in how many of them it failed.
+func FailedChecks(seeds int, options func(seed uint64) Options) map[Check]int {
+	failed := map[Check]int{}
+	for seed := range seeds {
+		report := RunScript(options(uint64(seed)))
+		named := map[Check]bool{}
+		for _, v := range report.Violations {
+			named[v.Check] = true
+		}
+		for check := range named {
+			failed[check]++
+		}
+	}
+	return failed
 }
