--- a/internal/controlplane/publisher/publisher.go
+++ b/internal/controlplane/publisher/publisher.go
@@ -124,6 +124,7 @@
 	typical   time.Duration   // what a snapshot has taken lately
 	sinceLast int             // deltas sent since the last part of a snapshot
 	beatBytes int
+	block     []message.Heartbeat // not used yet
 	out       []Outgoing
 	pending   []Outgoing // answers, sent with the next Step
 	faults    faults
--- /dev/null
+++ b/internal/controlplane/publisher/publisher_test.go
@@ -0,0 +1,587 @@
+package publisher
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"craneglade/internal/controlplane/changelog"
+	"craneglade/internal/controlplane/message"
+	"craneglade/internal/controlplane/resource"
+)
+
+const north = "north"
+
+var everything = changelog.Filter{All: true}
+
+func at(epoch, version uint64) resource.Position {
+	return resource.Position{Epoch: epoch, Version: version}
+}
+
+func service(name string) resource.Resource {
+	return resource.Resource{Key: resource.Key{Service: name, Kind: resource.KindService, Name: name},
+		Service: &resource.Service{Region: north, MaxAttempts: 3}}
+}
+
+func tenant(service, name string, quota float64) resource.Resource {
+	return resource.Resource{Key: resource.Key{Service: service, Kind: resource.KindTenant, Name: name}, Tenant: &resource.Tenant{Quota: quota}}
+}
+
+func set(all ...resource.Resource) []resource.Change {
+	var changes []resource.Change
+	for _, r := range all {
+		changes = append(changes, resource.Change{Resource: r})
+	}
+	return changes
+}
+
+// harness is a publisher of one log with the services cart and pay.
+type harness struct {
+	t   *testing.T
+	p   *Publisher
+	now time.Duration
+	log *changelog.Store
+}
+
+func newHarness(t *testing.T, cfg Config) *harness {
+	h := &harness{t: t, now: time.Hour, log: changelog.NewStore(north, changelog.Limits{Transactions: 4})}
+	h.append(1, set(service("cart"), service("pay"), tenant("cart", "t", 1))...)
+	h.p = New(cfg)
+	h.p.Publish(h.log)
+	h.p.Step(h.now)
+	return h
+}
+
+func (h *harness) append(epoch uint64, changes ...resource.Change) {
+	h.t.Helper()
+	if _, err := h.log.Append(epoch, changes); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// step returns what is sent to one session, or to all for 0.
+func (h *harness) step(id SessionID) []message.Message {
+	var sent []message.Message
+	for _, o := range h.p.Step(h.now) {
+		if o.Session == id || id == 0 {
+			sent = append(sent, o.Message)
+		}
+	}
+	return sent
+}
+
+// pass lets time go by, and returns what was sent to one session.
+func (h *harness) pass(d time.Duration, id SessionID) []message.Message {
+	var sent []message.Message
+	for end := h.now + d; h.now < end; {
+		h.now = min(end, max(h.p.Next(h.now), h.now+time.Millisecond))
+		sent = append(sent, h.step(id)...)
+	}
+	return sent
+}
+
+func (h *harness) connect(id SessionID, m *message.Subscribe) []message.Message {
+	h.t.Helper()
+	h.p.Connected(h.now, id)
+	return h.subscribe(id, m)
+}
+
+func (h *harness) subscribe(id SessionID, m *message.Subscribe) []message.Message {
+	h.t.Helper()
+	m.Region = north
+	if err := h.p.Receive(h.now, id, m); err != nil {
+		h.t.Fatal(err)
+	}
+	return h.step(id)
+}
+
+func (h *harness) acknowledge(id SessionID, position resource.Position, refused string) {
+	h.t.Helper()
+	if err := h.p.Receive(h.now, id, &message.Acknowledge{Region: north, Position: position, Refused: refused}); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+func only[M message.Message](sent []message.Message) (found []M) {
+	for _, m := range sent {
+		if m, ok := m.(M); ok {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func current(h *harness, f changelog.Filter) *message.Subscribe {
+	return &message.Subscribe{All: f.All, Services: f.Services, Have: h.log.Position(), Digest: h.log.Digest(f)}
+}
+
+var cart = changelog.Filter{Services: []string{"cart"}}
+
+// TestHowASubscriberIsBroughtUp by where it stands.
+func TestHowASubscriberIsBroughtUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		have      func(h *harness) (resource.Position, message.Digest)
+		delta     bool
+		snapshot  bool
+		sentIsAll bool // the first heartbeat says that all was sent
+	}{
+		"nothing":                   {func(*harness) (resource.Position, message.Digest) { return at(0, 0), 0 }, false, true, false},
+		"all":                       {func(h *harness) (resource.Position, message.Digest) { return h.log.Position(), h.log.Digest(cart) }, false, false, true},
+		"all, with another digest":  {func(h *harness) (resource.Position, message.Digest) { return h.log.Position(), 7 }, false, true, false},
+		"a position in history":     {func(*harness) (resource.Position, message.Digest) { return at(1, 5), 7 }, true, false, false},
+		"a position before it":      {func(*harness) (resource.Position, message.Digest) { return at(1, 1), 7 }, false, true, false},
+		"the same state before it":  {func(h *harness) (resource.Position, message.Digest) { return at(1, 1), h.log.Digest(cart) }, true, false, false},
+		"a position that never was": {func(*harness) (resource.Position, message.Digest) { return at(0, 5), 7 }, false, true, false},
+		"a later position":          {func(*harness) (resource.Position, message.Digest) { return at(1, 99), 7 }, false, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, Config{})
+			for i := range 5 {
+				h.append(1, set(tenant("cart", "t", float64(i)))...)
+			}
+			have, digest := c.have(h)
+			sent := h.connect(1, &message.Subscribe{Services: cart.Services, Have: have, Digest: digest})
+			sent = append(sent, h.step(1)...)
+			deltas, parts, beats := only[*message.Delta](sent), only[*message.SnapshotPart](sent), only[*message.Heartbeat](sent)
+			if len(deltas) > 0 != c.delta || len(parts) > 0 != c.snapshot {
+				t.Fatalf("%d deltas, %d parts", len(deltas), len(parts))
+			}
+			if len(beats) != 1 || beats[0].Position != h.log.Position() || (beats[0].Sent == h.log.Position()) != c.sentIsAll {
+				t.Errorf("heartbeats %+v", beats)
+			}
+			if c.delta && (deltas[0].From != have || deltas[0].To != h.log.Position() || deltas[0].Digest != h.log.Digest(cart)) {
+				t.Errorf("delta %+v", deltas[0])
+			}
+			if c.snapshot && !reflect.DeepEqual(parts[0].Resources, h.log.Snapshot(cart)) {
+				t.Errorf("part %+v", parts[0])
+			}
+		})
+	}
+}
+
+// TestSubscriberAheadGetsHeartbeatsAlone until the store has reached it.
+func TestSubscriberAheadGetsHeartbeatsAlone(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.connect(1, &message.Subscribe{All: true, Have: at(1, 3), Digest: 7})
+	h.append(1, set(tenant("cart", "t", 2))...)
+	sent := h.pass(10*time.Second, 1)
+	if beats := only[*message.Heartbeat](sent); len(beats) != len(sent) || len(beats) != 10 || !beats[9].Sent.IsZero() {
+		t.Fatalf("%d messages, %d heartbeats", len(sent), len(beats))
+	}
+	h.append(1, set(tenant("cart", "t", 3))...)
+	h.append(1, set(tenant("cart", "t", 4))...)
+	if deltas := only[*message.Delta](h.pass(2*time.Second, 1)); len(deltas) != 1 || deltas[0].From != at(1, 3) || deltas[0].To != at(1, 4) {
+		t.Errorf("deltas %+v", deltas)
+	}
+}
+
+// TestAChangeGoesToItsSubscribersAlone, and the others' heartbeats say that they have all.
+func TestAChangeGoesToItsSubscribersAlone(t *testing.T) {
+	h := newHarness(t, Config{})
+	pay := changelog.Filter{Services: []string{"pay"}}
+	h.connect(1, current(h, cart))
+	h.connect(2, current(h, pay))
+	h.connect(3, current(h, everything))
+	h.connect(4, current(h, changelog.Filter{}))
+	standby := current(h, changelog.Filter{})
+	standby.Standby = true
+	h.connect(5, standby)
+	h.append(1, set(tenant("cart", "t", 9))...)
+	to := map[SessionID]int{}
+	for _, o := range h.p.Step(h.now) {
+		if delta, ok := o.Message.(*message.Delta); ok && delta.From == at(1, 1) && delta.To == at(1, 2) && len(delta.Changes) == 1 {
+			to[o.Session]++
+		}
+	}
+	if want := map[SessionID]int{1: 1, 3: 1}; !reflect.DeepEqual(to, want) {
+		t.Errorf("deltas to %v, want %v", to, want)
+	}
+	beat := only[*message.Heartbeat](h.pass(time.Second, 2))[0]
+	if beat.Sent != at(1, 2) || beat.Digest != h.log.Digest(pay) {
+		t.Errorf("heartbeat %+v", beat)
+	}
+	if beat := only[*message.Heartbeat](h.pass(time.Second, 5))[0]; !beat.Sent.IsZero() || beat.Position != at(1, 2) {
+		t.Errorf("heartbeat of a standby %+v", beat)
+	}
+	h.append(1, set(tenant("pay", "t", 9))...)
+	if delta := only[*message.Delta](h.step(2)); len(delta) != 1 || delta[0].From != at(1, 2) {
+		t.Errorf("delta %+v, want one from the position of the heartbeat", delta)
+	}
+}
+
+// TestAgeOfHeartbeats is that of the store's owner.
+func TestAgeOfHeartbeats(t *testing.T) {
+	start := time.Hour
+	h := newHarness(t, Config{Age: func(name string, now time.Duration) time.Duration { return now - start + time.Duration(len(name)) }})
+	h.connect(1, current(h, cart))
+	beats := only[*message.Heartbeat](h.pass(3*time.Second, 1))
+	if got := beats[len(beats)-1].Age; got != 3*time.Second+time.Duration(len(north)) {
+		t.Errorf("age %s", got)
+	}
+}
+
+// TestRefusedState: the subscriber gets the next state from its last good position, and heartbeats claim nothing.
+func TestRefusedState(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.connect(1, current(h, cart))
+	h.append(1, set(tenant("cart", "t", 2))...)
+	h.step(1)
+	h.acknowledge(1, at(1, 1), "line")
+	h.append(1, set(tenant("pay", "t", 2))...) // doesn't touch it
+	sent := h.pass(3*time.Second, 1)
+	if beats := only[*message.Heartbeat](sent); len(beats) != len(sent) || !beats[0].Sent.IsZero() {
+		t.Fatalf("sent %+v", sent)
+	}
+	if status := h.p.Subscribers()[0]; status.Refused != "line" || status.State != "refused" || status.Position != at(1, 1) {
+		t.Errorf("status %+v", status)
+	}
+	h.append(1, set(tenant("cart", "t", 3))...)
+	deltas := only[*message.Delta](h.step(1))
+	if len(deltas) != 1 || deltas[0].From != at(1, 1) || deltas[0].To != at(1, 4) || len(deltas[0].Changes) != 1 {
+		t.Errorf("deltas %+v", deltas)
+	}
+}
+
+// TestWindow: a session that acknowledges nothing isn't sent more than the window, and goes on when it does.
+func TestWindow(t *testing.T) {
+	h := newHarness(t, Config{MaxUnacknowledged: 200})
+	h.connect(1, current(h, cart))
+	sent := 0
+	for i := range 20 {
+		h.append(1, set(tenant("cart", "t", float64(i+2)))...)
+		sent += len(only[*message.Delta](h.step(1)))
+	}
+	if sent < 2 || sent > 4 {
+		t.Fatalf("%d deltas into a window of 200 bytes", sent)
+	}
+	last := at(1, uint64(1+sent))
+	h.acknowledge(1, last, "")
+	got := h.pass(time.Second, 1)
+	if parts, deltas := only[*message.SnapshotPart](got), only[*message.Delta](got); len(parts)+len(deltas) != 1 {
+		t.Errorf("after an acknowledgement %d parts, %d deltas", len(parts), len(deltas))
+	}
+}
+
+// TestSnapshotInParts: the parts hold everything in order, wait for acknowledgements, and a change of meanwhile follows.
+func TestSnapshotInParts(t *testing.T) {
+	h := newHarness(t, Config{PartBytes: 100, MaxUnacknowledged: 250})
+	for i := range 50 {
+		h.append(1, set(tenant("cart", fmt.Sprintf("t%02d", i), 1))...)
+	}
+	want, digest, position := h.log.Snapshot(cart), h.log.Digest(cart), h.log.Position()
+	parts := only[*message.SnapshotPart](h.connect(1, &message.Subscribe{Services: cart.Services}))
+	if len(parts) > 3 {
+		t.Fatalf("%d parts without an acknowledgement", len(parts))
+	}
+	h.append(1, set(tenant("cart", "later", 1))...)
+	var deltas []*message.Delta
+	for range 100 {
+		h.acknowledge(1, at(0, 0), "")
+		sent := h.step(1)
+		parts = append(parts, only[*message.SnapshotPart](sent)...)
+		deltas = append(deltas, only[*message.Delta](sent)...)
+	}
+	var got []resource.Resource
+	for i, part := range parts {
+		if part.Index != uint32(i) || part.Last != (i == len(parts)-1) || part.Position != position {
+			t.Fatalf("part %d: %+v", i, part)
+		}
+		got = append(got, part.Resources...)
+	}
+	if len(parts) < 10 || !reflect.DeepEqual(got, want) || parts[len(parts)-1].Digest != digest {
+		t.Errorf("%d parts with %d resources, want %d", len(parts), len(got), len(want))
+	}
+	if len(deltas) != 1 || deltas[0].From != position || deltas[0].To != h.log.Position() {
+		t.Errorf("deltas %+v", deltas)
+	}
+	if h.p.SnapshotsRunning() != 0 {
+		t.Errorf("%d snapshots running", h.p.SnapshotsRunning())
+	}
+}
+
+// TestStuckSnapshot frees its place.
+func TestStuckSnapshot(t *testing.T) {
+	h := newHarness(t, Config{PartBytes: 30, MaxUnacknowledged: 50, MaxSnapshots: 1})
+	h.connect(1, &message.Subscribe{All: true})
+	if busy := only[*message.Busy](h.connect(2, &message.Subscribe{All: true})); len(busy) != 1 {
+		t.Fatal("two snapshots at a time")
+	}
+	sent := h.pass(DefaultConfig().SnapshotTimeout+2*time.Second, 1)
+	if len(only[*message.Busy](sent)) != 1 || h.p.SnapshotsRunning() != 0 {
+		t.Fatalf("%d snapshots running", h.p.SnapshotsRunning())
+	}
+	if parts := only[*message.SnapshotPart](h.subscribe(2, &message.Subscribe{All: true})); len(parts) == 0 {
+		t.Error("the place is still taken")
+	}
+}
+
+// TestManyStartAtOnce: 390 subscribers start in one second with nothing. At most MaxSnapshots are served at a time, the
+// others come again at times that are spread, and all have their snapshot within a minute.
+func TestManyStartAtOnce(t *testing.T) {
+	const subscribers, most = 390, 8
+	h := newHarness(t, Config{MaxSnapshots: most, PartBytes: 2000, SessionBurst: 4000, SessionBytesPerSecond: 20_000, Seed: 3})
+	for i := range 200 {
+		h.append(1, set(tenant("cart", fmt.Sprintf("t%03d", i), 1))...)
+	}
+	start := h.now
+	askAt := map[SessionID]time.Duration{}
+	for i := range subscribers {
+		id := SessionID(i + 1)
+		h.p.Connected(h.now, id)
+		askAt[id] = start + time.Duration(i)*time.Second/subscribers
+	}
+	served, turnedAway, waits := 0, 0, map[time.Duration]bool{}
+	for served < subscribers && h.now < start+5*time.Minute {
+		for id := SessionID(1); id <= subscribers; id++ {
+			if ask, waits := askAt[id]; waits && ask <= h.now {
+				delete(askAt, id)
+				if err := h.p.Receive(h.now, id, &message.Subscribe{Region: north, All: true}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for _, o := range slices.Clone(h.p.Step(h.now)) {
+			switch m := o.Message.(type) {
+			case *message.Busy:
+				turnedAway++
+				waits[m.RetryAfter] = true
+				askAt[o.Session] = h.now + m.RetryAfter
+			case *message.SnapshotPart:
+				if m.Last {
+					served++
+				}
+				_ = h.p.Receive(h.now, o.Session, &message.Acknowledge{Region: north, Position: m.Position})
+			}
+		}
+		if running := h.p.SnapshotsRunning(); running > most {
+			t.Fatalf("%d snapshots at a time", running)
+		}
+		h.now += 10 * time.Millisecond
+	}
+	took := h.now - start
+	t.Logf("%d served in %s, %d times Busy with %d different waits", served, took, turnedAway, len(waits))
+	if served != subscribers || took > time.Minute {
+		t.Errorf("%d served in %s", served, took)
+	}
+	if turnedAway > 4*subscribers || len(waits) < turnedAway*9/10 {
+		t.Errorf("%d times Busy with %d different waits", turnedAway, len(waits))
+	}
+}
+
+// TestBudget: the process keeps to its bytes a second, whatever it has to send, and a change goes before snapshots.
+func TestBudget(t *testing.T) {
+	const rate, burst = 10_000, 2_000
+	h := newHarness(t, Config{BytesPerSecond: rate, Burst: burst, PartBytes: 500, Size: EstimateSize})
+	for i := range 300 {
+		h.append(1, set(tenant("cart", fmt.Sprintf("t%03d", i), 1))...)
+	}
+	for id := range SessionID(8) {
+		h.p.Connected(h.now, id+1)
+		_ = h.p.Receive(h.now, id+1, &message.Subscribe{Region: north, All: true})
+	}
+	h.connect(100, current(h, changelog.Filter{Services: []string{"pay"}}))
+	bytes, start, delayed := 0, h.now, time.Duration(-1)
+	for h.now < start+10*time.Second {
+		if h.now == start+2*time.Second {
+			h.append(1, set(tenant("pay", "t", 1))...)
+		}
+		for _, o := range h.p.Step(h.now) {
+			bytes += EstimateSize(o.Message)
+			if delta, ok := o.Message.(*message.Delta); ok && o.Session == 100 && len(delta.Changes) > 0 {
+				delayed = h.now - start - 2*time.Second
+			}
+		}
+		for id := range SessionID(8) {
+			_ = h.p.Receive(h.now, id+1, &message.Acknowledge{Region: north})
+		}
+		h.now += 50 * time.Millisecond
+	}
+	if most := burst + 10*rate + 1000; bytes > most || bytes < most/2 {
+		t.Errorf("%d bytes in 10 s, at most %d", bytes, most)
+	}
+	if delayed < 0 || delayed > time.Second {
+		t.Errorf("the change went out after %s", delayed)
+	}
+}
+
+// TestStoreOfAnotherLife: the history of a store that took a snapshot doesn't reach back. Those whose services are as
+// before are told the position alone.
+func TestStoreOfAnotherLife(t *testing.T) {
+	h := newHarness(t, Config{})
+	pay := changelog.Filter{Services: []string{"pay"}}
+	h.connect(1, current(h, cart))
+	h.connect(2, current(h, pay))
+	if err := h.log.Replace(at(2, 1), []resource.Resource{service("cart"), service("pay"), tenant("cart", "t", 5)}); err != nil {
+		t.Fatal(err)
+	}
+	var parts, empty []SessionID
+	for _, o := range h.p.Step(h.now) {
+		switch m := o.Message.(type) {
+		case *message.SnapshotPart:
+			parts = append(parts, o.Session)
+		case *message.Delta:
+			if len(m.Changes) == 0 && m.From == at(1, 1) && m.To == at(2, 1) {
+				empty = append(empty, o.Session)
+			}
+		}
+	}
+	if !slices.Equal(parts, []SessionID{1}) || !slices.Equal(empty, []SessionID{2}) {
+		t.Errorf("snapshots to %v, empty deltas to %v", parts, empty)
+	}
+}
+
+// TestPublishLater: who subscribed before the log was there gets it then.
+func TestPublishLater(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.p = New(Config{})
+	if sent := h.connect(1, &message.Subscribe{All: true}); len(sent) != 0 {
+		t.Errorf("sent %+v without a log", sent)
+	}
+	h.p.Publish(h.log)
+	if parts := only[*message.SnapshotPart](h.step(1)); len(parts) != 1 {
+		t.Errorf("%d parts", len(parts))
+	}
+}
+
+func TestWrongMessages(t *testing.T) {
+	for name, m := range map[string]message.Message{
+		"none":                            nil,
+		"a delta":                         &message.Delta{Region: north},
+		"a heartbeat":                     &message.Heartbeat{Region: north},
+		"services that aren't sorted":     &message.Subscribe{Region: north, Services: []string{"b", "a\n"}},
+		"a service twice":                 &message.Subscribe{Region: north, Services: []string{"a", "a"}},
+		"too many services":               &message.Subscribe{Region: north, Services: make([]string, MaxServices+1)},
+		"an acknowledgement of no region": &message.Acknowledge{Region: strings.Repeat("x\n", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, Config{})
+			h.connect(1, current(h, cart))
+			err := h.p.Receive(h.now, 1, m)
+			var invalid *InvalidMessageError
+			if !errors.As(err, &invalid) || strings.Contains(err.Error(), "\n") || len(err.Error()) > 400 {
+				t.Errorf("error %v", err)
+			}
+			h.append(1, set(tenant("cart", "t", 7))...)
+			if deltas := only[*message.Delta](h.step(1)); len(deltas) != 1 {
+				t.Error("the session doesn't go on")
+			}
+		})
+	}
+	h := newHarness(t, Config{})
+	if err := h.p.Receive(h.now, 77, &message.Subscribe{Region: north}); err == nil {
+		t.Error("a session that isn't connected")
+	}
+	h.p.Connected(h.now, 1)
+	for i := range MaxRegions + 1 {
+		err := h.p.Receive(h.now, 1, &message.Subscribe{Region: fmt.Sprint("region-", i)})
+		if (err != nil) != (i == MaxRegions) {
+			t.Errorf("region %d: %v", i, err)
+		}
+	}
+}
+
+// TestNothingIsKeptOfSessionsThatEnded, whatever they were doing.
+func TestNothingIsKeptOfSessionsThatEnded(t *testing.T) {
+	h := newHarness(t, Config{MaxSnapshots: 2, PartBytes: 30, MaxUnacknowledged: 50})
+	for id := range SessionID(50) {
+		h.connect(id+1, &message.Subscribe{All: id%2 == 0, Services: cart.Services, Standby: id%5 == 0})
+		h.subscribe(id+1, &message.Subscribe{All: id%3 == 0, Services: cart.Services})
+	}
+	for id := range SessionID(50) {
+		h.p.Disconnected(h.now, id+1)
+	}
+	if sent := h.pass(5*time.Second, 0); len(sent) != 0 {
+		t.Errorf("%d messages", len(sent))
+	}
+	r := h.p.regions[0]
+	if len(h.p.sessions)+h.p.beats.len()+len(h.p.snapshots)+h.p.waiting+len(h.p.throttled) != 0 {
+		t.Errorf("kept: %d sessions, %d heartbeats, %d snapshots, %d waiting, %d throttled", len(h.p.sessions), h.p.beats.len(), len(h.p.snapshots), h.p.waiting, len(h.p.throttled))
+	}
+	if len(r.subscriptions)+len(r.byService)+len(r.all) != 0 || r.whole != nil {
+		t.Errorf("kept: %d subscriptions, %d services, %d of everything", len(r.subscriptions), len(r.byService), len(r.all))
+	}
+}
+
+// benchmarkFleet is a publisher whose sessions subscribe to 100 of 9,300 services each.
+func benchmarkFleet(b *testing.B, sessions int) (*Publisher, *changelog.Store) {
+	const services, perSession = 9300, 100
+	log := changelog.NewStore(north, changelog.Limits{})
+	var all []resource.Resource
+	for i := range services {
+		all = append(all, service(fmt.Sprintf("service-%05d", i)))
+	}
+	if err := log.Replace(at(1, 1), all); err != nil {
+		b.Fatal(err)
+	}
+	p := New(Config{})
+	p.Publish(log)
+	for id := range sessions {
+		f := changelog.Filter{}
+		for i := range perSession {
+			f.Services = append(f.Services, fmt.Sprintf("service-%05d", (id*37+i*93)%services))
+		}
+		slices.Sort(f.Services)
+		p.Connected(0, SessionID(id))
+		if err := p.Receive(0, SessionID(id), &message.Subscribe{Region: north, Services: f.Services, Have: at(1, 1), Digest: log.Digest(f)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	p.Step(0)
+	return p, log
+}
+
+var fleetSizes = []int{400, 6000}
+
+// BenchmarkStepOfATransaction is one change of an endpoint's tenant, to the sessions that subscribe to its service.
+func BenchmarkStepOfATransaction(b *testing.B) {
+	for _, sessions := range fleetSizes {
+		b.Run(fmt.Sprint(sessions), func(b *testing.B) {
+			p, log := benchmarkFleet(b, sessions)
+			sent := 0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				name := fmt.Sprintf("service-%05d", i*7%9300)
+				if _, err := log.Append(1, set(tenant(name, "t", float64(i)))); err != nil {
+					b.Fatal(err)
+				}
+				out := p.Step(0)
+				sent += len(out)
+				for _, o := range out {
+					_ = p.Receive(0, o.Session, &message.Acknowledge{Region: north, Position: log.Position()})
+				}
+				p.bucket.tokens = p.bucket.burst
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "messages/op")
+		})
+	}
+}
+
+// BenchmarkStepOfHeartbeats is one heartbeat to each session.
+func BenchmarkStepOfHeartbeats(b *testing.B) {
+	for _, sessions := range fleetSizes {
+		b.Run(fmt.Sprint(sessions), func(b *testing.B) {
+			p, _ := benchmarkFleet(b, sessions)
+			now := time.Duration(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += p.cfg.HeartbeatInterval
+				if out := p.Step(now); len(out) != sessions {
+					b.Fatalf("%d messages", len(out))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkStepOfNothing is a call without any news.
+func BenchmarkStepOfNothing(b *testing.B) {
+	p, _ := benchmarkFleet(b, 6000)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Step(0)
+	}
+}
--- a/internal/controlplane/publisher/subscription.go
+++ b/internal/controlplane/publisher/subscription.go
@@ -311,13 +311,28 @@
 		if sub.state == stateCurrent {
 			sub.told = r.position
 		}
-		m = &message.Heartbeat{Region: r.name, Position: r.position, Sent: sub.told, Digest: sub.digest, Age: m.Age}
+		own := p.newHeartbeat()
+		*own = message.Heartbeat{Region: r.name, Position: r.position, Sent: sub.told, Digest: sub.digest, Age: m.Age}
+		m = own
 	}
 	p.out = append(p.out, Outgoing{sub.session.id, m})
 	p.bucket.spend(p.beatBytes)
 	sub.session.bucket.spend(p.beatBytes)
 }
 
+// heartbeatBlock is how many heartbeats are allocated at once.
+const heartbeatBlock = 64
+
+// newHeartbeat is one of a block: there are thousands a second.
+func (p *Publisher) newHeartbeat() *message.Heartbeat {
+	if len(p.block) == 0 {
+		p.block = make([]message.Heartbeat, heartbeatBlock)
+	}
+	m := &p.block[0]
+	p.block = p.block[1:]
+	return m
+}
+
 // answer sends a message with the next step, whatever the budget.
 func (p *Publisher) answer(sub *subscription, m message.Message) {
 	p.pending = append(p.pending, Outgoing{sub.session.id, m})
