The writer of a region's log is chosen by a quorum of its control processes

Cause: one writer with an epoch in a file is lost with its machine. Change: a control process drives internal/controlplane/quorum: members speak over sealed sessions, a change counts once a majority has it on disk, and any of them serves the log; without [[member]] the process is the only one. logfile keeps a member's term, vote and entries in place of one writer's transactions: its tests are replaced by the same cases for what is kept now (torn at every byte, damaged, failed writes, one process a folder), with an identity of the folder added.

--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -88,8 +88,13 @@
 	fmt.Fprintln(w, "LOG\tROLE\tPOSITION\tAGE\tRESOURCES\tFROM\tREFUSED")
 	for _, l := range s.Logs {
 		role, from := "replica", l.Source
-		if l.Writer {
-			role, from = fmt.Sprintf("writer, epoch %d", l.Epoch), "-"
+		switch {
+		case l.Failure != "":
+			role = "out: " + l.Failure
+		case l.Own:
+			role = fmt.Sprintf("writer, epoch %d", l.Epoch)
+		case l.Epoch > 0:
+			role, from = fmt.Sprintf("member, epoch %d", l.Epoch), l.Writer
 		}
 		age := (time.Duration(l.AgeMS) * time.Millisecond).Round(100 * time.Millisecond)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%s\t%s\n", l.Region, role, l.Position, age, l.Resources, orDash(from), orDash(l.Refused))
--- a/internal/controlnet/accept.go
+++ b/internal/controlnet/accept.go
@@ -56,6 +56,10 @@
 		p.warnings.warn("a connection is no subscriber's", "from", conn.RemoteAddr(), "err", err)
 		return
 	}
+	if s.role != asSubscriber {
+		p.admit(ctx, s)
+		return
+	}
 	select {
 	case places <- struct{}{}:
 		p.serve(ctx, s)
@@ -65,6 +69,19 @@
 	}
 }
 
+// admit carries the session of a process that is no subscriber.
+func (p *Process) admit(ctx context.Context, s *session) {
+	err := errors.New("its role is not known here")
+	if s.role == asMember && p.cfg.Member != nil {
+		err = p.cfg.Member(ctx, s)
+	} else {
+		p.counters.strangers.Add(1)
+		p.warnings.warn("a process was turned away", "from", s.peer, "err", err)
+	}
+	s.conn.Close()
+	p.cfg.Log.Debug("a session has ended", "name", s.peer, "err", err)
+}
+
 func (p *Process) turnAway(conn net.Conn, why string) {
 	p.counters.turnedAway.Add(1)
 	p.warnings.warn(why, "from", conn.RemoteAddr())
@@ -104,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := greet(framed, p, nil) // the publisher itself keeps to its budget
+	s, err := greet(framed, p, asSubscriber, nil) // the publisher itself keeps to its budget
 	if err != nil {
 		return nil, errors.Join(err, framed.Close())
 	}
--- a/internal/controlnet/daemon.go
+++ b/internal/controlnet/daemon.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	"craneglade/internal/controlplane/changelog"
@@ -26,7 +27,7 @@
 	log     *slog.Logger
 	clock   func() time.Duration
 	process *Process
-	writer  *writer // nil for a relay
+	member  *member // nil for a relay
 	stores  []*changelog.Store
 }
 
@@ -40,23 +41,20 @@
 	if err := d.open(); err != nil {
 		return errors.Join(err, ln.Close())
 	}
-	if d.writer != nil {
-		defer d.writer.close()
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	operators, err := listenUnix(cfg.Socket)
 	if err != nil {
 		return errors.Join(fmt.Errorf("socket: %w", err), ln.Close())
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.answerOperators(ctx, operators)
-	}()
+	var others sync.WaitGroup
+	others.Go(func() { d.answerOperators(ctx, operators) })
+	if d.member != nil {
+		others.Go(func() { d.member.run(ctx) })
+	}
 	log.Info("serving", "role", cfg.Role, "region", cfg.Region, "listen", cfg.Listen)
 	d.process.Run(ctx, ln)
-	<-done
+	others.Wait()
 	return nil
 }
 
@@ -70,16 +68,12 @@
 func (d *daemon) open() error {
 	var subscribers []*subscriber.Subscriber
 	if d.cfg.Role == settings.RoleWriter {
-		w, torn, err := openWriter(d.cfg.State, d.cfg.Region, uint64(max(0, d.cfg.Epoch-1)))
+		m, err := openMember(d.cfg, d.clock, d.log)
 		if err != nil {
 			return fmt.Errorf("state: %w", err)
 		}
-		if torn > 0 {
-			d.log.Warn("the end of the log was not written whole, and is cut off", "bytes", torn)
-		}
-		d.log.Info("the log is open", "epoch", w.epoch, "position", w.served.Position(), "resources", w.served.Len())
-		d.writer = w
-		d.stores = append(d.stores, w.served)
+		d.member = m
+		d.stores = append(d.stores, m.served)
 		subscribers = d.otherRegions()
 	} else {
 		subscribers = []*subscriber.Subscriber{d.subscriber(d.cfg.Regions, d.cfg.Parents)}
@@ -128,39 +122,48 @@
 // serveWith makes the process that carries the state machines.
 func (d *daemon) serveWith(subscribers []*subscriber.Subscriber) {
 	limits := &d.cfg.Limits
+	var carryMember func(context.Context, *session) error
+	if d.member != nil {
+		carryMember = d.member.receive
+	}
 	p := publisher.New(publisher.Config{
 		BytesPerSecond:    float64(limits.Bytes),
 		Burst:             burstSeconds * float64(limits.Bytes),
 		MaxSnapshots:      limits.Snapshots,
 		HeartbeatInterval: limits.Heartbeat.D(),
 		Seed:              seed(d.cfg.Name),
-		Age:               func(region string, now time.Duration) time.Duration { return age(subscribers, region, now) },
+		Age:               func(region string, now time.Duration) time.Duration { return d.age(subscribers, region, now) },
 	})
 	for _, store := range d.stores {
 		p.Publish(store)
 	}
 	d.process = NewProcess(Config{Name: d.cfg.Name, Keys: d.cfg.Keys, Cluster: d.cfg.Cluster, MaxSubscribers: limits.Subscribers, StaleAfter: limits.Silence.D(),
-		Subscribers: subscribers, Publisher: p, Clock: d.clock, Log: d.log})
-	if d.writer != nil {
-		d.writer.process = d.process
+		Subscribers: subscribers, Publisher: p, Member: carryMember, Clock: d.clock, Log: d.log})
+	if d.member != nil {
+		d.member.process = d.process
 	}
 }
 
-// age is how old the replica of a region is; a log of which this process is the writer is as new as can be.
-func age(subscribers []*subscriber.Subscriber, region string, now time.Duration) time.Duration {
+// age is how old the replica of a region is.
+func (d *daemon) age(subscribers []*subscriber.Subscriber, region string, now time.Duration) time.Duration {
+	if d.member != nil && region == d.cfg.Region {
+		return d.member.age(now)
+	}
 	for _, s := range subscribers {
 		if s.Store(region) != nil {
 			return s.Age(region, now)
 		}
 	}
-	return 0
+	return unknownAge
 }
 
 // LogStatus is the state of one log in a process, for operators.
 type LogStatus struct {
 	Region    string             `json:"region"`
-	Writer    bool               `json:"writer"` // this process is the log's writer
+	Writer    string             `json:"writer,omitempty"` // as a member of the region's quorum knows it
+	Own       bool               `json:"own,omitempty"`    // that is this process
 	Epoch     uint64             `json:"epoch,omitempty"`
+	Failure   string             `json:"failure,omitempty"` // why this process takes no part in the quorum any more
 	Position  string             `json:"position"`
 	AgeMS     int64              `json:"age_ms"`
 	Resources int                `json:"resources"`
@@ -206,8 +209,8 @@
 	})
 	for i := range out.Logs {
 		l := &out.Logs[i]
-		if d.writer != nil && l.Region == d.cfg.Region {
-			l.Writer, l.Epoch = true, d.writer.epoch
+		if d.member != nil && l.Region == d.cfg.Region {
+			d.member.report(l)
 		} else if r, ok := status.Region(l.Region); ok {
 			l.AgeMS, l.Source, l.Refused, l.Counts = r.Age.Milliseconds(), r.Source, r.Refused, &r.Counts
 		}
--- a/internal/controlnet/operator.go
+++ b/internal/controlnet/operator.go
@@ -147,14 +147,14 @@
 }
 
 func (d *daemon) apply(q *Request) (*Response, error) {
-	if d.writer == nil {
+	if d.member == nil {
 		return nil, fmt.Errorf("this process is a relay: ask the writer of region %q", d.cfg.Region)
 	}
 	changes, err := changefile.Parse(q.File, []byte(q.Text))
 	if err != nil {
 		return nil, err
 	}
-	position, err := d.writer.apply(changes)
+	position, err := d.member.apply(changes)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", q.File, err)
 	}
--- a/internal/controlnet/process.go
+++ b/internal/controlnet/process.go
@@ -41,11 +41,12 @@
 	Cluster        string
 	BytesPerSecond int // that it sends to parents; 0 for no limit. What it sends to subscribers is its publisher's matter
 	MaxSubscribers int
-	StaleAfter     time.Duration            // nothing came from any parent for so long: what comes then may have been told a while ago
-	Subscribers    []*subscriber.Subscriber // one for each set of parents
-	Publisher      *publisher.Publisher     // nil for a process that serves nobody
-	Applied        func(News)               // called from one goroutine, in order; nil for a process that only passes on
-	Clock          func() time.Duration     // never steps back
+	StaleAfter     time.Duration                         // nothing came from any parent for so long: what comes then may have been told a while ago
+	Subscribers    []*subscriber.Subscriber              // one for each set of parents
+	Publisher      *publisher.Publisher                  // nil for a process that serves nobody
+	Member         func(context.Context, *session) error // carries the session of a process that says it is a member; nil for none
+	Applied        func(News)                            // called from one goroutine, in order; nil for a process that only passes on
+	Clock          func() time.Duration                  // never steps back
 	Log            *slog.Logger
 }
 
@@ -268,7 +269,7 @@
 // connect opens a session to a parent and carries it until it ends.
 func (p *Process) connect(d dial) {
 	defer d.link.cancel()
-	s, err := p.dial(d.ctx, d.candidate)
+	s, err := p.dial(d.ctx, d.candidate, asSubscriber)
 	if err == nil {
 		err = p.carryUp(d, s)
 	}
@@ -281,7 +282,8 @@
 	p.cfg.Log.Debug("a session with a parent has ended", "parent", d.link.parent, "err", err)
 }
 
-func (p *Process) dial(ctx context.Context, candidate parents.Candidate) (*session, error) {
+// dial opens a session to another process, as what this one is to it.
+func (p *Process) dial(ctx context.Context, candidate parents.Candidate, own role) (*session, error) {
 	address, err := netip.ParseAddrPort(candidate.Address) // no name is ever looked up
 	if err != nil {
 		return nil, err
@@ -297,10 +299,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := greet(framed, p, p.pacer)
+	s, err := greet(framed, p, own, p.pacer)
 	if err == nil && s.peer != candidate.Name {
 		err = fmt.Errorf("%s is %q and not %q", candidate.Address, s.peer, candidate.Name)
-		p.warnings.warn("a parent has another name than the settings say", "address", candidate.Address, "name", s.peer, "want", candidate.Name)
+		p.warnings.warn("a process has another name than the settings say", "address", candidate.Address, "name", s.peer, "want", candidate.Name)
 	}
 	if err != nil {
 		return nil, errors.Join(err, framed.Close())
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -40,6 +40,8 @@
 	maxParents               = 64
 	defaultHeartbeat         = time.Second
 	defaultSilence           = 3 * time.Second
+	defaultLog               = 16 << 20
+	minLog                   = 64 << 10
 	minSilence               = 200 * time.Millisecond
 	maxSilence               = time.Minute
 	defaultServedBytes       = 8 << 20 // a second, to all subscribers together
@@ -155,15 +157,23 @@
 	Socket  string   `toml:"socket"`  // where operators ask: a Unix socket, which the process makes
 	Cluster string   `toml:"cluster"`
 	Key     string   `toml:"key_file"`
-	State   string   `toml:"state"` // a writer's folder, which must exist
-	Epoch   int64    `toml:"epoch"` // the least that a writer takes, for a log that was restored from a backup
+	State   string   `toml:"state"`        // a writer's folder, which must exist
+	Offset  int64    `toml:"epoch_offset"` // added to the epochs of the quorum, for a log that was restored from a backup
 
 	Limits  ControlLimits `toml:"limits"`
+	Members []Member      `toml:"member"` // the control processes of the region, this one too; without it this one alone
 	Parents []Parent      `toml:"parent"` // control processes of the region, for a relay
 	Others  []OtherRegion `toml:"region_parent"`
 	Keys    [][]byte      `toml:"-"` // what key_file holds
 }
 
+// Member is one of the control processes of a region, which choose the writer among them by majority.
+type Member struct {
+	ID      uint64 `toml:"id"` // from 1 on; it stays the member's own for as long as its state folder does
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+}
+
 // OtherRegion is a process from which a writer takes the log of another region.
 type OtherRegion struct {
 	Region  string `toml:"region"`
@@ -179,6 +189,7 @@
 	Subscribers int               `toml:"subscribers"` // sessions at a time
 	Heartbeat   tomlfile.Duration `toml:"heartbeat"`   // how often each subscriber is told that nothing has changed
 	Silence     tomlfile.Duration `toml:"silence"`     // after which this process gives a parent of its own up
+	Log         tomlfile.Size     `toml:"log"`         // that a writer keeps behind a snapshot until it makes another
 }
 
 // LoadControlProcess reads the file of a process of the control plane and checks it whole. An error is one line that names
@@ -198,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, check := range []func(*tomlfile.Keys) error{c.checkRole, c.checkNames, c.checkAddresses, c.checkParents, c.Limits.check} {
+	for _, check := range []func(*tomlfile.Keys) error{c.checkRole, c.checkNames, c.checkAddresses, c.checkMembers, c.checkParents, c.Limits.check} {
 		if err := check(keys); err != nil {
 			return nil, err
 		}
@@ -221,11 +232,11 @@
 		if len(c.Parents) > 0 {
 			return keys.Problem("parent", "a writer has no parent: name other regions' processes in [[region_parent]]")
 		}
-		if c.Epoch < 0 {
-			return keys.Problem("epoch", "%d is negative", c.Epoch)
+		if c.Offset < 0 {
+			return keys.Problem("epoch_offset", "%d is negative", c.Offset)
 		}
 	case RoleRelay:
-		for _, k := range []string{"state", "epoch", "region_parent[0]"} {
+		for _, k := range []string{"state", "epoch_offset", "member[0]", "region_parent[0]"} {
 			if keys.Has(k) {
 				return keys.Problem(k, "it is for a writer, and this is a relay")
 			}
@@ -272,6 +283,41 @@
 	return nil
 }
 
+// checkMembers checks the members of the region's quorum. Where none are named this process is the only one.
+func (c *ControlProcess) checkMembers(keys *tomlfile.Keys) error {
+	if c.Role != RoleWriter {
+		return nil
+	}
+	if len(c.Members) == 0 {
+		c.Members = []Member{{ID: 1, Name: c.Name, Address: c.Listen}}
+		return nil
+	}
+	if n := len(c.Members); n != 1 && n != 3 && n != 5 {
+		return keys.Problem("member", "%d are named: it takes 1, 3 or 5, this process among them", n)
+	}
+	ids, names := map[uint64]bool{}, map[string]bool{}
+	for i, m := range c.Members {
+		entry := fmt.Sprintf("member[%d].", i)
+		if m.ID == 0 || ids[m.ID] {
+			return keys.Problem(entry+"id", "%d is 0 or there twice", m.ID)
+		}
+		if err := checkName(keys, entry+"name", m.Name); err != nil {
+			return err
+		}
+		if names[m.Name] {
+			return keys.Problem(entry+"name", "%q is there twice", m.Name)
+		}
+		if err := checkAddress(keys, entry+"address", m.Address); err != nil {
+			return err
+		}
+		ids[m.ID], names[m.Name] = true, true
+	}
+	if !names[c.Name] {
+		return keys.Problem("member", "this process, %q, is not among them", c.Name)
+	}
+	return nil
+}
+
 func (c *ControlProcess) checkParents(keys *tomlfile.Keys) error {
 	if err := checkParents(keys, "parent", c.Parents); err != nil {
 		return err
@@ -313,5 +359,11 @@
 	if l.Silence, err = checkSilence(keys, "limits.silence", l.Silence); err != nil {
 		return err
 	}
+	if !keys.Has("limits.log") {
+		l.Log = defaultLog
+	}
+	if l.Log < minLog || l.Log > maxControlBytes {
+		return keys.Problem("limits.log", "%d is outside 64KiB to 1GiB", l.Log)
+	}
 	return checkBytes(keys, "limits.bytes", l.Bytes)
 }
