A late whole list leaves what it doesn't name no grace, also across a reload

Seen by reading: a list that comes after calls that failed may have counted as told for a while, so that a drain named in it had no grace left, but a backend that a whole list leaves out (which is gone by that, though it still answers) kept a whole grace from then on; so did any drain in the first list after a reload, as the new source knew nothing of the old one's failed calls. An attempt that waited for its connection was then written. engine.apply now shuts those too, and a source takes over its predecessor's doubt.

Beside it: a backend that left by a late list was never forgotten, nor its connections closed, since the end of its grace was told by the time of that end, which the list had moved. It is told by a count of departures now.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -31,6 +31,7 @@
 	Addr   string // host:port
 	Push   bool   // the address is an agent of this machine, at which asking costs nothing; else every call is work
 	Whole  bool   // the list that is known is another discovery's: its versions tell nothing here
+	Late   bool   // calls for the list that is known have failed, and none was answered since: see engine.List
 	Log    *slog.Logger
 }
 
@@ -53,7 +54,7 @@
 
 // New returns a source that asks for nothing yet.
 func New(cfg Config) *Source {
-	d := &Source{engine: cfg.Engine, addr: cfg.Addr, push: cfg.Push, plan: schedule{push: cfg.Push, whole: cfg.Whole}, log: cfg.Log,
+	d := &Source{engine: cfg.Engine, addr: cfg.Addr, push: cfg.Push, plan: schedule{push: cfg.Push, whole: cfg.Whole, doubt: cfg.Late}, log: cfg.Log,
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	d.ctx, d.leave = context.WithCancel(context.Background())
 	return d
@@ -62,6 +63,13 @@
 // Addr is the address that the source asks.
 func (d *Source) Addr() string { return d.addr }
 
+// Late tells whether the last call for the list has failed, so that what is told next may have counted as told for a while.
+func (d *Source) Late() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.plan.doubt
+}
+
 // Stop ends what the source has under way, and returns once it has ended.
 func (d *Source) Stop() {
 	d.leave()
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -39,7 +39,8 @@
 	addrs   atomic.Pointer[[]string]
 	started int64
 	key     judgement.Key
-	left    bool         // off the list; guarded by the engine's lock
+	left    bool         // off the list; guarded by the engine's lock, as is
+	leaves  int          // how often it has gone off the list
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
 
@@ -216,6 +217,9 @@
 		for id, b := range e.names {
 			if !seen[id] {
 				e.drop(b)
+				if l.Late { // gone by this as by a drain that is named, and perhaps for as long
+					b.ShutFrom(time.Now())
+				}
 			}
 		}
 	}
@@ -241,12 +245,13 @@
 		return
 	}
 	b.left = true
+	b.leaves++
 	e.drain(b)
-	stop := b.stop.Load()
+	nth := b.leaves // its grace may yet be cut short
 	time.AfterFunc(e.set.DrainGrace, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if !b.left || b.stop.Load() != stop {
+		if !b.left || b.leaves != nth {
 			return // listed again meanwhile
 		}
 		if e.names[b.ID] == b {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 		n.rpcs = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: both.Side(admission.ClientSide),
 			Methods: cfg.methods(), Inflight: own.JSONRPC.Inflight, Batch: own.JSONRPC.Batch, Idle: own.JSONRPC.Idle.D(), Log: log})
 	}
-	n.list = n.source(cfg.Discovery, false)
+	n.list = n.source(discovery.Config{Addr: cfg.Discovery})
 	n.engine.Follow(n.list, &cfg.Known)
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
@@ -272,8 +272,10 @@
 	return out
 }
 
-func (n *node) source(addr string, whole bool) *discovery.Source {
-	return discovery.New(discovery.Config{Engine: n.engine, Addr: addr, Push: !n.cfg.Settings.Policy.MustAsk, Whole: whole, Log: n.log})
+// source is a source of lists, with what all of this node's have alike.
+func (n *node) source(cfg discovery.Config) *discovery.Source {
+	cfg.Engine, cfg.Push, cfg.Log = n.engine, !n.cfg.Settings.Policy.MustAsk, n.log
+	return discovery.New(cfg)
 }
 
 // reload takes in a configuration that was read again. The boxes stay until the new discovery tells its list.
@@ -285,7 +287,7 @@
 		return
 	}
 	n.log.Info("following another discovery", "from", old.Addr(), "to", cfg.Discovery)
-	n.list = n.source(cfg.Discovery, true)
+	n.list = n.source(discovery.Config{Addr: cfg.Discovery, Whole: true, Late: old.Late()})
 	n.engine.Replace(n.list)
 	old.Stop()
 }
