--- /dev/null
+++ b/internal/httpfront/check.go
@@ -0,0 +1,89 @@
+package httpfront
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"craneglade/internal/message"
+	"craneglade/policy"
+)
+
+// check tells what is wrong with a request, by its head alone.
+func (s *Front) check(r *message.Request) *message.Rejection {
+	in := r.In
+	no := func(status int, format string, args ...any) *message.Rejection {
+		return &message.Rejection{Status: status, Text: fmt.Sprintf(format, args...)}
+	}
+	bad := http.StatusBadRequest
+	switch expect := in.Header.Get("Expect"); {
+	case !in.ProtoAtLeast(1, 1):
+		return no(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
+	case len(in.TransferEncoding) > 0:
+		// net/http drops a Content-Length beside it: a request hidden by the one or the other would go unseen.
+		return no(http.StatusLengthRequired, "Transfer-Encoding: tell the length")
+	case in.Host == "":
+		return no(bad, "Host: missing")
+	case expect != "" && !strings.EqualFold(expect, "100-continue"):
+		return no(http.StatusExpectationFailed, "Expect: %q is not known", expect)
+	case in.Method != http.MethodGet && in.Method != http.MethodPost:
+		return no(http.StatusMethodNotAllowed, "a request is a GET or a POST")
+	case in.Method == http.MethodGet && in.ContentLength != 0:
+		return no(bad, "Content-Length: a GET has no body")
+	case in.Method == http.MethodPost && in.Header.Get("Content-Length") == "":
+		return no(http.StatusLengthRequired, "Content-Length: missing")
+	}
+	for name := range in.Header {
+		if strings.Contains(name, " ") { // net/http lets it pass, so that "Transfer-Encoding :" is not one
+			return no(bad, "%q is no name of a header", name)
+		}
+	}
+	if in.URL.Path == "/ready" {
+		if in.ContentLength > 0 {
+			return no(bad, "Content-Length: a question for readiness has no body")
+		}
+		return nil
+	}
+	for _, name := range message.Headers {
+		if len(in.Header[name]) > 1 {
+			return no(bad, "%s: more than one", name)
+		}
+	}
+	r.ID, r.Class, r.Tenant = in.Header.Get("X-Request-Id"), in.Header.Get("X-Class"), in.Header.Get("X-Tenant")
+	r.Repeat = in.Header.Get("X-Retry") == "1"
+	if r.ID == "" || len(r.ID) > maxID {
+		return no(bad, "X-Request-Id: missing or too long")
+	}
+	var err error
+	if r.Patience, err = parseDeadline(in.Header.Get("X-Deadline")); err != nil {
+		return no(bad, "X-Deadline: %v", err)
+	}
+	effect, known := s.engine.Effect(r.Class)
+	if !known {
+		return no(bad, "X-Class: no such class")
+	}
+	key := in.Header.Get("Idempotency-Key") != ""
+	if (in.Method == http.MethodGet) != (effect == policy.Safe) || effect == policy.Keyed && !key || effect == policy.Unsafe && key {
+		return no(bad, "method or Idempotency-Key: not those of the class")
+	}
+	return nil
+}
+
+// parseDeadline reads a number and its unit: m for milliseconds or u for microseconds.
+func parseDeadline(s string) (time.Duration, error) {
+	unit := time.Millisecond
+	digits, ok := strings.CutSuffix(s, "m")
+	if !ok {
+		unit = time.Microsecond
+		if digits, ok = strings.CutSuffix(s, "u"); !ok {
+			return 0, fmt.Errorf("%q has no unit m or u", s)
+		}
+	}
+	f, err := strconv.ParseFloat(digits, 64)
+	if err != nil || !(f > 0 && f <= 1e12) {
+		return 0, fmt.Errorf("%q is no time", s)
+	}
+	return time.Duration(f * float64(unit)), nil
+}
--- /dev/null
+++ b/internal/httpfront/conn.go
@@ -0,0 +1,75 @@
+package httpfront
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"craneglade/internal/admission"
+	"craneglade/internal/sock"
+)
+
+// clientConn is one of them.
+type clientConn struct {
+	net.Conn
+	start time.Time
+	cap   io.LimitedReader // between the socket and in: nobody sends without end
+	in    *bufio.Reader
+	over  bool // there were too many already when it came
+	extra bool // it is one of those beyond the room
+
+	look    *sock.Look
+	used    bool   // a request on it has been answered
+	flooded []byte // where what came behind a request and can't be kept was read to; nil where nothing was dropped
+
+	// Guarded by clients.mu.
+	account admission.Conn
+	closing bool // it made room for another, or the node leaves
+	granted bool // it has a descriptor of the room
+}
+
+// more reads some of what comes behind a request.
+func (c *clientConn) more() error {
+	if n := c.in.Buffered(); n < c.in.Size() {
+		_, err := c.in.Peek(n + 1)
+		return err
+	}
+	if c.flooded == nil {
+		c.flooded = make([]byte, 16<<10)
+	}
+	_, err := c.Conn.Read(c.flooded)
+	return err
+}
+
+// left tells, without waiting, whether the client has closed its connection behind the request that was read.
+func (c *clientConn) left() bool {
+	for read := 0; read < floodSize; read += len(c.flooded) {
+		switch c.look.Pending() {
+		case sock.Nothing:
+			return false
+		case sock.Ended:
+			return true
+		}
+		c.SetReadDeadline(time.Time{}) // what bounded the request's reading, or made room for another, is no close
+		if c.more() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// watch reads on while a request is being answered, and tells whether the client has closed its connection; not where a
+// deadline in the past ends it.
+func (c *clientConn) watch() (gone bool) {
+	for read := 0; ; read += len(c.flooded) {
+		if err := c.more(); err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		if read >= floodSize {
+			time.Sleep(floodRest)
+		}
+	}
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -4,18 +4,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,7 +21,6 @@
 	"craneglade/internal/message"
 	"craneglade/internal/quota"
 	"craneglade/internal/sock"
-	"craneglade/policy"
 )
 
 const (
@@ -89,25 +83,6 @@
 	conns    map[*clientConn]struct{}
 }
 
-// clientConn is one of them.
-type clientConn struct {
-	net.Conn
-	start time.Time
-	cap   io.LimitedReader // between the socket and in: nobody sends without end
-	in    *bufio.Reader
-	over  bool // there were too many already when it came
-	extra bool // it is one of those beyond the room
-
-	look    *sock.Look
-	used    bool   // a request on it has been answered
-	flooded []byte // where what came behind a request and can't be kept was read to; nil where nothing was dropped
-
-	// Guarded by clients.mu.
-	account admission.Conn
-	closing bool // it made room for another, or the node leaves
-	granted bool // it has a descriptor of the room
-}
-
 // New returns a front that answers nobody yet.
 func New(cfg Config) *Front {
 	s := &Front{engine: cfg.Engine, bodies: cfg.Bodies, clock: cfg.Clock, log: cfg.Log,
@@ -358,16 +333,6 @@
 	return !c.closing && !s.closing.Load() // its answer may have been worded just before the node's connections were to end
 }
 
-// answer is what a client is told.
-type answer struct {
-	status     int
-	header     http.Header // of a served request: what the box sent
-	body       []byte
-	flow       *message.Flow // in place of body, for one that is still coming
-	retryAfter time.Duration
-	reply      *message.Reply // whose room it holds; nil for none
-}
-
 // talk answers one request after the other.
 func (s *Front) talk(c *clientConn) {
 	for {
@@ -407,134 +372,6 @@
 	}
 }
 
-// read reads the next request. Both results are nil where there is none, or nobody to tell what is wrong with it.
-func (s *Front) read(c *clientConn) (*message.Request, *message.Rejection) {
-	c.cap.N = message.MaxHead
-	end := c.start.Add(headTime)
-	if c.used {
-		s.deadline(c, time.Now().Add(idleTime))
-	} else {
-		s.deadline(c, end)
-	}
-	behind := c.in.Buffered() > 0 // it came while the one before was answered
-	if _, err := c.in.Peek(1); err != nil {
-		return nil, nil
-	}
-	r := &message.Request{Request: engine.Request{Arrived: time.Now()}}
-	r.Payload = r
-	if c.used {
-		end = r.Arrived.Add(headTime)
-	}
-	// Its client's time has run since it came to this machine, not since it was read here.
-	late := time.Duration(0)
-	if !behind {
-		late = s.waited(c.Conn)
-	}
-	r.Arrived = r.Arrived.Add(-late)
-	s.reading(c, end)
-	in, err := http.ReadRequest(c.in)
-	switch {
-	case err != nil && !time.Now().Before(end): // the parser may hide the time-out
-		return nil, &message.Rejection{Status: http.StatusRequestTimeout, Text: "the head did not come in time"}
-	case err != nil && c.cap.N <= 0:
-		return nil, &message.Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too large"}
-	case err != nil:
-		return nil, &message.Rejection{Status: http.StatusBadRequest, Text: err.Error()}
-	}
-	r.In = in
-	if no := s.check(r); no != nil {
-		return nil, no
-	}
-	if r.ID == "" { // a question for the node's readiness
-		return r, nil
-	}
-	r.Shed = s.sheds(late, r)
-	if !s.bodies.Admit(r) {
-		return nil, &message.Rejection{Status: http.StatusServiceUnavailable, Text: "no memory is left for a request", RetryAfter: 250 * time.Millisecond}
-	}
-	if in.ContentLength > 0 {
-		if in.Header.Get("Expect") != "" {
-			c.SetWriteDeadline(end.Add(bodyTime))
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
-		}
-		by := end.Add(bodyTime)
-		if in.ContentLength > message.MaxBody { // takes longer, but not longer than anybody waits for the answer
-			by = by.Add(time.Duration(in.ContentLength) * time.Second / bodyRate)
-			if up := r.Arrived.Add(r.Patience); up.Before(by) {
-				by = up
-			}
-		}
-		s.deadline(c, by)
-		c.cap.N = in.ContentLength
-		var no *message.Rejection
-		if r.Body, no = s.bodies.Read(s.ctx, r.Class, in); no != nil {
-			r.Release()
-			return nil, no
-		}
-	}
-	return r, nil
-}
-
-// check tells what is wrong with a request, by its head alone.
-func (s *Front) check(r *message.Request) *message.Rejection {
-	in := r.In
-	no := func(status int, format string, args ...any) *message.Rejection {
-		return &message.Rejection{Status: status, Text: fmt.Sprintf(format, args...)}
-	}
-	bad := http.StatusBadRequest
-	switch expect := in.Header.Get("Expect"); {
-	case !in.ProtoAtLeast(1, 1):
-		return no(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
-	case len(in.TransferEncoding) > 0:
-		// net/http drops a Content-Length beside it: a request hidden by the one or the other would go unseen.
-		return no(http.StatusLengthRequired, "Transfer-Encoding: tell the length")
-	case in.Host == "":
-		return no(bad, "Host: missing")
-	case expect != "" && !strings.EqualFold(expect, "100-continue"):
-		return no(http.StatusExpectationFailed, "Expect: %q is not known", expect)
-	case in.Method != http.MethodGet && in.Method != http.MethodPost:
-		return no(http.StatusMethodNotAllowed, "a request is a GET or a POST")
-	case in.Method == http.MethodGet && in.ContentLength != 0:
-		return no(bad, "Content-Length: a GET has no body")
-	case in.Method == http.MethodPost && in.Header.Get("Content-Length") == "":
-		return no(http.StatusLengthRequired, "Content-Length: missing")
-	}
-	for name := range in.Header {
-		if strings.Contains(name, " ") { // net/http lets it pass, so that "Transfer-Encoding :" is not one
-			return no(bad, "%q is no name of a header", name)
-		}
-	}
-	if in.URL.Path == "/ready" {
-		if in.ContentLength > 0 {
-			return no(bad, "Content-Length: a question for readiness has no body")
-		}
-		return nil
-	}
-	for _, name := range message.Headers {
-		if len(in.Header[name]) > 1 {
-			return no(bad, "%s: more than one", name)
-		}
-	}
-	r.ID, r.Class, r.Tenant = in.Header.Get("X-Request-Id"), in.Header.Get("X-Class"), in.Header.Get("X-Tenant")
-	r.Repeat = in.Header.Get("X-Retry") == "1"
-	if r.ID == "" || len(r.ID) > maxID {
-		return no(bad, "X-Request-Id: missing or too long")
-	}
-	var err error
-	if r.Patience, err = parseDeadline(in.Header.Get("X-Deadline")); err != nil {
-		return no(bad, "X-Deadline: %v", err)
-	}
-	effect, known := s.engine.Effect(r.Class)
-	if !known {
-		return no(bad, "X-Class: no such class")
-	}
-	key := in.Header.Get("Idempotency-Key") != ""
-	if (in.Method == http.MethodGet) != (effect == policy.Safe) || effect == policy.Keyed && !key || effect == policy.Unsafe && key {
-		return no(bad, "method or Idempotency-Key: not those of the class")
-	}
-	return nil
-}
-
 // answer gives a request exactly one answer, unless its client leaves before.
 func (s *Front) answer(c *clientConn, r *message.Request) (answer, bool) {
 	if r.ID == "" {
@@ -595,131 +432,9 @@
 	}
 }
 
-// more reads some of what comes behind a request.
-func (c *clientConn) more() error {
-	if n := c.in.Buffered(); n < c.in.Size() {
-		_, err := c.in.Peek(n + 1)
-		return err
-	}
-	if c.flooded == nil {
-		c.flooded = make([]byte, 16<<10)
-	}
-	_, err := c.Conn.Read(c.flooded)
-	return err
-}
-
-// left tells, without waiting, whether the client has closed its connection behind the request that was read.
-func (c *clientConn) left() bool {
-	for read := 0; read < floodSize; read += len(c.flooded) {
-		switch c.look.Pending() {
-		case sock.Nothing:
-			return false
-		case sock.Ended:
-			return true
-		}
-		c.SetReadDeadline(time.Time{}) // what bounded the request's reading, or made room for another, is no close
-		if c.more() != nil {
-			return true
-		}
-	}
-	return false
-}
-
-// watch reads on while a request is being answered, and tells whether the client has closed its connection; not where a
-// deadline in the past ends it.
-func (c *clientConn) watch() (gone bool) {
-	for read := 0; ; read += len(c.flooded) {
-		if err := c.more(); err != nil {
-			return !errors.Is(err, os.ErrDeadlineExceeded)
-		}
-		if read >= floodSize {
-			time.Sleep(floodRest)
-		}
-	}
-}
-
-// told is an answer of the engine as clients are told it.
-func told(a engine.Answer) answer {
-	switch p := a.Payload.(type) {
-	case *message.Reply:
-		return answer{status: http.StatusOK, header: p.Header, body: p.Body, flow: p.Flow, reply: p}
-	case *message.Rejection:
-		return answer{status: p.Status, body: []byte(p.Text + "\n")}
-	}
-	if a.Kind == engine.Refused {
-		return answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter}
-	}
-	return answer{status: http.StatusInternalServerError}
-}
-
 func (s *Front) readiness() int {
 	if !s.engine.Ready() || s.leaving.Load() {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
 }
-
-// reject answers what is no request.
-func (c *clientConn) reject(no *message.Rejection) {
-	if c.write(nil, answer{status: no.Status, body: []byte(no.Text + "\n"), retryAfter: no.RetryAfter}, true) == nil {
-		c.linger()
-	}
-}
-
-// linger waits a little for the client to close after its last answer. Closing resets a connection on which something is
-// unread, or comes later, and with it what the client has not read.
-func (c *clientConn) linger() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.CloseWrite()
-	}
-	c.SetReadDeadline(time.Now().Add(lingerTime))
-	io.CopyN(io.Discard, c.Conn, lingerSize)
-}
-
-// write sends an answer; an error means that the client has left or does not read.
-func (c *clientConn) write(in *http.Request, a answer, last bool) error {
-	h := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
-	if t := a.header.Get("Content-Type"); t != "" {
-		h.Set("Content-Type", t)
-	}
-	if a.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
-	}
-	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: in, Close: last,
-		ContentLength: int64(len(a.body)), Body: io.NopCloser(bytes.NewReader(a.body))}
-	if f := a.flow; f != nil {
-		resp.ContentLength, resp.Body = f.Size, io.NopCloser(f)
-		out := bufio.NewWriterSize(message.Paced{Conn: c.Conn}, 32<<10)
-		err := resp.Write(out)
-		if err == nil {
-			err = out.Flush()
-		}
-		f.End(err)
-		return err
-	}
-	var b bytes.Buffer
-	b.Grow(512 + len(a.body))
-	if err := resp.Write(&b); err != nil {
-		return err
-	}
-	c.SetWriteDeadline(time.Now().Add(message.WriteTime))
-	_, err := c.Write(b.Bytes())
-	return err
-}
-
-// parseDeadline reads a number and its unit: m for milliseconds or u for microseconds.
-func parseDeadline(s string) (time.Duration, error) {
-	unit := time.Millisecond
-	digits, ok := strings.CutSuffix(s, "m")
-	if !ok {
-		unit = time.Microsecond
-		if digits, ok = strings.CutSuffix(s, "u"); !ok {
-			return 0, fmt.Errorf("%q has no unit m or u", s)
-		}
-	}
-	f, err := strconv.ParseFloat(digits, 64)
-	if err != nil || !(f > 0 && f <= 1e12) {
-		return 0, fmt.Errorf("%q is no time", s)
-	}
-	return time.Duration(f * float64(unit)), nil
-}
--- /dev/null
+++ b/internal/httpfront/write.go
@@ -0,0 +1,86 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"craneglade/internal/engine"
+	"craneglade/internal/message"
+)
+
+// answer is what a client is told.
+type answer struct {
+	status     int
+	header     http.Header // of a served request: what the box sent
+	body       []byte
+	flow       *message.Flow // in place of body, for one that is still coming
+	retryAfter time.Duration
+	reply      *message.Reply // whose room it holds; nil for none
+}
+
+// told is an answer of the engine as clients are told it.
+func told(a engine.Answer) answer {
+	switch p := a.Payload.(type) {
+	case *message.Reply:
+		return answer{status: http.StatusOK, header: p.Header, body: p.Body, flow: p.Flow, reply: p}
+	case *message.Rejection:
+		return answer{status: p.Status, body: []byte(p.Text + "\n")}
+	}
+	if a.Kind == engine.Refused {
+		return answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter}
+	}
+	return answer{status: http.StatusInternalServerError}
+}
+
+// reject answers what is no request.
+func (c *clientConn) reject(no *message.Rejection) {
+	if c.write(nil, answer{status: no.Status, body: []byte(no.Text + "\n"), retryAfter: no.RetryAfter}, true) == nil {
+		c.linger()
+	}
+}
+
+// linger waits a little for the client to close after its last answer. Closing resets a connection on which something is
+// unread, or comes later, and with it what the client has not read.
+func (c *clientConn) linger() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTime))
+	io.CopyN(io.Discard, c.Conn, lingerSize)
+}
+
+// write sends an answer; an error means that the client has left or does not read.
+func (c *clientConn) write(in *http.Request, a answer, last bool) error {
+	h := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
+	if t := a.header.Get("Content-Type"); t != "" {
+		h.Set("Content-Type", t)
+	}
+	if a.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: in, Close: last,
+		ContentLength: int64(len(a.body)), Body: io.NopCloser(bytes.NewReader(a.body))}
+	if f := a.flow; f != nil {
+		resp.ContentLength, resp.Body = f.Size, io.NopCloser(f)
+		out := bufio.NewWriterSize(message.Paced{Conn: c.Conn}, 32<<10)
+		err := resp.Write(out)
+		if err == nil {
+			err = out.Flush()
+		}
+		f.End(err)
+		return err
+	}
+	var b bytes.Buffer
+	b.Grow(512 + len(a.body))
+	if err := resp.Write(&b); err != nil {
+		return err
+	}
+	c.SetWriteDeadline(time.Now().Add(message.WriteTime))
+	_, err := c.Write(b.Bytes())
+	return err
+}
