Requests in chunks are read whole and sent on with their length

Cause: the HTTP front refused every Transfer-Encoding with 411.

Change: internal/httpfront/chunked.go reads such a body with net/http's reader into message.Store.ReadUnsized, which takes memory in growing steps, then room on disk for the class's most; nothing left is 503, more than the most is 413. framing.go sees in the head's bytes what net/http drops: a Content-Length beside Transfer-Encoding is refused (400), as are chunked twice or not last; another coding is 501. All of these close the connection.

Not read: a blank before a chunk extension's semicolon, which net/http's reader refuses (400).

--- a/internal/bodies/budget.go
+++ b/internal/bodies/budget.go
@@ -71,7 +71,7 @@
 	switch {
 	case size > c.Most:
 		return TooLarge
-	case size <= c.Memory && b.used[Memory]+size+max(0, b.heads-b.limits.Heads) <= b.limits.Memory:
+	case size <= c.Memory && b.fits(size):
 		return Memory
 	case c.Disk && !b.shut && b.used[Disk]+size <= b.limits.Disk:
 		return Disk
@@ -81,6 +81,35 @@
 	return TooLarge
 }
 
+// fits tells whether bodies may have so many bytes more of memory.
+func (b *Budget) fits(size int64) bool {
+	return b.used[Memory]+size+max(0, b.heads-b.limits.Heads) <= b.limits.Memory
+}
+
+// Extend takes more room for a body whose size nobody has told, of which held bytes have room in memory already, and
+// tells where. In Memory it has room for size bytes then. On Disk it has room for the most that its class allows, and what
+// it held in memory stays held until the caller gives it back. Once is not among the tiers, as its length is not known:
+// a class that may be streamed goes on in memory beyond what it may keep there otherwise.
+func (b *Budget) Extend(c Class, held, size int64) (Tier, error) {
+	fits := size <= c.Most && b.fits(size-held)
+	switch {
+	case fits && size <= c.Memory:
+	case c.Disk && !b.shut && b.used[Disk]+c.Most <= b.limits.Disk:
+		b.count[Disk]++
+		b.used[Disk] += c.Most
+		return Disk, nil
+	case fits && c.Once:
+	default:
+		b.count[TooLarge]++
+		return TooLarge, fmt.Errorf("no room for a body of %d bytes or more", held)
+	}
+	if held == 0 {
+		b.count[Memory]++
+	}
+	b.used[Memory] += size - held
+	return Memory, nil
+}
+
 // Hold takes room in memory for what is no body (heads, answers), and tells whether there is any. Release gives it back.
 func (b *Budget) Hold(size int64) bool {
 	if b.used[Memory]+b.heads+size > b.limits.Memory+b.limits.Heads {
--- a/internal/httpfront/check.go
+++ b/internal/httpfront/check.go
@@ -21,9 +21,6 @@
 	switch expect := in.Header.Get("Expect"); {
 	case !in.ProtoAtLeast(1, 1):
 		return no(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
-	case len(in.TransferEncoding) > 0:
-		// net/http drops a Content-Length beside it: a request hidden by the one or the other would go unseen.
-		return no(http.StatusLengthRequired, "Transfer-Encoding: tell the length")
 	case in.Host == "":
 		return no(bad, "Host: missing")
 	case expect != "" && !strings.EqualFold(expect, "100-continue"):
@@ -31,8 +28,8 @@
 	case in.Method != http.MethodGet && in.Method != http.MethodPost:
 		return no(http.StatusMethodNotAllowed, "a request is a GET or a POST")
 	case in.Method == http.MethodGet && in.ContentLength != 0:
-		return no(bad, "Content-Length: a GET has no body")
-	case in.Method == http.MethodPost && in.Header.Get("Content-Length") == "":
+		return no(bad, "a GET has no body")
+	case in.Method == http.MethodPost && !isChunked(in) && in.Header.Get("Content-Length") == "":
 		return no(http.StatusLengthRequired, "Content-Length: missing")
 	}
 	for name := range in.Header {
@@ -41,8 +38,8 @@
 		}
 	}
 	if in.URL.Path == "/ready" {
-		if in.ContentLength > 0 {
-			return no(bad, "Content-Length: a question for readiness has no body")
+		if in.ContentLength != 0 {
+			return no(bad, "a question for readiness has no body")
 		}
 		return nil
 	}
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -18,8 +18,10 @@
 	start time.Time
 	cap   io.LimitedReader // between the socket and in: nobody sends without end
 	in    *bufio.Reader
-	over  bool // there were too many already when it came
-	extra bool // it is one of those beyond the room
+	// framing looks at what is read from the socket, beside in.
+	framing framing
+	over    bool // there were too many already when it came
+	extra   bool // it is one of those beyond the room
 
 	look    *sock.Look
 	used    bool   // a request on it has been answered
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -161,7 +161,7 @@
 			return err
 		}
 		c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
-		c.cap.R, c.account.Owner, c.account.From = conn, c, host(conn.RemoteAddr())
+		c.cap.R, c.account.Owner, c.account.From = scanned{conn, &c.framing}, c, host(conn.RemoteAddr())
 		c.in = bufio.NewReader(&c.cap)
 		c.granted = s.quota.Claim(s.Yield)
 		s.mu.Lock()
--- a/internal/httpfront/read.go
+++ b/internal/httpfront/read.go
@@ -19,6 +19,10 @@
 		s.deadline(c, end)
 	}
 	behind := c.in.Buffered() > 0 // it came while the one before was answered
+	c.framing.reset()
+	if buffered, err := c.in.Peek(c.in.Buffered()); err == nil {
+		c.framing.scan(buffered)
+	}
 	if _, err := c.in.Peek(1); err != nil {
 		return nil, nil
 	}
@@ -34,19 +38,16 @@
 	}
 	r.Arrived = r.Arrived.Add(-late)
 	s.reading(c, end)
-	in, err := http.ReadRequest(c.in)
-	switch {
-	case err != nil && !time.Now().Before(end): // the parser may hide the time-out
-		return nil, &message.Rejection{Status: http.StatusRequestTimeout, Text: "the head did not come in time"}
-	case err != nil && c.cap.N <= 0:
-		return nil, &message.Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too large"}
-	case err != nil:
-		return nil, &message.Rejection{Status: http.StatusBadRequest, Text: err.Error()}
+	var no *message.Rejection
+	if r.In, no = c.readHead(end); no != nil {
+		return nil, no
 	}
-	r.In = in
 	if no := s.check(r); no != nil {
 		return nil, no
 	}
+	if isChunked(r.In) != (len(c.framing.codings) > 0) { // net/http and framing read the head unlike: nobody knows where it ends
+		return nil, &message.Rejection{Status: http.StatusBadRequest, Text: "Transfer-Encoding: unclear"}
+	}
 	if r.ID == "" { // a question for the node's readiness
 		return r, nil
 	}
@@ -54,25 +55,60 @@
 	if !s.bodies.Admit(r) {
 		return nil, &message.Rejection{Status: http.StatusServiceUnavailable, Text: "no memory is left for a request", RetryAfter: 250 * time.Millisecond}
 	}
-	if in.ContentLength > 0 {
-		if in.Header.Get("Expect") != "" {
-			c.SetWriteDeadline(end.Add(bodyTime))
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
-		}
-		by := end.Add(bodyTime)
-		if in.ContentLength > message.MaxBody { // takes longer, but not longer than anybody waits for the answer
-			by = by.Add(time.Duration(in.ContentLength) * time.Second / bodyRate)
-			if up := r.Arrived.Add(r.Patience); up.Before(by) {
-				by = up
-			}
-		}
-		s.deadline(c, by)
-		c.cap.N = in.ContentLength
-		var no *message.Rejection
-		if r.Body, no = s.bodies.Read(s.ctx, r.Class, in); no != nil {
-			r.Release()
-			return nil, no
-		}
+	if no := s.readBody(c, r, end); no != nil {
+		r.Release()
+		return nil, no
 	}
 	return r, nil
 }
+
+// readHead reads a request's head, which is to be there by end.
+func (c *clientConn) readHead(end time.Time) (*http.Request, *message.Rejection) {
+	in, err := http.ReadRequest(c.in)
+	if err != nil && !time.Now().Before(end) { // the parser may hide the time-out
+		return nil, &message.Rejection{Status: http.StatusRequestTimeout, Text: "the head did not come in time"}
+	}
+	if err != nil && c.cap.N <= 0 {
+		return nil, &message.Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too large"}
+	}
+	if no := c.framing.check(); no != nil {
+		return nil, no
+	}
+	if err != nil {
+		return nil, &message.Rejection{Status: http.StatusBadRequest, Text: err.Error()}
+	}
+	return in, nil
+}
+
+// readBody reads a request's body, where it has one. end is by when its head was to be there.
+func (s *Front) readBody(c *clientConn, r *message.Request, end time.Time) *message.Rejection {
+	in := r.In
+	if in.ContentLength == 0 {
+		return nil
+	}
+	if in.Header.Get("Expect") != "" {
+		c.SetWriteDeadline(end.Add(bodyTime))
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
+	}
+	if isChunked(in) {
+		return s.readChunked(c, r, end)
+	}
+	s.deadline(c, bodyDeadline(r, end, in.ContentLength))
+	c.cap.N = in.ContentLength
+	var no *message.Rejection
+	r.Body, no = s.bodies.Read(s.ctx, r.Class, in)
+	return no
+}
+
+// bodyDeadline is by when a request's body of a size, in bytes, is to be there. One beyond the usual size may take longer,
+// but not longer than anybody waits for the answer.
+func bodyDeadline(r *message.Request, head time.Time, size int64) time.Time {
+	by := head.Add(bodyTime)
+	if size > message.MaxBody {
+		by = by.Add(time.Duration(size) * time.Second / bodyRate)
+		if up := r.Arrived.Add(r.Patience); up.Before(by) {
+			by = up
+		}
+	}
+	return by
+}
--- a/internal/message/body.go
+++ b/internal/message/body.go
@@ -225,13 +225,8 @@
 // spill writes a body to disk as it comes. Where the disk fails, what is there already and the rest go to the next tier.
 func (p *Body) spill(ctx context.Context, c bodies.Class, client io.Reader) *Rejection {
 	s := p.store
-	call := func(f func(context.Context) error) error {
-		ctx, cancel := context.WithTimeout(ctx, s.deadline)
-		defer cancel()
-		return f(ctx)
-	}
 	var chunk []byte // read, and not written
-	err := call(func(ctx context.Context) (err error) {
+	err := s.call(ctx, func(ctx context.Context) (err error) {
 		p.kept, err = s.spool.Begin(ctx, p.size)
 		return err
 	})
@@ -241,7 +236,7 @@
 			s.settled(true)
 			return CutShort(err)
 		}
-		err = call(func(ctx context.Context) error { return p.kept.Append(ctx, chunk) })
+		err = s.call(ctx, func(ctx context.Context) error { return p.kept.Append(ctx, chunk) })
 	}
 	if err == nil {
 		s.settled(true)
@@ -260,6 +255,13 @@
 	return nil
 }
 
+// call gives a call to the disk the time that it may take.
+func (s *Store) call(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, s.deadline)
+	defer cancel()
+	return f(ctx)
+}
+
 // settled notes that a body's way to the disk has ended without its fault.
 func (s *Store) settled(ok bool) {
 	s.mu.Lock()
