The kit's clients send a tenth of their bodies in chunks; table of chunk cases

The draws come from a generator of their own; all other draws of a seed stay. The trace tells such a request by how "chunked".

--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -114,6 +114,88 @@
 	})
 }
 
+// A body whose size nobody told takes memory up to its class's part of it, then the disk, and memory beyond that part only
+// where its class may be streamed.
+func TestExtend(t *testing.T) {
+	b := NewBudget(Limits{Memory: 100, Disk: 300})
+	save := Class{Most: 150, Memory: 60, Disk: true, Once: true}
+	kept := Class{Most: 150, Memory: 60, Disk: true}
+	quote := Class{Most: 150, Memory: 60}
+	for i, c := range []struct {
+		class      Class
+		shut       bool
+		held, size int64
+		want       Tier
+		memory     int64
+		disk       int64
+	}{
+		{quote, false, 0, 20, Memory, 20, 0},
+		{quote, false, 20, 60, Memory, 60, 0},
+		{quote, false, 60, 61, TooLarge, 60, 0}, // its part of memory is all that it has
+		{save, false, 0, 40, Memory, 100, 0},
+		{save, false, 40, 60, Disk, 100, 150}, // memory's total is spent; what it held stays held
+		{kept, false, 0, 20, Disk, 100, 300},
+		{kept, false, 0, 20, TooLarge, 100, 300}, // all is spent
+		{save, true, 0, 20, TooLarge, 100, 300},
+	} {
+		b.Shut(c.shut)
+		got, err := b.Extend(c.class, c.held, c.size)
+		if got != c.want || (err != nil) != (c.want == TooLarge) || b.Used(Memory) != c.memory || b.Used(Disk) != c.disk {
+			t.Errorf("%d: %v (%v), want %v; memory %d, disk %d", i, got, err, c.want, b.Used(Memory), b.Used(Disk))
+		}
+	}
+	b.Free(Memory, 60)
+	if got, _ := b.Extend(save, 40, 80); got != Memory || b.Used(Memory) != 80 {
+		t.Errorf("beyond its part of memory, with no disk: %v, %d", got, b.Used(Memory))
+	}
+	if got, _ := b.Extend(save, 80, 151); got != TooLarge {
+		t.Errorf("beyond its most: %v", got)
+	}
+}
+
+// Bodies that grow side by side, in whatever order, never overspend a total, and all that they took is given back.
+func TestExtendHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Memory: int64(rapid.IntRange(0, 300).Draw(t, "memory")), Heads: 50, Disk: int64(rapid.IntRange(0, 300).Draw(t, "disk"))}
+		b := NewBudget(l)
+		c := Class{Most: int64(rapid.IntRange(1, 200).Draw(t, "most")), Memory: int64(rapid.IntRange(0, 100).Draw(t, "each")),
+			Disk: rapid.Bool().Draw(t, "may disk"), Once: rapid.Bool().Draw(t, "may once")}
+		held := make([]int64, 5) // in memory, by body
+		onDisk := make([]bool, len(held))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(held)-1).Draw(t, "which")
+			if onDisk[i] || rapid.IntRange(0, 4).Draw(t, "ends") == 0 {
+				b.Free(Memory, held[i])
+				if onDisk[i] {
+					b.Free(Disk, c.Most)
+				}
+				held[i], onDisk[i] = 0, false
+				continue
+			}
+			size := held[i] + int64(rapid.IntRange(1, 50).Draw(t, "more"))
+			switch tier, err := b.Extend(c, held[i], size); {
+			case tier == Memory && err == nil && size <= c.Most && (size <= c.Memory || c.Once):
+				held[i] = size
+			case tier == Disk && err == nil && c.Disk:
+				onDisk[i] = true
+			case tier == TooLarge && err != nil:
+			default:
+				t.Fatalf("%+v, %d bytes of which it has %d: %v, %v", c, size, held[i], tier, err)
+			}
+			var memory, disk int64
+			for i := range held {
+				memory += held[i]
+				if onDisk[i] {
+					disk += c.Most
+				}
+			}
+			if b.Used(Memory) != memory || b.Used(Disk) != disk || memory > l.Memory || disk > l.Disk {
+				t.Fatalf("accounts for %d and %d, holds %d and %d of %+v", b.Used(Memory), b.Used(Disk), memory, disk, l)
+			}
+		}
+	})
+}
+
 // badFS fails as a test says.
 type badFS struct {
 	mu                  sync.Mutex
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -22,6 +22,28 @@
 	}
 }
 
+// A body has its second behind the head; a larger one has the time that its size so far allows, but no more than its
+// client's patience.
+func TestTimeOfABody(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	head := arrived.Add(headTime)
+	r := &message.Request{Request: engine.Request{Arrived: arrived, Patience: 4 * time.Second}}
+	for _, c := range []struct {
+		size int64
+		want time.Duration // from the request's first byte
+	}{
+		{0, 2500 * time.Millisecond},
+		{message.MaxBody, 2500 * time.Millisecond},
+		{bodyRate / 2, 3 * time.Second},
+		{bodyRate, 3500 * time.Millisecond},
+		{100 * bodyRate, 4 * time.Second},
+	} {
+		if got := bodyDeadline(r, head, c.size).Sub(arrived); got != c.want {
+			t.Errorf("%d bytes: %v, want %v", c.size, got, c.want)
+		}
+	}
+}
+
 // A node that is far behind refuses the cheapest class, harmlessly, before anything is done for it.
 func TestFarBehind(t *testing.T) {
 	t.Parallel()
--- a/internal/kit/scenario/default.go
+++ b/internal/kit/scenario/default.go
@@ -21,7 +21,7 @@
 		Net:  Net{Same: 250 * Duration(time.Microsecond), Cross: 2 * ms, Jitter: 0.2},
 		List: List{Mode: "push", Lag: 2 * sec, Add: sec, Spread: 80 * ms},
 		Clients: Clients{Retries: 1, Backoff: "fixed", Wait: 80 * ms, Honour: 0.6, MaxWait: 2 * sec, TryShare: 0.7,
-			Impatient: 0.01, Notice: 2500 * ms},
+			Impatient: 0.01, Notice: 2500 * ms, Chunked: 0.1},
 		Rules:  Rules{DrainGrace: 2 * sec, FallFactor: 4, FallFor: 1500 * ms, Attempts: 3},
 		Report: Report{Every: 700 * ms, Late: 250 * ms, Noise: 0.02},
 		Choke:  Choke{At: 5.5, Over: 2 * sec, Slower: 2.5, Below: 0.33, Rest: 3500 * ms, Most: 24 * sec},
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -107,6 +107,7 @@
 	Notice    Duration `toml:"front_notice"`
 	Once      float64  `toml:"ask_once"`    // part that asks on a connection of its own, and then keeps it for good
 	RPC       float64  `toml:"jsonrpc"`     // part that asks over JSON-RPC; nodes.own says what the nodes do with it
+	Chunked   float64  `toml:"chunked"`     // part of the bodies that go in chunks, in pieces, with extensions and trailers
 	Conns     int      `toml:"connections"` // that all clients together hold to a node for requests; 0 for any number
 }
 
@@ -367,6 +368,7 @@
 		{"clients.impatient", s.Clients.Impatient, 0, 1, ""},
 		{"clients.ask_once", s.Clients.Once, 0, 1, ""},
 		{"clients.jsonrpc", s.Clients.RPC, 0, 1, ""},
+		{"clients.chunked", s.Clients.Chunked, 0, 1, ""},
 		{"clients.connections", float64(s.Clients.Conns), 0, 1 << 20, ""},
 		{"clients.front_notice", s.Clients.Notice.S(), 0, 30, "s"},
 		{"rules.drain_grace", s.Rules.DrainGrace.S(), 0.1, 60, "s"},
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -195,7 +195,8 @@
 		if wait == 0 {
 			break
 		}
-		t := &sending{rpc: rpc, need: &n, class: class, id: this, of: first, try: try, wait: wait, key: key, idem: idem, rec: rec}
+		chunked := !rpc && class.Effect != "safe" && chunkDraws(n.Seed, try).Float64() < s.Clients.Chunked
+		t := &sending{rpc: rpc, chunked: chunked, need: &n, class: class, id: this, of: first, try: try, wait: wait, key: key, idem: idem, rec: rec}
 		res = c.attempt(ctx, t)
 		pause, again := c.plan.Again(&n, try, res.how, res.retryAfter)
 		if !again || ctx.Err() != nil || c.clock.Now()+pause >= end {
@@ -230,17 +231,18 @@
 
 // sending is one request.
 type sending struct {
-	need   *plan.Need
-	class  *scenario.Class
-	id, of string
-	try    int
-	wait   time.Duration
-	key    string
-	idem   string
-	rpc    bool // it goes as a JSON-RPC call
-	rec    trace.Record
-	conn   *clientConn
-	ended  chan ending // holds one
+	need    *plan.Need
+	class   *scenario.Class
+	id, of  string
+	try     int
+	wait    time.Duration
+	key     string
+	idem    string
+	rpc     bool // it goes as a JSON-RPC call
+	chunked bool // its body goes in chunks
+	rec     trace.Record
+	conn    *clientConn
+	ended   chan ending // holds one
 }
 
 // ending is what a connection saw of a request's end.
@@ -284,16 +286,15 @@
 	if t.try == 0 {
 		sent.Plan = trace.US(t.need.At)
 	}
+	if t.chunked {
+		sent.How = trace.Chunked
+	}
 	conn.begin(t)
 	c.note(conn.front, t.id, true)
 	defer c.note(conn.front, t.id, false)
 	c.out.Add(&sent)
 	conn.SetWriteDeadline(time.Now().Add(t.wait))
-	text := t.text
-	if t.rpc {
-		text = t.call
-	}
-	_, err := io.WriteString(conn, text(c.pads[t.need.Class]))
+	err := t.write(conn, c.pads[t.need.Class])
 	over := time.NewTimer(t.wait + c.slack + overtime)
 	defer over.Stop()
 	var leave <-chan time.Time
@@ -365,9 +366,31 @@
 	}
 }
 
-// text is the request as PROTOCOL has it.
-func (t *sending) text(pad string) string {
-	method, body := "POST", ""
+// write sends the request, in pieces where its body goes in chunks.
+func (t *sending) write(to io.Writer, pad string) error {
+	var all []string
+	if t.rpc {
+		all = []string{t.call(pad)}
+	} else {
+		head, body := t.text(pad)
+		all = []string{head + body}
+		if t.chunked {
+			draws := chunkDraws(t.need.Seed, t.try)
+			draws.Float64() // told whether it is in chunks
+			all = append([]string{head}, inChunks(draws, body)...)
+		}
+	}
+	for _, piece := range all {
+		if _, err := io.WriteString(to, piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// text is the request as PROTOCOL has it: its head and its body.
+func (t *sending) text(pad string) (head, body string) {
+	method := "POST"
 	if t.class.Effect == "safe" {
 		method = "GET"
 	} else {
@@ -379,12 +402,14 @@
 	if t.class.Effect == "keyed" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", t.idem)
 	}
-	if method == "POST" {
+	switch {
+	case t.chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case method == "POST":
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
 	b.WriteString("\r\n")
-	b.WriteString(body)
-	return b.String()
+	return b.String(), body
 }
 
 // clientConn is a connection to a node. One goroutine reads it for as long as it is open, so that what comes when
--- a/internal/kit/trace/trace.go
+++ b/internal/kit/trace/trace.go
@@ -140,6 +140,9 @@
 // Taken is the How of a Broke whose other side had read the request before it closed.
 const Taken = "taken"
 
+// Chunked is the How of a Sent whose body goes in chunks (Transfer-Encoding).
+const Chunked = "chunked"
+
 // BadClient is the How of a Recv that carries the mark of a client that sends what is no request.
 const BadClient = "bad"
 
--- a/internal/node/chunked_test.go
+++ b/internal/node/chunked_test.go
@@ -92,6 +92,30 @@
 	r.empty(t, &disk{})
 }
 
+// Requests that lie in the connection's buffer behind another are framed as the first is, also where one of them hides the
+// next.
+func TestChunksBehindOneAnother(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, echo)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	first, second, third := quote("first"), save("second"), quote("third")
+	end := inChunks("", 1)
+	cl := r.dial(t)
+	cl.send(first.chunkedHead(codingLine) + inChunks(first.body, 2) + second.chunkedHead(codingLine) + inChunks(second.body, 3) +
+		third.chunkedHead(fmt.Sprintf("Content-Length: %d\r\n", len(end)+len(view("hidden").text()))+codingLine) + end + view("hidden").text())
+	for _, q := range []call{first, second} {
+		if resp, body := cl.answer(); resp.StatusCode != 200 || body != q.echoed() {
+			t.Errorf("%s: %d %q", q.id, resp.StatusCode, body)
+		}
+	}
+	if resp, _ := cl.answer(); resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("a length beside the chunks: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if n := len(b.requests()); n != 2 {
+		t.Errorf("the backend got %d requests", n)
+	}
+}
+
 // What is no body in chunks is refused, its connection is closed, and neither it nor what it hides reaches a backend.
 func TestMalformedChunksReachNoBackend(t *testing.T) {
 	t.Parallel()
@@ -207,10 +231,8 @@
 	if resp, body := cl.answer(); resp.StatusCode != 200 || body != q.echoed() {
 		t.Errorf("%d %q", resp.StatusCode, body)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.got) != 1 || b.got[0].Header.Get("Expect") != "" {
-		t.Errorf("the backend got %d requests", len(b.got))
+	if got := b.requests(); len(got) != 1 || got[0].Header.Get("Expect") != "" {
+		t.Errorf("the backend got %d requests", len(got))
 	}
 }
 
