--- a/internal/admission/descriptors.go
+++ b/internal/admission/descriptors.go
@@ -4,8 +4,8 @@
 type Side uint8
 
 const (
-	ClientSide Side = iota
-	BoxSide
+	ClientSide Side = iota // connections from clients
+	BoxSide                // connections to backends
 	sides
 )
 
--- a/internal/kit/boxmodel/boxmodel.go
+++ b/internal/kit/boxmodel/boxmodel.go
@@ -85,10 +85,10 @@
 type Change uint8
 
 const (
-	TurnedSlow Change = iota
-	TurnedNormal
-	TurnedWarm
-	FellOver
+	TurnedSlow   Change = iota // it works at a part of its speed
+	TurnedNormal               // it works at its own speed again
+	TurnedWarm                 // it has reached its full capacity
+	FellOver                   // it failed under its load
 )
 
 // Changed is a Change and its time.
@@ -178,8 +178,10 @@
 // Down tells whether the box has fallen over or was stopped.
 func (b *Box) Down() bool { return b.down }
 
-// Held is the number of requests in work or waiting, and Waiting that of those waiting.
-func (b *Box) Held() int    { return len(b.run) + len(b.queue) }
+// Held is the number of requests in work or waiting.
+func (b *Box) Held() int { return len(b.run) + len(b.queue) }
+
+// Waiting is the number of requests that wait for a worker.
 func (b *Box) Waiting() int { return len(b.queue) }
 
 // Slowed makes the box slower by a factor until it is called again with 1.
--- a/internal/kit/stand/stand_test.go
+++ b/internal/kit/stand/stand_test.go
@@ -574,8 +574,10 @@
 			return // read, and then closed
 		}
 	})
-	if one(t, b, c, 1).How != "served" || one(t, b, c, 1).How != "served" {
-		t.Fatal("not served")
+	for range 2 {
+		if how := one(t, b, c, 1).How; how != "served" {
+			t.Fatalf("%s, and not served", how)
+		}
 	}
 	sent, broke := b.records(t, trace.Sent), b.records(t, trace.Broke)
 	if len(sent) != 3 || sent[1].ID != sent[2].ID || !sent[1].Reused || !sent[2].Again || sent[2].Reused || len(broke) != 1 || broke[0].How == trace.Taken {
--- a/internal/shared/escrow/escrow_test.go
+++ b/internal/shared/escrow/escrow_test.go
@@ -184,7 +184,6 @@
 	nodes  []*seat
 	flying []flight
 	lives  uint64
-	log    []string
 }
 
 type seat struct {
--- a/internal/shared/roster/roster.go
+++ b/internal/shared/roster/roster.go
@@ -15,10 +15,10 @@
 type State uint8
 
 const (
-	Alive   State = iota
-	Doubted       // it is said to be there, and has said nothing itself for a while
-	Dead
-	Left
+	Alive   State = iota // it was heard of lately
+	Doubted              // it is said to be there, and has said nothing itself for a while
+	Dead                 // the others have given it up
+	Left                 // it has said goodbye
 )
 
 func (s State) String() string { return [...]string{"alive", "doubted", "dead", "left"}[s] }
--- a/internal/sites/divide.go
+++ b/internal/sites/divide.go
@@ -179,7 +179,7 @@
 		return sum(p.Divide(states, more, order).Refused) > 1e-6*by
 	}
 	low, high := 0.0, 1.0
-	for refuses(high) == false {
+	for !refuses(high) {
 		if low, high = high, 2*high; high > 1e6 {
 			return math.Inf(1)
 		}
--- a/internal/sites/watch.go
+++ b/internal/sites/watch.go
@@ -10,10 +10,10 @@
 type Standing uint8
 
 const (
-	Serving   Standing = iota
-	Doubted            // some of its boxes say nothing, and none has answered since
-	Lost               // nobody there answers, or the list has taken all of it off
-	Returning          // it answers again, and gets its load back a step at a time
+	Serving   Standing = iota // its backends answer
+	Doubted                   // some of its boxes say nothing, and none has answered since
+	Lost                      // nobody there answers, or the list has taken all of it off
+	Returning                 // it answers again, and gets its load back a step at a time
 )
 
 func (s Standing) String() string { return [...]string{"serving", "in doubt", "lost", "returning"}[s] }
--- a/internal/sock/pending.go
+++ b/internal/sock/pending.go
@@ -10,9 +10,9 @@
 type Waiting uint8
 
 const (
-	Nothing Waiting = iota
-	Bytes
-	Ended // the other side has closed the connection, or it broke
+	Nothing Waiting = iota // no byte has come, and the connection stands
+	Bytes                  // at least one byte can be read
+	Ended                  // the other side has closed the connection, or it broke
 )
 
 // Pending looks at what a socket has received, without taking any of it and without waiting.
