The replica's file is split by job, with constants and functions named in full

Cause: 634 lines with one Receive of all kinds of entries and constants such as turn, forget, least. In the test three names of unexported fields and functions follow.

--- /dev/null
+++ b/internal/shared/localcounts.go
@@ -0,0 +1,91 @@
+package shared
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"craneglade/internal/shared/counts"
+	"craneglade/internal/shared/escrow"
+	"craneglade/internal/shared/roster"
+)
+
+// localCount is what this node has counted under a key.
+type localCount struct {
+	counts.Window
+	toldRate float64       // the rate that was last told to the other nodes
+	toldAt   time.Duration // when it was
+}
+
+// newLocalCounts returns the counts of a node that has counted nothing. A tenant with a quota has one also where it sends
+// no requests: nodes that need more have to know that this one does not.
+func newLocalCounts(cfg Config, now time.Duration) map[string]*localCount {
+	longAgo := now - time.Hour // so that the first rate is told at once
+	local := map[string]*localCount{}
+	add := func(key string) {
+		local[key] = &localCount{Window: counts.Window{Incarnation: cfg.Self.Incarnation}, toldAt: longAgo}
+	}
+	for tenant, quota := range cfg.Quotas {
+		if quota > 0 {
+			add(quotaPrefix + tenant)
+		}
+	}
+	if cfg.Use.Crossing {
+		for _, site := range cfg.Sites {
+			add(crossPrefix + site)
+		}
+	}
+	return local
+}
+
+// Request counts a request of this node's clients.
+func (r *Replica) Request(now time.Duration, tenant string) {
+	r.advance(now)
+	r.count(quotaPrefix + tenant)
+}
+
+// Crossed counts a request of this node's clients that goes to another site because their own is lost.
+func (r *Replica) Crossed(now time.Duration, site string) {
+	r.advance(now)
+	r.count(crossPrefix + site)
+}
+
+// count adds a request under a key, where there is a count for it.
+func (r *Replica) count(key string) {
+	if c := r.localCounts[key]; c != nil {
+		c.Add(r.epoch(), 1)
+	}
+}
+
+// epoch is the current epoch of this node's counts.
+func (r *Replica) epoch() uint64 { return counts.At(r.clock.elapsed()) }
+
+// demands returns what is known of each member's rate under a key, by number.
+func (r *Replica) demands(key string) []escrow.Demand {
+	var demands []escrow.Demand
+	if c := r.localCounts[key]; c != nil {
+		demands = append(demands, escrow.Demand{Number: r.cfg.Self.Number, Rate: c.Rate()})
+	}
+	r.table.Rates(r.clock.now, key, func(node int, rate float64, age time.Duration) {
+		if m, known := r.roster.Of(node); known && (m.State == roster.Dead || m.State == roster.Left) {
+			return
+		}
+		demands = append(demands, escrow.Demand{Number: node, Rate: rate, Age: age})
+	})
+	slices.SortFunc(demands, func(a, b escrow.Demand) int { return cmp.Compare(a.Number, b.Number) })
+	return demands
+}
+
+// totalRate estimates the rate of all nodes together under a key. Nodes of which nothing is known count as the mean of the
+// others, so that a node that hears nobody keeps to its own part.
+func (r *Replica) totalRate(key string, localRate float64) float64 {
+	sum, known := localRate, 1
+	staleAfter := r.staleAfter()
+	for _, d := range r.demands(key) {
+		if d.Number != r.cfg.Self.Number && d.Rate >= 0 && d.Age <= staleAfter {
+			sum += d.Rate
+			known++
+		}
+	}
+	return sum * float64(max(known, r.cfg.Nodes)) / float64(known)
+}
--- a/internal/shared/replica_test.go
+++ b/internal/shared/replica_test.go
@@ -161,7 +161,7 @@
 	})
 	whole := 0.0
 	for i, r := range f.nodes {
-		whole += r.own["quota/a"].Rate()
+		whole += r.localCounts["quota/a"].Rate()
 		if got := r.View(f.now).Within["a"]; got < 0.22 || got > 0.27 {
 			t.Errorf("node %d: %.3f of its requests lie within, want 100 of %d", i, got, 20*21)
 		}
@@ -311,7 +311,7 @@
 	if has := f.nodes[0].View(f.now).Cross["west"]; has < 0.16 || has > 0.17 {
 		t.Errorf("of what nobody needs one has %.2f, and owns a sixth", has)
 	}
-	if f.nodes[0].budget("cross/north") || !f.nodes[0].budget("cross/west") {
+	if f.nodes[0].isBudget("cross/north") || !f.nodes[0].isBudget("cross/west") {
 		t.Error("a site that is in no plan has a budget, or one that is has none")
 	}
 }
@@ -327,7 +327,7 @@
 		}
 		r.Request(f.now, "a")
 		r.Step(f.now)
-		if rate := r.own[quota+"a"].Rate(); i > 10 && (rate < 9 || rate > 11) {
+		if rate := r.localCounts[quotaPrefix+"a"].Rate(); i > 10 && (rate < 9 || rate > 11) {
 			t.Fatalf("request %d, one each 100 ms: a rate of %.1f", i, rate)
 		}
 	}
--- /dev/null
+++ b/internal/shared/view.go
@@ -0,0 +1,78 @@
+package shared
+
+import (
+	"time"
+
+	"craneglade/internal/shared/judgement"
+)
+
+const (
+	// viewValidity is how long a view may be acted on, where no loan ends before.
+	viewValidity = 2 * stepInterval
+	// minWithin is the fraction in a view where nothing of a quota is left: 0 would say that nothing is known.
+	minWithin = 1e-9
+)
+
+// View is what the node may act on until Until.
+type View struct {
+	Within map[string]float64 // by tenant: fraction of its requests here that lie within its quota; nil where that is not shared
+	Cross  map[string]float64 // by site: fraction of the load of lost sites that this node may send there; nil where that is not shared
+	Nodes  map[string]int     // by site: nodes that are surely there
+	Out    []judgement.Key    // backends that enough nodes find broken
+	Until  time.Duration
+}
+
+// View returns what may be acted on now.
+func (r *Replica) View(now time.Duration) View {
+	r.advance(now)
+	v := View{Until: now + viewValidity, Nodes: map[string]int{}}
+	for site, count := range r.roster.Sites(r.clock.now) {
+		v.Nodes[site] = count.Lower
+	}
+	if r.cfg.Use.Quotas || r.cfg.Use.Escrow {
+		r.viewQuotas(now, &v)
+	}
+	if r.cfg.Use.Crossing {
+		r.viewCrossing(now, &v)
+	}
+	for _, b := range r.backends {
+		if b.ejected {
+			v.Out = append(v.Out, b.Key)
+		}
+	}
+	return v
+}
+
+// viewQuotas sets the fraction of each tenant's requests that lies within its quota.
+func (r *Replica) viewQuotas(now time.Duration, v *View) {
+	v.Within = map[string]float64{}
+	r.eachQuota(func(budget, tenant string) {
+		localRate := r.localCounts[budget].Rate()
+		if localRate < 0 {
+			return // it has counted nothing yet
+		}
+		var allowed, rate float64
+		if r.cfg.Use.Escrow { // this node's part, against its own requests
+			allowed = r.cfg.Quotas[tenant] * r.viewPart(now, budget, v)
+			rate = localRate
+		} else { // the whole, against the requests of all nodes
+			allowed = r.cfg.Quotas[tenant]
+			rate = r.totalRate(budget, localRate)
+		}
+		v.Within[tenant] = max(minWithin, min(1, allowed/max(rate, minWithin)))
+	})
+}
+
+// viewCrossing sets this node's part of the load that may go to each site.
+func (r *Replica) viewCrossing(now time.Duration, v *View) {
+	v.Cross = map[string]float64{}
+	r.eachCrossing(func(budget, site string) { v.Cross[site] = r.viewPart(now, budget, v) })
+}
+
+// viewPart is what this node may spend of a budget, as a fraction of the whole. The view ends when that falls.
+func (r *Replica) viewPart(now time.Duration, budget string, v *View) float64 {
+	if until, falls := r.ledger.Until(now, budget); falls {
+		v.Until = min(v.Until, until)
+	}
+	return r.spendablePart(now, budget)
+}
