--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"craneglade/internal/engine"
 )
 
 // Moments in which a request, an answer, a client's close or a signal comes between two steps of the node. Each test makes the bad
@@ -227,3 +229,79 @@
 		}
 	}
 }
+
+// A further attempt tells its backend what is left to the client at the most, however long the ones before it took.
+func TestFurtherAttemptTellsWhatIsLeft(t *testing.T) {
+	t.Parallel()
+	const held = 300 * time.Millisecond // by the first attempt
+	var first, begun, broke atomic.Int64
+	answer := func(conn net.Conn, r *http.Request, nth int) bool {
+		if !first.CompareAndSwap(0, 1) {
+			return served(conn, r, nth)
+		}
+		begun.Store(time.Now().UnixNano())
+		<-time.After(held)
+		broke.Store(time.Now().UnixNano())
+		conn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	a, b := newBox(t, answer), newBox(t, answer)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, a.entry("s-1"), b.entry("s-2"))
+	request := save("s")
+	request.deadline = "20000m"
+	if resp, _ := r.dial(t).ask(request); resp.StatusCode != 200 {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	got := append(a.requests(), b.requests()...)
+	if len(got) != 2 {
+		t.Fatalf("%d attempts, want 2", len(got))
+	}
+	least := patience
+	for _, attempt := range got {
+		told, err := strconv.Atoi(strings.TrimSuffix(attempt.Header.Get("X-Deadline"), "u"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		least = min(least, time.Duration(told)*time.Microsecond)
+	}
+	if most := 20*time.Second - time.Duration(broke.Load()-begun.Load()); least > most {
+		t.Errorf("the further attempt told %v, and the client waits for %v", least, most)
+	}
+}
+
+// A backend that accepts a connection and dies, before or behind the last byte of a request, may have run it once the last byte is out: what
+// must not run twice is not sent again. The client gets its one answer.
+func TestBackendKilledBehindItsAccept(t *testing.T) {
+	t.Parallel()
+	dead := newBox(t, served)
+	killed := accept(t, &dead.mu, &dead.conns, func(c net.Conn) {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close() // the system had accepted it: the node may or may not have written by now
+	})
+	lives := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil,
+		engine.Listed{ID: "s-1", Addr: killed.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}, lives.entry("s-2"))
+	served := map[string]bool{}
+	for i := range 40 {
+		id := fmt.Sprint("q", i)
+		resp, body := r.dial(t).ask(quote(id))
+		switch {
+		case resp.StatusCode == 200 && body == "done "+id:
+			served[id] = true
+		case resp.StatusCode != 500 && resp.StatusCode != 503:
+			t.Errorf("%s: answered %d %q", id, resp.StatusCode, body)
+		}
+	}
+	seen := map[string]int{}
+	for _, request := range lives.requests() {
+		seen[request.Header.Get("X-Request-Id")]++
+	}
+	for id, n := range seen {
+		if n != 1 || !served[id] {
+			t.Errorf("%s: %d times at the backend that lives, served %v; want once and served", id, n, served[id])
+		}
+	}
+	if len(served) == 0 {
+		t.Error("nothing was served")
+	}
+}
