--- /dev/null
+++ b/internal/node/forms_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// edit replaces a text's first old by fresh.
+func edit(text, old, fresh string) string { return strings.Replace(text, old, fresh, 1) }
+
+// All forms in which HTTP/1.1 lets a client write a request with a length are served, and its target goes on as it came. Chunked bodies
+// have tests of their own.
+func TestFormsOfARequest(t *testing.T) {
+	t.Parallel()
+	const target = "/api?key=7f"
+	for _, c := range []struct{ name, text, want string }{
+		{"names in other letters", edit(edit(quote("q").text(), "X-Request-Id", "x-rEQUEST-iD"), "Content-Length", "content-length"), target},
+		{"no space before a value", edit(quote("q").text(), "X-Class: ", "X-Class:"), target},
+		{"white space round a value", edit(quote("q").text(), "X-Class: quote", "X-Class: \t quote\t "), target},
+		{"an empty value", edit(quote("q").text(), "Host:", "X-Extras:\r\nHost:"), target},
+		{"a folded line", edit(quote("q").text(), "Host:", "X-Extras: a=1,\r\n b=2\r\nHost:"), target},
+		{"a line feed alone", strings.ReplaceAll(quote("q").text(), "\r\n", "\n"), target},
+		{"the absolute form", edit(quote("q").text(), " /api", " http://backend.local/api"), target},
+		{"a length with zeros before it", edit(quote("q").text(), "Content-Length: 6", "Content-Length: 0006"), target},
+		{"two like lengths", edit(quote("q").text(), "Content-Length: 6", "Content-Length: 6\r\nContent-Length: 6"), target},
+		{"a GET of length 0", edit(view("v").text(), "Host:", "Content-Length: 0\r\nHost:"), target},
+		{"a connection to be kept", edit(quote("q").text(), "Host:", "Connection: Keep-Alive\r\nHost:"), target},
+		{"escapes", edit(quote("q").text(), target, "/a%2Fpi;x=1/%7e?key=%37f&a=%20|+"), "/a%2Fpi;x=1/%7e?key=%37f&a=%20|+"},
+		{"a query without a name", edit(quote("q").text(), target, "/api?"), "/api?"},
+	} {
+		for _, size := range []int{len(c.text), 1} { // at once, and in pieces
+			name := c.name
+			if size == 1 {
+				name += ", byte by byte"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				b := newBox(t, served)
+				r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+				client := r.dial(t)
+				for rest := c.text; rest != ""; rest = rest[size:] {
+					client.send(rest[:size])
+				}
+				if resp, body := client.answer(); resp.StatusCode != 200 || !strings.HasPrefix(body, "done ") {
+					t.Fatalf("answered %d %q", resp.StatusCode, body)
+				}
+				got := b.requests()
+				if len(got) != 1 || got[0].RequestURI != c.want {
+					t.Errorf("the backend got %d requests, for %q; want one, for %q", len(got), got[0].RequestURI, c.want)
+				}
+			})
+		}
+	}
+}
+
+// All forms of an answer that has an end are served, byte by byte too.
+func TestFormsOfAnAnswer(t *testing.T) {
+	t.Parallel()
+	const want = "a door"
+	for _, c := range []struct{ name, text string }{
+		{"names in other letters", "HTTP/1.1 200 OK\r\ncontent-LENGTH:6\r\n\r\na door"},
+		{"no reason", "HTTP/1.1 200 \r\nContent-Length: \t6 \r\n\r\na door"},
+		{"a folded line", "HTTP/1.1 200 OK\r\nX-Other: a\r\n\tb\r\nContent-Length: 6\r\n\r\na door"},
+		{"chunks with an extension and a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2;x=\"y\"\r\na \r\n04\r\ndoor\r\n0\r\nX-After: b\r\n\r\n"},
+		{"continue ahead", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\na door"},
+		{"the connection's end", "HTTP/1.1 200 OK\r\nconnection: x, CLOSE\r\n\r\na door"},
+	} {
+		for _, whole := range []bool{true, false} {
+			name := c.name
+			if !whole {
+				name += ", byte by byte"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				b := newBox(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+					size := 1
+					if whole {
+						size = len(c.text)
+					}
+					for rest := c.text; rest != ""; rest = rest[size:] {
+						if _, err := io.WriteString(conn, rest[:size]); err != nil {
+							return false
+						}
+					}
+					return !strings.Contains(c.text, "CLOSE")
+				})
+				r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+				if resp, body := r.dial(t).ask(quote("q")); resp.StatusCode != 200 || body != want {
+					t.Errorf("answered %d %q, want %q", resp.StatusCode, body, want)
+				}
+				if n := len(b.requests()); n != 1 {
+					t.Errorf("the backend got %d requests, want 1", n)
+				}
+			})
+		}
+	}
+}
