The judge's file is split: one for each rule, processes, requests, lateness

Cause: 790 lines with all rules, the verdict's types and the queue of records in one file, and names such as reqs, byAtt, x, y, us. No exported name changes and no change of behaviour. In the tests the names of unexported fields follow.

Tests of judge, report, the laboratory, cli and proof pass with -race.

--- a/internal/kit/judge/judge_test.go
+++ b/internal/kit/judge/judge_test.go
@@ -215,7 +215,7 @@
 		// Stand-ins note what they saw in any order: a shuffle within the allowed disorder changes nothing.
 		shuffled := slices.Clone(c.recs)
 		rand.New(rand.NewPCG(1, uint64(len(c.name)))).Shuffle(len(shuffled), func(a, b int) {
-			if d := shuffled[a].T - shuffled[b].T; d < disorder && d > -disorder && d != 0 {
+			if d := shuffled[a].T - shuffled[b].T; d < maxDisorder && d > -maxDisorder && d != 0 {
 				shuffled[a], shuffled[b] = shuffled[b], shuffled[a]
 			}
 		})
@@ -325,7 +325,7 @@
 		add(replied(at+2, i, id, trace.Served, id))
 		add(with(got(at+3, id, 200, id), func(r *trace.Record) { r.Conn = i }))
 	}
-	for name, n := range map[string]int{"requests": len(j.reqs), "attempts": len(j.byAtt), "bodies": len(j.sums), "connections": len(j.served), "waiting": len(j.pending)} {
+	for name, n := range map[string]int{"requests": len(j.requests), "attempts": len(j.attempts), "bodies": len(j.bodies), "connections": len(j.lastAnswer), "waiting": len(j.pending)} {
 		if n > 5000 { // 12 s of 200 a second, and a sweep's delay
 			t.Errorf("%d %s held after 60000", n, name)
 		}
@@ -337,11 +337,11 @@
 
 func TestMostAreListed(t *testing.T) {
 	var recs []trace.Record
-	for i := range int64(listed + 50) {
+	for i := range int64(maxListed + 50) {
 		recs = append(recs, recv(10+i, i, "b1", fmt.Sprint("hidden-", i)))
 	}
 	v := judged(recs)
-	if len(v.Violations) != listed || v.More != 50 {
+	if len(v.Violations) != maxListed || v.More != 50 {
 		t.Errorf("%d listed, %d more", len(v.Violations), v.More)
 	}
 	if w := judged(recs); !reflect.DeepEqual(v, w) {
--- a/internal/kit/judge/shared.go
+++ b/internal/kit/judge/shared.go
@@ -73,8 +73,8 @@
 	})
 }
 
-// process follows a node's process.
-func (j *Judge) process(r lineRec) {
+// sharerChanged follows a node's process as far as what it shares goes.
+func (j *Judge) sharerChanged(r lineRecord) {
 	n := j.node(r.Node)
 	switch r.State {
 	case trace.Stopped:
@@ -93,7 +93,7 @@
 		if r.State == trace.Started {
 			delete(j.shared.heard, r.Node) // it knows nothing yet
 		} else if r.State != trace.Term {
-			n.downAt = r.T
+			n.endedAt = r.T
 		}
 		if r.State != trace.Term { // one that is asked to end still serves, and spends
 			for _, nodes := range j.shared.budgets {
@@ -112,7 +112,7 @@
 	return len(s) > 0 && s[len(s)-1].to == 0
 }
 
-func (j *Judge) spend(r lineRec) {
+func (j *Judge) spend(r lineRecord) {
 	j.verdict.Shares++
 	nodes := j.shared.budgets[r.Text]
 	if nodes == nil {
@@ -125,7 +125,7 @@
 
 // add holds what all nodes may spend of a budget at a moment against the budget. A loan counts until its end, and at the
 // moment at which its holder says that it has it.
-func (j *Judge) add(r lineRec, budget string) {
+func (j *Judge) add(r lineRecord, budget string) {
 	sum, text, lines := int64(0), "", []int(nil)
 	nodes := j.shared.budgets[budget]
 	for _, name := range slices.Sorted(maps.Keys(nodes)) {
@@ -145,13 +145,13 @@
 	}
 	over := sum > escrow.Whole+tolerant*int64(len(nodes))
 	if over && !j.shared.over[budget] {
-		j.broken(Violation{Rule: SharedKept, Name: Overspent, At: r.T, Node: r.Node, Lines: lines,
+		j.addViolation(Violation{Rule: SharedKept, Name: Overspent, At: r.T, Node: r.Node, Lines: lines,
 			Text: fmt.Sprintf("%.2f%% of %s can be spent at once: %s", 100*float64(sum)/float64(escrow.Whole), budget, text[2:])})
 	}
 	j.shared.over[budget] = over
 }
 
-func (j *Judge) view(r lineRec) {
+func (j *Judge) view(r lineRecord) {
 	j.verdict.Shares++
 	j.apart(r)
 	j.members(r)
@@ -163,17 +163,17 @@
 	j.shared.views[r.Node] = r.Record
 	l := judgement.Usual()
 	if most := int(math.Floor(l.Fleet * float64(r.Listed))); r.Out > most && old.Out <= most {
-		j.broken(Violation{Rule: SharedKept, Name: OverCeiling, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: OverCeiling, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("%d of %d boxes are out by hearsay, and %d are the most", r.Out, r.Listed, most)})
 	}
 	if r.Out > 0 && r.Votes < l.Quorum && (old.Out == 0 || old.Votes >= l.Quorum) {
-		j.broken(Violation{Rule: SharedKept, Name: NoQuorum, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: NoQuorum, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("a box is out by the word of %d nodes, and %d are the least", r.Votes, l.Quorum)})
 	}
 }
 
 // apart looks whether a node knows of the others, once nothing has stood between them for long.
-func (j *Judge) apart(r lineRec) {
+func (j *Judge) apart(r lineRecord) {
 	// What is older than three turns tells nothing of now, and a seed is asked again after 3 s.
 	if bound := max(together, 3*r.Every+again); len(j.shared.trouble) > 0 || r.T-j.shared.calm < bound || !j.node(r.Node).up {
 		return
@@ -190,30 +190,30 @@
 	}
 	if !j.shared.apart[r.Node] {
 		j.shared.apart[r.Node] = true
-		j.broken(Violation{Rule: SharedKept, Name: Apart, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: Apart, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("it is sure of %d nodes, and %d are up, %v after the last trouble between them", r.Surely, up, rounded(r.T-j.shared.calm))})
 	}
 }
 
 // members holds what a node believes of the fleet's size against who is there.
-func (j *Judge) members(r lineRec) {
+func (j *Judge) members(r lineRecord) {
 	up, may := 0, 0
 	for _, n := range j.nodes {
 		if n.up {
 			up++
 		}
-		if n.up || n.started > n.downAt || n.downAt > 0 && r.T-n.downAt < lingers {
+		if n.up || n.startedAt > n.endedAt || n.endedAt > 0 && r.T-n.endedAt < lingers {
 			may++
 		}
 	}
 	if r.AtMost > 0 && (up > r.AtMost || r.Surely > may) {
-		j.broken(Violation{Rule: SharedKept, Name: OutOfBounds, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: OutOfBounds, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("it holds %d to %d nodes possible, and %d are up, %d were lately", r.Surely, r.AtMost, up, may)})
 	}
 }
 
-// asked notes a request at a node.
-func (j *Judge) asked(r lineRec) {
+// countAsked notes a request at a node.
+func (j *Judge) countAsked(r lineRecord) {
 	k := asker{r.Node, r.Tenant}
 	all := append(j.shared.asks[k], r.T)
 	if old := r.T - memory; all[0] < old {
@@ -232,7 +232,7 @@
 }
 
 // count holds what a node has heard of another's count against the word before and against what that one was asked.
-func (j *Judge) count(r lineRec, c trace.Count) {
+func (j *Judge) count(r lineRecord, c trace.Count) {
 	if c.Of < 0 || c.Of >= len(j.head.Nodes) {
 		return
 	}
@@ -247,7 +247,7 @@
 	old := known[k]
 	known[k] = word{c.Life, c.Epoch, r.T}
 	if c.Life < old.life || c.Life == old.life && c.Epoch < old.epoch {
-		j.broken(Violation{Rule: SharedKept, Name: TurnedBack, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: TurnedBack, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("of node %s it knew life %d, epoch %d of %s, and now life %d, epoch %d", of, old.life, old.epoch, c.Key, c.Life, c.Epoch)})
 		return
 	}
@@ -257,14 +257,14 @@
 	}
 	least, most := j.between(k, c.From+slop, c.To-slop), j.between(k, c.From-slop, c.To+slop)
 	if c.Sum > most+1 || c.Sum < least*3/4-2 {
-		j.broken(Violation{Rule: SharedKept, Name: Miscounted, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: Miscounted, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("node %s is said to have been asked %d times for %s within %v before %v, and was %d to %d times", of, c.Sum, tenant,
-				rounded(c.To-c.From), us(c.To).Round(time.Millisecond), least, most)})
+				rounded(c.To-c.From), duration(c.To).Round(time.Millisecond), least, most)})
 	}
 }
 
 // behind looks whether a node goes by old counts of others, once nothing has stood between them for long.
-func (j *Judge) behind(r lineRec) {
+func (j *Judge) behind(r lineRecord) {
 	if len(j.shared.trouble) > 0 || r.T-j.shared.calm < together || !j.node(r.Node).up || r.Every == 0 {
 		return
 	}
@@ -275,7 +275,17 @@
 			continue
 		}
 		known[k] = word{h.life, h.epoch, r.T} // once for each time
-		j.broken(Violation{Rule: SharedKept, Name: Behind, At: r.T, Node: r.Node, Lines: []int{r.line},
+		j.addViolation(Violation{Rule: SharedKept, Name: Behind, At: r.T, Node: r.Node, Lines: []int{r.line},
 			Text: fmt.Sprintf("its latest word of node %s's count of %s is %v old", k.node, k.tenant, rounded(r.T-h.at))})
 	}
 }
+
+// networkChanged follows what stands between nodes.
+func (j *Judge) networkChanged(r lineRecord) {
+	j.shared.calm = r.T
+	if r.How == trace.Over {
+		delete(j.shared.trouble, r.Text)
+	} else {
+		j.shared.trouble[r.Text] = true
+	}
+}
