Membership is split into the list, names, the rule and the decision, with names in full

Cause: one file of 487 lines with a List and a Names of 60 lines each, constants such as few, flaps, calmMost, and box where a backend is meant. Change: a file for each source and for the rule and the decision, functions of one job, constants and fields named in full, the package comment in plain words. The exported type keeps its name, Box, as five packages that are being worked on use it. No change of behaviour; in the test the name of a constant follows.

Tests of membership, resolve, discovery and node pass with -race.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -217,8 +217,8 @@
 			returns++
 		}
 	}
-	if returns != flaps {
-		t.Errorf("it came back %d times in 24 s, want %d", returns, flaps)
+	if returns != freeReturns {
+		t.Errorf("it came back %d times in 24 s, want %d", returns, freeReturns)
 	}
 	for range 40 { // and it does, once it is calm
 		if next := f.Next(); stand(t, f, 1).Use || next == 0 {
