--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -40,6 +40,7 @@
 	started int64
 	key     judgement.Key
 	left    bool         // off the list; guarded by the engine's lock
+	drops   int          // times it was dropped from the list; guarded by the engine's lock
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
 
@@ -241,12 +242,13 @@
 		return
 	}
 	b.left = true
+	b.drops++
 	e.drain(b)
-	stop := b.stop.Load()
+	nth := b.drops
 	time.AfterFunc(e.set.DrainGrace, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if !b.left || b.stop.Load() != stop {
+		if !b.left || b.drops != nth {
 			return // listed again meanwhile
 		}
 		if e.names[b.ID] == b {
