News of one backend finds others at its address by an index, not by walking all names

Cause: engine.apply walked all known names for each new backend to find another process at its address, and all names again after each list to tell whether one is ready: quadratic in a full list, under the engine's lock. An index by address, kept through drops, restarts, address changes and re-listing, and a count of those that take new requests. TestListsAgainstAModel passes before and after.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -171,7 +171,7 @@
 	boxes    map[uint32]*Backend // the same by the module's number, and those that left until their grace is over
 	nextNum  uint32
 	version  int64 // of the list
-	ready    bool  // some box is listed as ready
+	listed   index // those of names that have not left
 
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -40,6 +40,7 @@
 	started int64
 	key     judgement.Key
 	left    bool         // off the list; guarded by the engine's lock
+	opened  bool         // counted in Engine.listed as one that takes new requests; guarded by the engine's lock
 	drops   int          // times it was dropped from the list; guarded by the engine's lock
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
@@ -132,7 +133,7 @@
 func (e *Engine) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.ready
+	return e.listed.open > 0
 }
 
 // take takes in a list, with what other sources say. e.mu is held.
@@ -177,8 +178,8 @@
 		case b == nil && x.State == policy.Left:
 			continue
 		case b == nil:
-			for _, o := range e.names {
-				if o.Addr == s.Addr && !o.left && !seen[o.ID] {
+			for _, o := range e.listed.at(s.Addr) {
+				if !seen[o.ID] {
 					// Its process can't be there any more: what goes to its address reaches the new one.
 					entries = append(entries, policy.Entry{ID: o.Number, State: policy.Left})
 					e.drop(o)
@@ -189,6 +190,7 @@
 		case b.started != s.StartedMS:
 			old := b
 			b = &Backend{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)} // the module tells the two apart by the start
+			e.listed.remove(old)
 			e.carrier.Retire(old)
 		}
 		if len(s.Addrs) > 1 || x.State == policy.Active { // news of a drain need not tell them
@@ -208,6 +210,7 @@
 		case policy.Left:
 			e.drop(b)
 		}
+		e.listed.update(b)
 		if l.Late && x.State == policy.Left {
 			b.ShutFrom(time.Now())
 		}
@@ -223,10 +226,6 @@
 	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	e.tellSharer()
 	e.tellSites()
-	e.ready = false
-	for _, b := range e.names {
-		e.ready = e.ready || b.stop.Load() == 0
-	}
 }
 
 // drain lets nothing new be written to a box once its grace is over, less the time that the news took.
@@ -243,6 +242,7 @@
 	}
 	b.left = true
 	b.drops++
+	e.listed.remove(b)
 	e.drain(b)
 	nth := b.drops
 	time.AfterFunc(e.set.DrainGrace, func() {
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -66,6 +66,9 @@
 		s := &stands[i]
 		if b := e.names[s.Box.ID]; b != nil && !s.Use && b.Addr == s.Box.Addr {
 			b.ShutFrom(time.Now().Add(s.Told - e.clock.Now() + e.set.DrainGrace*9/10))
+			if !b.left {
+				e.listed.update(b)
+			}
 		}
 	}
 }
