What leaves a list together is forgotten together, in pieces between which requests go on

Cause: drop started one timer for each backend, so that 10,000 that leave at once end in 10,000 goroutines that wait for the engine's lock. One timer for a list, 64 backends a hold of the lock.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -170,8 +170,9 @@
 	names    map[string]*Backend // listed boxes by the list's id
 	boxes    map[uint32]*Backend // the same by the module's number, and those that left until their grace is over
 	nextNum  uint32
-	version  int64 // of the list
-	listed   index // those of names that have not left
+	version  int64     // of the list
+	listed   index     // those of names that have not left
+	dropped  []dropped // that forgetDropped has not seen
 
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -226,6 +227,7 @@
 	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	e.tellSharer()
 	e.tellSites()
+	e.forgetDropped()
 }
 
 // drain lets nothing new be written to a box once its grace is over, less the time that the news took.
@@ -235,7 +237,7 @@
 }
 
 // drop takes a box off the list. It stays known until its grace is over: the module may go on with the last of a list
-// that came empty, and a box that is listed again keeps its number and its connections.
+// that came empty, and a box that is listed again keeps its number and its connections. forgetDropped is to be called.
 func (e *Engine) drop(b *Backend) {
 	if b.left {
 		return
@@ -244,12 +246,40 @@
 	b.drops++
 	e.listed.remove(b)
 	e.drain(b)
-	nth := b.drops
+	e.dropped = append(e.dropped, dropped{b, b.drops})
+}
+
+// dropped is a backend that left the list, and which of its drops that was.
+type dropped struct {
+	backend *Backend
+	nth     int
+}
+
+// forgottenAtOnce is how many backends are forgotten without a request getting the engine's lock between them.
+const forgottenAtOnce = 64
+
+// forgetDropped has what was dropped since the last call forgotten once its grace is over. e.mu is held.
+func (e *Engine) forgetDropped() {
+	if len(e.dropped) == 0 {
+		return
+	}
+	all := e.dropped
+	e.dropped = nil
 	time.AfterFunc(e.set.DrainGrace, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if !b.left || b.drops != nth {
-			return // listed again meanwhile
+		for some := range slices.Chunk(all, forgottenAtOnce) {
+			e.forgetBackends(some)
+		}
+	})
+}
+
+// forgetBackends forgets backends that are not listed again.
+func (e *Engine) forgetBackends(all []dropped) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range all {
+		b := d.backend
+		if !b.left || b.drops != d.nth {
+			continue // listed again meanwhile
 		}
 		if e.names[b.ID] == b {
 			delete(e.names, b.ID)
@@ -258,5 +288,5 @@
 			delete(e.boxes, b.Number)
 		}
 		e.carrier.Retire(b)
-	})
+	}
 }
