A count whose name is as long as another's is told for good, not only at its first turn

Cause: memberlist v0.7.0's TransmitLimitedQueue begins its items' numbers anew whenever it is empty, also between taking out an item and putting its successor of the same name in. Two items then have one number; where they are equally long the later one drops the earlier out of the tree, which stays in the list of names, and each further item of that name is dropped in the same way. Found when the age of counts was measured: with four tenants of one name length that twelve nodes are asked for evenly, each node knew the counts of 1 to 3 of 11 others after two minutes (it knew all after 5 s). A queue now holds one item that is too large to be sent, and is never empty.

--- /dev/null
+++ b/internal/shared/queue_test.go
@@ -0,0 +1,57 @@
+package shared
+
+import (
+	"testing"
+	"time"
+)
+
+// Every count is told at each of its turns, for as long as it goes on, and is heard by all: several tenants that all nodes
+// are asked for evenly, with names of one length.
+func TestEachCountIsToldForGood(t *testing.T) {
+	const nodes = 12
+	f := newFleet(t, nodes)
+	tenants := []string{"a", "b", "c", "d"}
+	for i := range f.nodes {
+		cfg := config(i, nodes, 9)
+		cfg.Use = Use{Quotas: true}
+		cfg.Quotas = map[string]float64{}
+		for _, tenant := range tenants {
+			cfg.Quotas[tenant] = quotaPS
+		}
+		f.nodes[i] = New(cfg, f.now)
+	}
+	for i := range f.nodes {
+		for j := range f.nodes {
+			if i != j {
+				f.meet(i, j)
+			}
+		}
+	}
+	f.run(2*time.Minute, func(_ int, r *Replica) { r.Request(f.now, "a") })
+	for i, r := range f.nodes {
+		for _, tenant := range tenants {
+			heard := 0
+			r.table.Rates(r.now, quota+tenant, func(of int, _ float64, age time.Duration) {
+				heard++
+				if age > 3*r.Again() {
+					t.Errorf("node %d has a count of node %d for tenant %s that is %v old; each is told every %v", i, of, tenant, age, r.Again())
+				}
+			})
+			if heard != nodes-1 {
+				t.Errorf("node %d knows the counts of %d others for tenant %s", i, heard, tenant)
+			}
+		}
+	}
+}
+
+// An item that takes the place of the only one in a queue, as it has its name, is not lost to those that come behind it.
+func TestAQueueLosesNothing(t *testing.T) {
+	r := New(config(0, 3, 1), time.Hour)
+	q := newQueue(func() int { return 3 }, 1)
+	for _, name := range []string{"a", "a", "b", "c"} {
+		q.QueueBroadcast(&item{r: r, name: name, said: r.now})
+	}
+	if got := len(q.GetBroadcasts(0, 1<<16)); got != 3 {
+		t.Errorf("%d of 3 items come out of the queue", got)
+	}
+}
--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -119,8 +119,8 @@
 	pool    *judgement.Pool
 	own     map[string]*tally // by key
 	list    []backend
-	urgent  memberlist.TransmitLimitedQueue
-	usual   memberlist.TransmitLimitedQueue
+	urgent  *memberlist.TransmitLimitedQueue
+	usual   *memberlist.TransmitLimitedQueue
 	tokens  float64 // entries that may be told now
 	stats   Stats
 	notes   []Note
@@ -153,8 +153,8 @@
 		}
 	}
 	size := func() int { return r.roster.Size() + 1 }
-	r.urgent = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: 3 * repeats}
-	r.usual = memberlist.TransmitLimitedQueue{NumNodes: size, RetransmitMult: repeats}
+	r.urgent = newQueue(size, 3*repeats)
+	r.usual = newQueue(size, repeats)
 	return r
 }
 
@@ -379,9 +379,9 @@
 func (i *item) Finished() {}
 
 func (r *Replica) queue(e *packet.Entry, said time.Duration, urgent bool) {
-	q := &r.usual
+	q := r.usual
 	if urgent {
-		q = &r.urgent
+		q = r.urgent
 	}
 	name := fmt.Sprintf("%d/%d/%s/%x", e.Kind, e.Node.Number, e.Key, uint64(e.Backend))
 	q.QueueBroadcast(&item{r, name, *e, said})
