--- /dev/null
+++ b/internal/discovery/size_test.go
@@ -0,0 +1,33 @@
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"craneglade/internal/engine"
+)
+
+// largestService is the target's largest service, in backends, as docs/CAPACITY.md assumes it.
+const largestService = 20000
+
+// A whole list of the largest service fits the bound that a node reads, and one of all 170,000 backends does not: those
+// need parts, or a subscription to some.
+func TestWhatAListOfAllBackendsTakes(t *testing.T) {
+	for _, n := range []int{200, largestService, 170000} {
+		l := engine.List{Version: 1, Full: true}
+		for i := range n {
+			l.Servers = append(l.Servers, engine.Listed{ID: fmt.Sprintf("service-0000-%06d", i), Addr: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
+				Zone: "region-1-zone-1", Kind: "standard-8", State: "Ready", StartedMS: 1764633600000})
+		}
+		text, err := json.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		each := float64(len(text)) / float64(n)
+		t.Logf("%d backends: %d bytes, %.1f each; the bound is reached at %.0f", n, len(text), each, maxList/each)
+		if fits := len(text) <= maxList; fits != (n <= largestService) {
+			t.Errorf("a list of %d backends takes %d bytes of %d", n, len(text), maxList)
+		}
+	}
+}
--- /dev/null
+++ b/internal/shared/scale_test.go
@@ -0,0 +1,153 @@
+package shared
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"craneglade/internal/shared/counts"
+	"craneglade/internal/shared/escrow"
+	"craneglade/internal/shared/judgement"
+	"craneglade/internal/shared/packet"
+)
+
+// allowedBytes is what a node of the target may send for control in a second.
+const allowedBytes = 8 << 10
+
+// heardAll returns the replica of one of n nodes that has heard the counts of all others for each tenant, and the heap
+// that it holds. Nothing of that waits to be sent on.
+func heardAll(tb testing.TB, nodes, tenants int) (r *Replica, now time.Duration, heap uint64) {
+	tb.Helper()
+	before := heapInUse()
+	cfg := config(0, nodes, 1)
+	cfg.Use, cfg.BytesPS = Use{Quotas: true}, allowedBytes
+	cfg.Quotas = map[string]float64{}
+	for i := range tenants {
+		cfg.Quotas[fmt.Sprint("tenant-", i)] = quotaPS
+	}
+	now = time.Hour
+	r = New(cfg, now)
+	for i := 1; i < nodes; i++ {
+		other := config(i, nodes, 1)
+		meta := packet.Meta{Node: other.Self, Site: other.Site}.Encode()
+		if err := r.Joined(now, other.Name, meta); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	now += 10 * time.Second
+	r.Step(now) // the interval follows from the fleet's size
+	for i := 1; i < nodes; i++ {
+		for tenant := range cfg.Quotas {
+			w := counts.Window{Incarnation: 1, Epoch: 20, Counts: [counts.Epochs]uint64{1, 20, 20, 20, 20, 20, 20, 20}}
+			frame := packet.Frame(packet.Entry{Kind: packet.Window, Node: escrow.Node{Number: i, Incarnation: 1}, Key: quota + tenant, Window: w})
+			if _, err := r.Receive(now, frame); err != nil {
+				tb.Fatal(err)
+			}
+		}
+		r.usual.Reset()
+	}
+	r.Notes()
+	return r, now, heapInUse() - before
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+var flatSizes = []struct{ nodes, tenants int }{
+	{12, 4}, {60, 4}, {300, 4}, {1500, 4}, {5900, 4},
+	{12, 100}, {60, 100}, {300, 100}, {1500, 100}, {5900, 100},
+	{12, 1000}, {60, 1000}, {300, 1000}, {1500, 1000},
+}
+
+// BenchmarkFlat is what the flat mesh costs a node that has heard everybody: a Step, a View (taken with the engine's lock
+// held), the heap, how often it is told again what has not changed, and the bytes of its side of a whole exchange.
+func BenchmarkFlat(b *testing.B) {
+	for _, size := range flatSizes {
+		b.Run(fmt.Sprintf("nodes=%d/tenants=%d", size.nodes, size.tenants), func(b *testing.B) {
+			r, now, heap := heardAll(b, size.nodes, size.tenants)
+			b.Run("step", func(b *testing.B) {
+				for b.Loop() {
+					now += 250 * time.Millisecond
+					r.Step(now)
+					r.usual.Reset()
+				}
+				b.ReportMetric(float64(heap), "heap-B")
+				b.ReportMetric(r.Again().Seconds(), "interval-s")
+				b.ReportMetric(float64(len(r.State(now))), "whole-B")
+			})
+			b.Run("view", func(b *testing.B) {
+				for b.Loop() {
+					r.View(now)
+				}
+			})
+		})
+	}
+}
+
+// How old the counts of others are that a node acts on, and how many it counts at all, with all bytes that are allowed and
+// nothing lost, in virtual time. -long plays more than a dozen nodes.
+func TestAgeOfCountsByFleet(t *testing.T) {
+	sizes := []int{12}
+	if *long {
+		sizes = []int{12, 30, 60, 120}
+	}
+	for _, n := range sizes {
+		for seed := range uint64(3) {
+			f := newFleet(t, n)
+			f.rng = rand.New(rand.NewPCG(seed, 2))
+			for i := range f.nodes {
+				cfg := config(i, n, 9)
+				cfg.Use, cfg.BytesPS = Use{Quotas: true}, allowedBytes
+				cfg.Quotas = map[string]float64{"a": quotaPS, "b": quotaPS, "c": quotaPS, "d": quotaPS}
+				f.nodes[i] = New(cfg, f.now)
+				f.nodes[i].Listed([]judgement.Backend{})
+			}
+			for i := range f.nodes {
+				for j := range f.nodes {
+					if i != j {
+						f.meet(i, j)
+					}
+				}
+			}
+			const span = 60 * time.Second
+			f.run(span, nil)
+			f.bytes = 0
+			var ages []float64
+			for range int(span / time.Second) { // a look each second, so that no phase is met by chance
+				f.run(time.Second, func(i int, r *Replica) {
+					if f.now%(200*time.Millisecond) == 0 || i%3 == 0 {
+						r.Request(f.now, "a")
+					}
+				})
+				for _, r := range f.nodes {
+					ages = append(ages, r.ages(quota+"a", n)...)
+				}
+			}
+			told := f.nodes[0].Again()
+			if told < turn {
+				t.Errorf("%d nodes are told every %v, more often than ever meant", n, told)
+			}
+			slices.Sort(ages)
+			t.Logf("%d nodes, seed %d: told every %.1f s, age p50 %.1f s, p99 %.1f s; sent %.0f bytes a second a node", n, seed,
+				told.Seconds(), ages[len(ages)/2], ages[len(ages)*99/100], float64(f.bytes)/span.Seconds()/float64(n))
+		}
+	}
+}
+
+// ages are those of the counts of all others for a key, infinite for what is not known.
+func (r *Replica) ages(key string, nodes int) (all []float64) {
+	r.table.Rates(r.now, key, func(_ int, _ float64, age time.Duration) { all = append(all, age.Seconds()) })
+	for len(all) < nodes-1 {
+		all = append(all, math.Inf(1))
+	}
+	return all
+}
