The policy finds a tenant by its name, and keeps its list in order

A map by name, the first counting where two have one, as before; servers that go are deleted from the order, new ones appended, and the sort meets what is nearly sorted.

--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -69,3 +69,36 @@
 		}
 	}
 }
+
+// BenchmarkTenants is one request and its outcome of the last of so many tenants with shares.
+func BenchmarkTenants(b *testing.B) {
+	for _, tenants := range []int{4, 100, 1000, 10000, 100000, 1500000} {
+		b.Run(fmt.Sprint("tenants=", tenants), func(b *testing.B) {
+			set := testSettings(3, false)
+			set.OverShare = 0.5
+			for i := range tenants {
+				set.Tenants = append(set.Tenants, policy.Tenant{Name: fmt.Sprintf("tenant-%07d", i), QuotaPerS: 1e6})
+			}
+			bal, err := policy.New(set, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := []policy.Entry{{ID: 1, Zone: "east", Kind: "k"}, {ID: 2, Zone: "west", Kind: "k"}}
+			now := time.Hour
+			out := bal.Handle(now, &policy.Event{Kind: policy.EvList, List: policy.ListCached, Entries: list}, nil)
+			last := set.Tenants[tenants-1].Name
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += time.Millisecond
+				id := fmt.Sprint("r", i)
+				out = bal.Handle(now, &policy.Event{Kind: policy.EvRequest, ID: id, Class: "read", Tenant: last, Left: time.Second}, out[:0])
+				for _, a := range out {
+					if a.Kind == policy.ActSend {
+						bal.Handle(now+40*time.Millisecond, &policy.Event{Kind: policy.EvOutcome, ID: id, Server: a.Server, Took: 40 * time.Millisecond,
+							Last: true, Outcome: policy.OK, Load: policy.Load{Known: true, Held: 2}}, nil)
+					}
+				}
+			}
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -59,7 +60,8 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, tune: tune, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
-		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1),
+		requests: map[string]*request{}, tenant: map[string]*tenant{},
+		retries: retryBank, aim: math.Inf(1), half: math.Inf(1),
 		sharers: 1, many: 1, swing: 1}
 	for i, c := range set.Classes {
 		b.classes = append(b.classes, &class{Class: c, index: i, stay: 1, least: c.Deadline.Seconds()})
@@ -72,6 +74,7 @@
 	}
 	for _, t := range set.Tenants {
 		b.tenants = append(b.tenants, &tenant{Tenant: t})
+		b.tenant[t.Name] = cmp.Or(b.tenant[t.Name], b.tenants[len(b.tenants)-1])
 	}
 	return b, nil
 }
@@ -679,20 +682,16 @@
 				s.reportAt = math.Inf(-1) // what is in work shows in the first report only
 			}
 			b.servers[e.ID] = s
+			b.order = append(b.order, s)
 		}
 		s.Entry, s.grace = e, 0
 		if leaves && !b.set.MustAsk { // all nodes hear of it at once, and its successor is seconds away
 			s.grace = now + drainPart*b.set.DrainGrace.Seconds()
 		}
 	}
-	b.order = b.order[:0]
-	for id, s := range b.servers {
-		if s.State == Left {
-			delete(b.servers, id) // attempts that are out keep their own hold on it
-		} else {
-			b.order = append(b.order, s)
-		}
-	}
+	b.order = slices.DeleteFunc(b.order, func(s *server) bool { return s.State == Left || b.servers[s.ID] != s })
+	// Attempts that are out keep their own hold on what goes here.
+	maps.DeleteFunc(b.servers, func(_ uint32, s *server) bool { return s.State == Left })
 	slices.SortFunc(b.order, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 	in, sharers := subset.Part(len(b.order), func(i int) (string, uint64) { return b.order[i].Zone, b.order[i].Place },
 		subset.Node{Number: b.set.Number, Nodes: b.set.Nodes, Zone: b.set.Zone, CrossPrice: b.set.CrossPrice})
--- a/policy/state.go
+++ b/policy/state.go
@@ -109,6 +109,7 @@
 	order    []*server // sorted by id
 	requests map[string]*request
 	tenants  []*tenant
+	tenant   map[string]*tenant
 	part     float64     // this node's part of all traffic
 	sharers  float64     // nodes that work with a backend, by their mean
 	total    float64     // decayed count of requests,
--- a/policy/worth.go
+++ b/policy/worth.go
@@ -1,18 +1,14 @@
 package policy
 
-import (
-	"cmp"
-	"slices"
-)
+import "cmp"
 
 // overShare draws whether a request lies past its tenant's share: the node takes its own part of the share,
 // and of what goes beyond it as many at random as there are too many.
 func (b *Balancer) overShare(name string) bool {
-	i := slices.IndexFunc(b.tenants, func(t *tenant) bool { return t.Name == name })
-	if i < 0 || b.set.OverShare >= 1 {
+	t := b.tenant[name]
+	if t == nil || b.set.OverShare >= 1 {
 		return false
 	}
-	t := b.tenants[i]
 	t.count++
 	return b.rng.Float64() > cmp.Or(t.told, t.QuotaPerS*b.part/t.rate)
 }
