--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"craneglade/internal/bodies"
+	"craneglade/internal/engine"
 	"craneglade/internal/settings"
 	"craneglade/internal/tomlfile"
 )
@@ -153,13 +154,6 @@
 	for range b.N {
 		t := &testing.T{}
 		_, addr := rpcRig(t, nil, newRPCBox(t, works).entry("s-1"))
-		inUse := func() uint64 {
-			runtime.GC()
-			runtime.GC()
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			return m.HeapInuse + m.StackInuse
-		}
 		before := inUse()
 		const n = 5000
 		var all []net.Conn
@@ -231,3 +225,41 @@
 		})
 	}
 }
+
+// BenchmarkAtRest is the heap of a node that serves nobody, by what it knows: for each backend on its list, and for each
+// tenant in its settings.
+func BenchmarkAtRest(b *testing.B) {
+	heap := func(backends, tenants int) float64 {
+		t := &testing.T{}
+		var known []engine.Listed
+		for i := range backends {
+			known = append(known, engine.Listed{ID: fmt.Sprintf("backend-%06d", i), Addr: fmt.Sprintf("127.0.%d.%d:9", i>>8&255, i&255), Zone: "north", Kind: "k", State: "Ready"})
+		}
+		var projects strings.Builder
+		for i := range tenants {
+			fmt.Fprintf(&projects, `%s{"name":"tenant-%07d","quota_per_s":10}`, []string{",", ""}[max(0, 1-i)], i)
+		}
+		settings := strings.Replace(settingsJSON, `"grades":`, `"projects":[`+projects.String()+`],"grades":`, 1)
+		before := inUse()
+		r := newRig(t, newRegistry(t), settings, nil, known...)
+		used := float64(inUse()) - float64(before)
+		runtime.KeepAlive(r)
+		return used
+	}
+	for b.Loop() {
+		const backends, tenants = 20000, 100000
+		rest := heap(1, 1)
+		b.ReportMetric(rest, "B-at-rest")
+		b.ReportMetric((heap(backends, 1)-rest)/backends, "B/backend")
+		b.ReportMetric((heap(1, tenants)-rest)/tenants, "B/tenant")
+	}
+}
+
+// inUse is what this process's heap and stacks take, after a collection.
+func inUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/internal/peers/whole_test.go
+++ b/internal/peers/whole_test.go
@@ -66,7 +66,7 @@
 		c := memberlist.DefaultLANConfig()
 		c.Name, c.Transport = "measured", wire
 		c.ProbeInterval, c.GossipInterval, c.PushPullInterval = 0, 0, 0 // nothing is sent to members that are not there
-		c.TCPTimeout, c.EnableCompression = patience, false // as Start has it
+		c.TCPTimeout, c.EnableCompression = patience, false             // as Start has it
 		c.Logger = log.New(io.Discard, "", 0)
 		list, err := memberlist.Create(c)
 		if err != nil {
