--- a/internal/shared/broadcasts.go
+++ b/internal/shared/broadcasts.go
@@ -61,9 +61,9 @@
 
 // enqueue puts an entry into a queue of broadcasts.
 func (r *Replica) enqueue(e *packet.Entry, sentAt time.Duration, urgent bool) {
-	queue := &r.ordinaryQueue
+	queue := r.ordinaryQueue
 	if urgent {
-		queue = &r.urgentQueue
+		queue = r.urgentQueue
 	}
 	name := fmt.Sprintf("%d/%d/%s/%x", e.Kind, e.Node.Number, e.Key, uint64(e.Backend))
 	queue.QueueBroadcast(&queuedEntry{r, name, *e, sentAt})
--- a/internal/shared/replica.go
+++ b/internal/shared/replica.go
@@ -73,8 +73,8 @@
 	votes    []judgement.Votes // of the last step
 
 	// Broadcasts.
-	urgentQueue    memberlist.TransmitLimitedQueue
-	ordinaryQueue  memberlist.TransmitLimitedQueue
+	urgentQueue    *memberlist.TransmitLimitedQueue
+	ordinaryQueue  *memberlist.TransmitLimitedQueue
 	tokens         float64       // entries that may be told now
 	repeatInterval time.Duration // how often what has not changed is told again; it grows with the fleet
 
@@ -98,8 +98,8 @@
 		repeatInterval: minRepeatInterval,
 	}
 	fleetSize := func() int { return r.roster.Size() + 1 }
-	r.urgentQueue = memberlist.TransmitLimitedQueue{NumNodes: fleetSize, RetransmitMult: urgentRetransmitFactor}
-	r.ordinaryQueue = memberlist.TransmitLimitedQueue{NumNodes: fleetSize, RetransmitMult: retransmitFactor}
+	r.urgentQueue = newQueue(fleetSize, urgentRetransmitFactor)
+	r.ordinaryQueue = newQueue(fleetSize, retransmitFactor)
 	return r
 }
 
