Discovery's constants in full, and plain package comments of discovery and engine

No change of behaviour; in the test a constant's name follows. Tests of discovery, node and httpfront pass with -race; engine has none of its own.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,6 @@
-// Package discovery follows the box list that PROTOCOL describes, from one address, over HTTP/1.1: watched where it is
-// pushed, asked where it must be.
+// Package discovery follows the backend list that PROTOCOL describes, from one address, over HTTP/1.1, by calls
+// that wait for a change. After a failure an agent of this machine, which pushes the list, is asked again at once; another
+// discovery when the decision module says so.
 package discovery
 
 import (
@@ -21,8 +22,8 @@
 )
 
 const (
-	watchRest = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
-	maxList   = 16 << 20
+	minWatchInterval = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
+	maxListBytes     = 16 << 20              // of an answer
 )
 
 // Config is what a source is made from.
@@ -111,7 +112,7 @@
 			if !behind {
 				d.news(l, kind, true)
 			}
-			if rest := watchRest - time.Since(begun); rest > 0 {
+			if rest := minWatchInterval - time.Since(begun); rest > 0 {
 				timing.Sleep(d.ctx, rest)
 			}
 			continue
@@ -183,7 +184,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -116,7 +116,7 @@
 			if seed%2 == 0 && push {
 				w.fails(t, 0, false)
 			}
-			if c = w.next(0); c.whole || c.wait > shortWait {
+			if c = w.next(0); c.whole || c.wait > probeWait {
 				t.Fatalf("after a silence %+v is asked, which could be as silent for as long", c)
 			}
 			w.now += w.answerTime()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,9 +1,10 @@
-// Package engine is the node without its protocols: it owns the decision module and the table of requests, and with
-// them the order of events. Fronts hand requests in, carriers carry attempts out, sources hand lists in. It knows no
-// HTTP and no socket, and decides nothing itself: what a front or a carrier understands of a request is its payload.
+// Package engine is the node without its protocols: it owns the decision module and the table of requests, and with them
+// the order of events. Front ends hand requests in, carriers carry attempts out, sources hand lists in. It knows no HTTP
+// and no socket, and decides nothing itself: the content of a request, which a front end and a carrier understand, is to
+// it an opaque payload.
 //
-// Whatever happens, a request that was begun gets exactly one answer: a carrier's, a refusal or failure that the module
-// asked for, or one of its front (Abort). A request whose client has left gets none.
+// A request that was begun gets exactly one answer: a carrier's, a refusal or failure that the decision module asked for,
+// or one of its front end (Abort). A request whose client has left gets none.
 package engine
 
 import (
@@ -40,7 +41,7 @@
 	ID       string // no other open request has it
 	Class    string
 	Tenant   string
-	Needs    uint8         // protocols that a box must speak for it, see Listed.Speaks
+	Needs    uint8         // protocols that a backend must speak for it, see Listed.Speaks
 	Repeat   bool          // its client says that it asked before
 	Arrived  time.Time     // when its first byte came
 	Patience time.Duration // for how long its client waits from then on
@@ -62,7 +63,7 @@
 type Kind uint8
 
 const (
-	Served  Kind = iota // a box's answer is the payload
+	Served  Kind = iota // a backend's answer is the payload
 	Refused             // nothing has run, or may run without harm again: the client may come back after RetryAfter
 	Failed              // no promise is made
 	Aborted             // its front's own, given to Attempt.Abort
@@ -75,7 +76,7 @@
 	Payload    any // Served: the carrier's reply; Aborted: what the front gave
 }
 
-// Attempt is one send of a request to a box.
+// Attempt is one send of a request to a backend.
 type Attempt struct {
 	Request *Request
 	Backend *Backend
@@ -122,12 +123,12 @@
 	Reply   any  // of one that was served, unless it was delivered; told by Release, if it has that, where nobody gets it
 }
 
-// Carrier carries attempts to boxes.
+// Carrier carries attempts to backends.
 type Carrier interface {
 	// Carry sends a request once and waits for what comes back, for Wait at the most. When ctx ends the attempt is given
-	// up. It returns only once nothing of the attempt can reach the box any more.
+	// up. It returns only once nothing of the attempt can reach the backend any more.
 	Carry(ctx context.Context, a *Attempt) Result
-	// Retire is told that a box has left, or is another process now: what is kept for it goes. It must not block.
+	// Retire is told that a backend has left, or is another process now: what is kept for it goes. It must not block.
 	Retire(b *Backend)
 }
 
@@ -182,7 +183,7 @@
 	until  time.Duration // what the module was told of it last counts until then
 }
 
-// New returns an engine that knows no box. An error names the setting that makes no sense.
+// New returns an engine that knows no backend. An error names the setting that makes no sense.
 func New(cfg Config) (*Engine, error) {
 	bal, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
@@ -289,7 +290,7 @@
 	return rank, len(e.set.Classes)
 }
 
-// Beliefs are what the module believes of every listed box, with their ids on the list.
+// Beliefs are what the module believes of every listed backend, with their ids on the list.
 func (e *Engine) Beliefs() (ids []string, all []policy.Belief) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -7,7 +7,7 @@
 	"craneglade/policy"
 )
 
-// Names takes in the whole answer of a source that names boxes beside the list. It returns whether the source is to be asked
+// Names takes in the whole answer of a source that names backends beside the list. It returns whether the source is to be asked
 // again at once. Without Config.Members nothing changes.
 func (e *Engine) Names(source string, boxes []Listed) (again bool) {
 	e.mu.Lock()
@@ -20,7 +20,7 @@
 	return again
 }
 
-// Members is where each box stands and why, by its address; nil without Config.Members.
+// Members is where each backend stands and why, by its address; nil without Config.Members.
 func (e *Engine) Members() []membership.Standing {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -30,7 +30,7 @@
 	return e.members.All()
 }
 
-// merge takes in a list with what other sources say of its boxes. e.mu is held.
+// merge takes in a list with what other sources say of its backends. e.mu is held.
 func (e *Engine) merge(l *List, kind policy.ListKind) {
 	stands := e.members.List(e.clock.Now(), kind != policy.ListDelta, l.Servers)
 	out := List{Version: l.Version, Servers: make([]Listed, 0, len(stands)), Late: l.Late}
@@ -60,7 +60,7 @@
 	e.remind()
 }
 
-// shut has the grace of boxes that are out run from the moment at which the first source told. e.mu is held.
+// shut has the grace of backends that are out run from the moment at which the first source told. e.mu is held.
 func (e *Engine) shut(stands []membership.Standing) {
 	for i := range stands {
 		s := &stands[i]
--- a/internal/engine/sharer.go
+++ b/internal/engine/sharer.go
@@ -14,7 +14,7 @@
 	Request(tenant string)                     // a client asks
 	Crossed(site string)                       // a request goes to another site, as its client's own is lost
 	Outcome(k judgement.Key, o policy.Outcome) // an attempt has ended
-	Listed(all []judgement.Backend)            // the boxes that there are
+	Listed(all []judgement.Backend)            // the backends that there are
 	View() shared.View                         // what may be acted on, until a moment of the engine's clock
 }
 
@@ -57,7 +57,7 @@
 	e.handle(now, v.Event(func(k judgement.Key) (uint32, bool) { n, ok := numbers[k]; return n, ok }))
 }
 
-// tellSharer tells which boxes there are. e.mu is held.
+// tellSharer tells which backends there are. e.mu is held.
 func (e *Engine) tellSharer() {
 	if e.sharer == nil {
 		return
--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -16,7 +16,7 @@
 	e.tellSites()
 }
 
-// tellSites tells which boxes there are. e.mu is held.
+// tellSites tells which backends there are. e.mu is held.
 func (e *Engine) tellSites() {
 	if e.sites == nil {
 		return
@@ -31,7 +31,7 @@
 	e.sites.Listed(e.clock.Now(), all)
 }
 
-// StepSites brings the sites' standing up to the time. It returns the boxes to which a connection is to be tried, for
+// StepSites brings the sites' standing up to the time. It returns the backends to which a connection is to be tried, for
 // Probed, and what an operator should know.
 func (e *Engine) StepSites() (probe []*Backend, notes []sites.Note) {
 	e.mu.Lock()
