--- a/internal/controlplane/quorum/state.go
+++ b/internal/controlplane/quorum/state.go
@@ -96,7 +96,11 @@
 	if first > s.lastIndex()+1 {
 		return fmt.Errorf("%w: entry %d is followed by entry %d", ErrState, s.lastIndex(), first)
 	}
-	s.Entries = append(s.Entries[:first-s.Snapshot.Index-1:first-s.Snapshot.Index-1], entries...)
+	kept := s.Entries[:first-s.Snapshot.Index-1]
+	if len(kept) < len(s.Entries) {
+		kept = slices.Clone(kept) // others may hold what is replaced
+	}
+	s.Entries = append(kept, entries...)
 	return nil
 }
 
