--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -13,8 +13,8 @@
 // longGrace are settings in which a drain's grace never ends by itself within a test.
 var longGrace = strings.Replace(settingsJSON, `"drain_grace_s":2`, `"drain_grace_s":3600`, 1)
 
-// listed answers a discovery call with a list of backends.
-func listed(version int64, full bool, backends ...engine.Listed) registryAnswer {
+// listAnswer answers a discovery call with a list of backends.
+func listAnswer(version int64, full bool, backends ...engine.Listed) registryAnswer {
 	return registryAnswer{200, engine.List{Version: version, Full: full, Servers: backends}}
 }
 
@@ -45,7 +45,7 @@
 	client.send(quote("q").text())
 	<-dialing
 	g.next <- registryAnswer{status: 503}
-	g.next <- listed(2, true, other.entry("s-2"))
+	g.next <- listAnswer(2, true, other.entry("s-2"))
 	wait(t, "the whole list", func() bool { return r.numbered("s-2") != 0 })
 	let()
 	if resp, _ := client.answer(); resp.StatusCode != 200 && resp.StatusCode != 503 {
@@ -78,7 +78,7 @@
 	client := r.dial(t)
 	client.send(quote("q").text())
 	<-dialing
-	g.next <- listed(2, true, other.entry("s-2"))
+	g.next <- listAnswer(2, true, other.entry("s-2"))
 	wait(t, "the whole list", func() bool { return r.numbered("s-2") != 0 })
 	let()
 	if resp, body := client.answer(); resp.StatusCode != 200 || len(left.requests()) != 1 {
@@ -93,9 +93,9 @@
 		name string
 		list func(b *box) registryAnswer
 	}{
-		{"named as gone", func(b *box) registryAnswer { return listed(2, false, in("Gone", b.entry("s-1"))) }},
+		{"named as gone", func(b *box) registryAnswer { return listAnswer(2, false, in("Gone", b.entry("s-1"))) }},
 		{"left out of a whole list", func(b *box) registryAnswer {
-			return listed(2, true, engine.Listed{ID: "s-2", Addr: "127.0.0.1:1", State: "Ready"})
+			return listAnswer(2, true, engine.Listed{ID: "s-2", Addr: "127.0.0.1:1", State: "Ready"})
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -126,9 +126,9 @@
 		list func(b, other *box) registryAnswer
 	}{
 		{"drains", func(b, other *box) registryAnswer {
-			return listed(2, true, in("Terminating", b.entry("s-1")), other.entry("s-2"))
+			return listAnswer(2, true, in("Terminating", b.entry("s-1")), other.entry("s-2"))
 		}},
-		{"left out", func(_, other *box) registryAnswer { return listed(2, true, other.entry("s-2")) }},
+		{"left out", func(_, other *box) registryAnswer { return listAnswer(2, true, other.entry("s-2")) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
