--- /dev/null
+++ b/internal/kit/scale/result/report.go
@@ -0,0 +1,214 @@
+package result
+
+import (
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	charts "github.com/wcharczuk/go-chart/v2"
+)
+
+// Report is a whole run.
+type Report struct {
+	Plan   string   `json:"plan"` // the plan's file
+	Seed   uint64   `json:"seed"`
+	Steps  []Step   `json:"steps"`
+	Series []Series `json:"series"`
+}
+
+// NewReport is the report of the steps that were measured.
+func NewReport(file string, seed uint64, steps []Step) *Report {
+	Sort(steps)
+	return &Report{Plan: file, Seed: seed, Steps: steps, Series: Collect(steps)}
+}
+
+// JSON writes the report.
+func (r *Report) JSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", " ")
+	return enc.Encode(r)
+}
+
+// Table writes the report for a terminal.
+func (r *Report) Table(w io.Writer) error {
+	for _, axis := range []string{ByNodes, ByEndpoints} {
+		if err := r.series(w, axis); err != nil {
+			return err
+		}
+	}
+	for _, s := range r.Steps {
+		for _, note := range s.Notes {
+			fmt.Fprintf(w, "%s: %s\n", s.where(), note)
+		}
+	}
+	for _, s := range r.Steps {
+		for _, c := range s.Checks {
+			verdict := "ok"
+			if !c.Passed {
+				verdict = "FAILED"
+			}
+			fmt.Fprintf(w, "%s  %s: %s: %s\n", verdict, s.where(), c.Name, c.Detail)
+		}
+	}
+	return nil
+}
+
+// where names the step in a line.
+func (s *Step) where() string {
+	axis, size := s.Axis()
+	return fmt.Sprintf("%s, %d %s", s.Part, size, axis)
+}
+
+// series writes the figures that are drawn against one axis.
+func (r *Report) series(out io.Writer, axis string) error {
+	sizes := r.sizes(axis)
+	if len(sizes) == 0 {
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "MECHANISM\tROLE\tFIGURE\tUNIT")
+	for _, n := range sizes {
+		fmt.Fprintf(w, "\t%d", n)
+	}
+	fmt.Fprintf(w, "\tSLOPE FOR 1000 %s\t95%% INTERVAL\tLARGEST AGAINST FORETOLD\n", strings.ToUpper(axis))
+	for i := range r.Series {
+		s := &r.Series[i]
+		if s.Axis != axis {
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s", s.Mechanism, s.Role, s.Name, s.Unit)
+		for _, n := range sizes {
+			fmt.Fprintf(w, "\t%s", s.at(n))
+		}
+		fmt.Fprintln(w, "\t"+s.Fit.text())
+	}
+	fmt.Fprintln(w)
+	return w.Flush()
+}
+
+func (f *Fit) text() string {
+	if f == nil {
+		return "-\t-\t-"
+	}
+	marked := ""
+	if f.Marked {
+		marked = " MISSED"
+	}
+	return fmt.Sprintf("%s\t%s to %s\t%+.0f%%%s", short(1000*f.Slope), short(1000*f.SlopeLow), short(1000*f.SlopeHigh), 100*f.Missed, marked)
+}
+
+func (r *Report) sizes(axis string) []int {
+	var sizes []int
+	for _, s := range r.Series {
+		for _, p := range s.Points {
+			if s.Axis == axis && !slices.Contains(sizes, p.Size) {
+				sizes = append(sizes, p.Size)
+			}
+		}
+	}
+	slices.Sort(sizes)
+	return sizes
+}
+
+func (s *Series) at(size int) string {
+	for _, p := range s.Points {
+		if p.Size == size {
+			return short(p.Value)
+		}
+	}
+	return "-"
+}
+
+// short is a number with three digits that count, without an exponent where that is readable.
+func short(v float64) string {
+	switch size := math.Abs(v); {
+	case v == 0:
+		return "0"
+	case size >= 1e6 || size < 1e-3:
+		return strconv.FormatFloat(v, 'g', 3, 64)
+	case size >= 100:
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(v, 'f', max(0, 2-int(math.Floor(math.Log10(math.Abs(v))))), 64)
+}
+
+// Page writes the report as one page with a chart for each figure that was measured at several sizes: size from left to
+// right and the figure upwards, both by powers of ten, each mechanism a line.
+func (r *Report) Page(w io.Writer) error {
+	var drawn []template.HTML
+	for _, group := range r.groups() {
+		svg, err := draw(group)
+		if err != nil {
+			return err
+		}
+		drawn = append(drawn, svg)
+	}
+	var table strings.Builder
+	if err := r.Table(&table); err != nil {
+		return err
+	}
+	return page.Execute(w, map[string]any{"Plan": r.Plan, "Seed": r.Seed, "Charts": drawn, "Table": table.String()})
+}
+
+// groups are the series that belong into one chart: of the same role and name.
+func (r *Report) groups() [][]Series {
+	var out [][]Series
+	at := map[string]int{}
+	for _, s := range r.Series {
+		s.Points = slices.DeleteFunc(slices.Clone(s.Points), func(p Point) bool { return p.Value <= 0 })
+		if len(s.Points) < 2 {
+			continue
+		}
+		key := s.Axis + "\x00" + s.Role + "\x00" + s.Name
+		i, ok := at[key]
+		if !ok {
+			i = len(out)
+			at[key] = i
+			out = append(out, nil)
+		}
+		out[i] = append(out[i], s)
+	}
+	return out
+}
+
+// draw is the chart of a group.
+func draw(group []Series) (template.HTML, error) {
+	power := func(v any) string { return short(math.Pow(10, v.(float64))) }
+	low, high := math.Inf(1), math.Inf(-1)
+	g := charts.Chart{Title: fmt.Sprintf("%s: %s (%s)", group[0].Role, group[0].Name, group[0].Unit), Width: 620, Height: 300,
+		Background: charts.Style{Padding: charts.Box{Top: 40, Left: 150, Right: 20, Bottom: 10}},
+		XAxis:      charts.XAxis{Name: group[0].Axis, ValueFormatter: power}}
+	for _, s := range group {
+		line := charts.ContinuousSeries{Name: s.Mechanism}
+		for _, p := range s.Points {
+			y := math.Log10(p.Value)
+			low, high = min(low, y), max(high, y)
+			line.XValues, line.YValues = append(line.XValues, math.Log10(float64(p.Size))), append(line.YValues, y)
+		}
+		g.Series = append(g.Series, line)
+	}
+	g.YAxis = charts.YAxis{ValueFormatter: power, Range: &charts.ContinuousRange{Min: low - 0.2, Max: high + 0.2}}
+	g.Elements = []charts.Renderable{charts.LegendLeft(&g)}
+	var svg strings.Builder
+	if err := g.Render(charts.SVG, &svg); err != nil {
+		return "", fmt.Errorf("chart of %s: %w", group[0].Name, err)
+	}
+	return template.HTML(svg.String()), nil
+}
+
+var page = template.Must(template.New("scale").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>Scale run</title>
+<style>
+body { font: 15px/1.45 system-ui, sans-serif; margin: 2rem auto; max-width: 80rem; padding: 0 1rem; color: #1d2730 }
+pre { overflow-x: auto; font-size: 12px } section { display: flex; flex-wrap: wrap; gap: 1rem }
+</style>
+<h1>Scale run of {{.Plan}}, seed {{.Seed}}</h1>
+<section>{{range .Charts}}<div>{{.}}</div>{{end}}</section>
+<pre>{{.Table}}</pre></html>
+`))
