Scale run: the mesh of shared counts in virtual time

One replica in full; four others that know the whole fleet are the sources of what all nodes tell, at the pace of the fleet's size, their frames written anew under each node's number.

--- a/internal/kit/scale/plan/need.go
+++ b/internal/kit/scale/plan/need.go
@@ -13,11 +13,11 @@
 	baseBytes       = 256 << 20
 )
 
-// MeshReplicas is how many replicas of the mesh are played in full, and MeshSources how many others speak for all the
+// MeshReplicas is how many replicas of the mesh a run plays in full, and MeshSources how many others speak for all the
 // rest.
 const (
-	MeshReplicas = 2
-	MeshSources  = 8
+	MeshReplicas = 1
+	MeshSources  = 4
 )
 
 // Tenants is how many tenants a step plays.
