--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 	started int64
 	key     judgement.Key
 	left    bool         // off the list; guarded by the engine's lock
+	opened  bool         // counted in Engine.listed as one that takes new requests; guarded by the engine's lock
+	drops   int          // times it was dropped from the list; guarded by the engine's lock
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 }
 
@@ -131,7 +134,7 @@
 func (e *Engine) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.ready
+	return e.listed.open > 0
 }
 
 // take takes in a list, with what other sources say. e.mu is held.
@@ -176,8 +179,8 @@
 		case b == nil && x.State == policy.Left:
 			continue
 		case b == nil:
-			for _, o := range e.names {
-				if o.Addr == s.Addr && !o.left && !seen[o.ID] {
+			for _, o := range e.listed.at(s.Addr) {
+				if !seen[o.ID] {
 					// Its process can't be there any more: what goes to its address reaches the new one.
 					entries = append(entries, policy.Entry{ID: o.Number, State: policy.Left})
 					e.drop(o)
@@ -188,6 +191,7 @@
 		case b.started != s.StartedMS:
 			old := b
 			b = &Backend{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)} // the module tells the two apart by the start
+			e.listed.remove(old)
 			e.carrier.Retire(old)
 		}
 		if len(s.Addrs) > 1 || x.State == policy.Active { // news of a drain need not tell them
@@ -207,6 +211,7 @@
 		case policy.Left:
 			e.drop(b)
 		}
+		e.listed.update(b)
 		if l.Late && x.State == policy.Left {
 			b.ShutFrom(time.Now())
 		}
@@ -216,16 +221,16 @@
 		for id, b := range e.names {
 			if !seen[id] {
 				e.drop(b)
+				if l.Late { // gone by this as by a drain that is named, and perhaps for as long
+					b.ShutFrom(time.Now())
+				}
 			}
 		}
 	}
 	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	e.tellSharer()
 	e.tellSites()
-	e.ready = false
-	for _, b := range e.names {
-		e.ready = e.ready || b.stop.Load() == 0
-	}
+	e.forgetDropped()
 }
 
 // drain lets nothing new be written to a box once its grace is over, less the time that the news took.
@@ -235,19 +240,49 @@
 }
 
 // drop takes a box off the list. It stays known until its grace is over: the module may go on with the last of a list
-// that came empty, and a box that is listed again keeps its number and its connections.
+// that came empty, and a box that is listed again keeps its number and its connections. forgetDropped is to be called.
 func (e *Engine) drop(b *Backend) {
 	if b.left {
 		return
 	}
 	b.left = true
+	b.drops++
+	e.listed.remove(b)
 	e.drain(b)
-	stop := b.stop.Load()
+	e.dropped = append(e.dropped, dropped{b, b.drops})
+}
+
+// dropped is a backend that left the list, and which of its drops that was.
+type dropped struct {
+	backend *Backend
+	nth     int
+}
+
+// forgottenAtOnce is how many backends are forgotten without a request getting the engine's lock between them.
+const forgottenAtOnce = 64
+
+// forgetDropped has what was dropped since the last call forgotten once its grace is over. e.mu is held.
+func (e *Engine) forgetDropped() {
+	if len(e.dropped) == 0 {
+		return
+	}
+	all := e.dropped
+	e.dropped = nil
 	time.AfterFunc(e.set.DrainGrace, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if !b.left || b.stop.Load() != stop {
-			return // listed again meanwhile
+		for some := range slices.Chunk(all, forgottenAtOnce) {
+			e.forgetBackends(some)
+		}
+	})
+}
+
+// forgetBackends forgets backends that are not listed again.
+func (e *Engine) forgetBackends(all []dropped) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range all {
+		b := d.backend
+		if !b.left || b.drops != d.nth {
+			continue // listed again meanwhile
 		}
 		if e.names[b.ID] == b {
 			delete(e.names, b.ID)
@@ -256,5 +291,5 @@
 			delete(e.boxes, b.Number)
 		}
 		e.carrier.Retire(b)
-	})
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 // follow has the engine's list come from the control plane, or from discovery where there is none, until ctx ends.
 func (n *node) follow(ctx context.Context, own *settings.Control) {
 	if !own.On() {
-		n.list = n.source(n.cfg.Discovery, false)
+		n.list = n.source(discovery.Config{Addr: n.cfg.Discovery})
 		n.engine.Follow(n.list, &n.cfg.Known)
 		return
 	}
@@ -286,8 +286,10 @@
 	return out
 }
 
-func (n *node) source(addr string, whole bool) *discovery.Source {
-	return discovery.New(discovery.Config{Engine: n.engine, Addr: addr, Push: !n.cfg.Settings.Policy.MustAsk, Whole: whole, Log: n.log})
+// source is a source of lists, with what all of this node's have alike.
+func (n *node) source(cfg discovery.Config) *discovery.Source {
+	cfg.Engine, cfg.Push, cfg.Log = n.engine, !n.cfg.Settings.Policy.MustAsk, n.log
+	return discovery.New(cfg)
 }
 
 // reload takes in a configuration that was read again. The boxes stay until the new discovery tells its list.
@@ -299,7 +301,7 @@
 		return
 	}
 	n.log.Info("following another discovery", "from", old.Addr(), "to", cfg.Discovery)
-	n.list = n.source(cfg.Discovery, true)
+	n.list = n.source(discovery.Config{Addr: cfg.Discovery, Whole: true, Late: old.Late()})
 	n.engine.Replace(n.list)
 	old.Stop()
 }
