--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -12,7 +12,7 @@
 
 // pieceSize is how many changes are brought into force under one hold of a lock that requests need too. A piece costs the
 // engine a walk of all endpoints, whatever its size, so that smaller pieces would cost more in all and hold hardly shorter.
-const pieceSize = 32
+const pieceSize = 128
 
 // endpoints is an engine.Source whose list is that of one service in the control plane. What is asked of it needs no
 // answer: its subscriber goes on by itself.
--- a/internal/peers/frame/frame.go
+++ b/internal/peers/frame/frame.go
@@ -192,8 +192,10 @@
 	return nil, ErrUnsealed
 }
 
-// Sent is how many bytes went out, and Received how many came in.
-func (c *Conn) Sent() int64     { return c.sent.Load() }
+// Sent is how many bytes went out.
+func (c *Conn) Sent() int64 { return c.sent.Load() }
+
+// Received is how many bytes came in.
 func (c *Conn) Received() int64 { return c.received.Load() }
 
 // Close ends the session. Reads and writes under way return.
