A log restored from a backup: nothing goes back, and an epoch offset makes it count

Change: a test of the operators' procedure; the tests with processes run side by side, and one waits for each relay before it compares (a node may stream from the other one).

--- a/cmd/craneglade/control_later_test.go
+++ b/cmd/craneglade/control_later_test.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"craneglade/internal/controlnet"
 	"craneglade/internal/peers/frame"
 )
 
@@ -140,6 +141,7 @@
 
 // Half of the sessions speak a later version: what it adds is passed over, and all nodes come to the same position.
 func TestControlPlaneWithALaterVersion(t *testing.T) {
+	t.Parallel()
 	var later *middle
 	p := fleet(t, func(p *plane, relay *controlled) {
 		if relay.name == "relay-1" {
@@ -184,6 +186,7 @@
 // A writer is stopped and replaced from a copy of its folder, and wakes later with its old epoch: what it says is refused
 // everywhere.
 func TestControlPlaneWithAnOldWriter(t *testing.T) {
+	t.Parallel()
 	p := newPlane(t)
 	p.newBackend("one")
 	old := p.newWriter("writer-1", "state")
@@ -224,7 +227,7 @@
 		return err == nil && len(s.Connected) == 2
 	})
 	fourth := p.writer.applied(tenant("b", 4))
-	p.everywhere(fourth)
+	p.everywhere(fourth) // and so has the relay, the node's only parent
 	if got := relay.quota("a"); got != 2 {
 		t.Errorf("the relay has %v of the old writer, want 2", got)
 	}
@@ -232,3 +235,62 @@
 		t.Errorf("%+v, %v", s, err)
 	}
 }
+
+// The log is restored from a backup that lacks what was told since. Nothing goes back by itself: relays and nodes stay with
+// what they have and say so. Under an epoch beyond all that were used the restored log counts.
+func TestControlPlaneRestoredFromABackup(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t)
+	p.newBackend("one")
+	p.writer = p.newWriter("writer-1", "state")
+	p.writer.start()
+	relay := p.newRelay("relay-1", p.writer)
+	p.relays = []*controlled{relay}
+	relay.start()
+	p.newNode("n0", relay).start()
+	p.everywhere(p.writer.applied(serviceTable + p.endpoint("one", "ready") + tenant("a", 1)))
+	p.writer.kill(t)
+	if err := os.CopyFS(p.path("backup"), os.DirFS(p.path("state"))); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 { // two further epochs
+		p.writer.start()
+		p.everywhere(p.writer.applied(tenant("a", float64(10+i)) + tenant("later", 1)))
+		p.writer.kill(t)
+	}
+	if err := os.RemoveAll(p.path("state")); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.CopyFS(p.path("state"), os.DirFS(p.path("backup"))); err != nil {
+		t.Fatal(err)
+	}
+	before := relay.position()
+	p.writer.start()
+	lost := p.writer.applied(tenant("a", 5))
+	if !strings.HasPrefix(before, "3.") || !strings.HasPrefix(lost, "2.") {
+		t.Fatalf("the relay is at %s and the restored log at %s", before, lost)
+	}
+	p.eventually("a line that the log went back", func() bool { return strings.Contains(relay.log.String(), "restore a log under a newer epoch than 3") })
+	if got := relay.position(); got != before || relay.quota("a") != 11 {
+		t.Errorf("the relay went to %s, with %v", got, relay.quota("a"))
+	}
+	p.writer.kill(t)
+	text, err := os.ReadFile(p.writer.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.write(p.writer.name+".toml", "epoch_offset = 10\n"+string(text))
+	p.writer.start()
+	last := p.writer.applied(tenant("a", 6))
+	if !strings.HasPrefix(last, "13.") {
+		t.Errorf("with an offset of 10 the log is at %s", last)
+	}
+	p.everywhere(last)
+	if got := relay.quota("a"); got != 6 {
+		t.Errorf("the relay has %v, want 6", got)
+	}
+	r, err := controlnet.Ask(relay.socket, controlnet.Request{Operation: controlnet.OperationGet, Service: controlService, Kind: "tenant", Name: "later"})
+	if err != nil || strings.Contains(string(r.Resources), "later") {
+		t.Errorf("what the backup lacks is still there: %s, %v", r.Resources, err)
+	}
+}
--- a/cmd/craneglade/control_quorum_test.go
+++ b/cmd/craneglade/control_quorum_test.go
@@ -42,6 +42,7 @@
 // Three control processes choose their writer. It is killed, and another goes on from all that was taken; it is stopped, and
 // wakes when another has its office; without a majority nothing is taken; and a process that missed all of it catches up.
 func TestControlPlaneWithAQuorum(t *testing.T) {
+	t.Parallel()
 	p := newPlane(t)
 	p.newBackend("one")
 	members := p.quorum()
--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -453,6 +453,7 @@
 // A writer, two relays and three nodes, with requests at each node all the time and one fault after the other: no request
 // fails, all nodes come to the same position, and nothing new goes to what drains once its grace is over.
 func TestControlPlane(t *testing.T) {
+	t.Parallel()
 	p := fleet(t, nil)
 	defer p.stopClients()
 
@@ -562,8 +563,10 @@
 	<-stopped
 	least := <-taken
 	p.writer.start()
-	p.everywhere(p.writer.position())
+	last := p.writer.position()
+	p.everywhere(last)
 	for _, c := range append([]*controlled{p.writer}, p.relays...) {
+		p.eventually(c.name+" at "+last, func() bool { return c.position() == last })
 		left, right := c.quota("left"), c.quota("right")
 		if left != right || left < float64(least) || left > float64(least)+1 {
 			p.t.Errorf("%s: %v and %v after a kill behind change %d", c.name, left, right, least)
