--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -159,6 +160,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(a.out, "%s\n", r.Resources)
+	var text bytes.Buffer
+	if err := json.Indent(&text, r.Resources, "", "  "); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(a.out, "%s\n", text.Bytes())
 	return err
 }
