--- a/cmd/craneglade/control_later_test.go
+++ b/cmd/craneglade/control_later_test.go
@@ -275,11 +275,7 @@
 		t.Errorf("the relay went to %s, with %v", got, relay.quota("a"))
 	}
 	p.writer.kill(t)
-	text, err := os.ReadFile(p.writer.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.write(p.writer.name+".toml", "epoch_offset = 10\n"+string(text))
+	p.writer.edit(func(text string) string { return "epoch_offset = 10\n" + text })
 	p.writer.start()
 	last := p.writer.applied(tenant("a", 6))
 	if !strings.HasPrefix(last, "13.") {
--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -193,12 +193,18 @@
 
 // configure adds tables to the process's file.
 func (c *controlled) configure(tables string) {
+	c.plane.t.Helper()
+	c.edit(func(text string) string { return text + tables })
+}
+
+// edit changes the process's file.
+func (c *controlled) edit(change func(text string) string) {
 	c.plane.t.Helper()
 	text, err := os.ReadFile(c.config)
 	if err != nil {
 		c.plane.t.Fatal(err)
 	}
-	c.plane.write(c.name+".toml", string(text)+tables)
+	c.plane.write(c.name+".toml", change(string(text)))
 }
 
 func parentTables(table string, all []*controlled) string {
