A restore from one member's folder, tested; a session's queue of 2 MiB

Cause: members that start with empty folders beside a restored one could outvote it. A publisher lets 512 KiB wait for a session, so that 2 MiB are enough. Measured: go test -race -count=2 of internal/controlnet passes.

--- a/internal/controlnet/member_test.go
+++ b/internal/controlnet/member_test.go
@@ -151,6 +151,46 @@
 	}
 }
 
+// The operators' way of a restore: the folder of one member in place of all, with each one's own identity.
+func TestAllMembersRestoredFromOneFolder(t *testing.T) {
+	all := quorumUnderTest(t, 3)
+	for _, m := range all {
+		m.start()
+	}
+	applyAnywhere(t, all, serviceText)
+	position := applyAnywhere(t, all, largeTenant(1))
+	eventually(t, "the first member at "+position, func() bool { return all[0].status().Position == position })
+	for _, m := range all {
+		m.stop()
+	}
+	for i, m := range all[1:] {
+		if err := os.RemoveAll(m.cfg.State); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.CopyFS(m.cfg.State, os.DirFS(all[0].cfg.State)); err != nil {
+			t.Fatal(err)
+		}
+		if err := Serve(context.Background(), m.cfg, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "the folder is that of") {
+			t.Errorf("with another's identity: %v", err)
+		}
+		identity := fmt.Sprintf("region \"north\", member %d\n", i+2)
+		if err := os.WriteFile(filepath.Join(m.cfg.State, "identity"), []byte(identity), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range all {
+		m.cfg.Offset = 100
+		m.start()
+	}
+	next := applyAnywhere(t, all, largeTenant(2))
+	if !strings.HasPrefix(next, "10") || !strings.HasSuffix(next, ".3") {
+		t.Errorf("the restored log is at %s", next)
+	}
+	for _, m := range all {
+		eventually(t, m.cfg.Name+" at "+next, func() bool { return m.status().Position == next && m.status().Resources == 3 })
+	}
+}
+
 // A member whose disk fails takes no part any more, says so, and goes on serving.
 func TestAMemberWhoseDiskFails(t *testing.T) {
 	m := quorumUnderTest(t, 1)[0]
--- a/internal/controlnet/process.go
+++ b/internal/controlnet/process.go
@@ -29,7 +29,7 @@
 	handshakeTimeout = 3 * time.Second
 	readTimeout      = 30 * time.Second // far more than the silence after which a subscriber gives a parent up
 	writeTimeout     = 5 * time.Second
-	queueBytes       = 8 << 20 // that wait for one session
+	queueBytes       = 2 << 20 // that wait for one session
 	minStep          = time.Millisecond
 	maxStep          = time.Second
 )
