--- a/cmd/craneglade/control_cost_test.go
+++ b/cmd/craneglade/control_cost_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -28,11 +29,7 @@
 		r.start()
 	}
 	n := p.newNode("n0", p.relays...)
-	text, err := os.ReadFile(n.own)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.write(n.name+".toml", strings.Replace(string(text), `silence = "900ms"`, "", 1))
+	n.edit(func(text string) string { return strings.Replace(text, `silence = "900ms"`, "", 1) })
 	n.start()
 	var tenants strings.Builder
 	for i := range 100 {
@@ -45,6 +42,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		used := []time.Duration{p.writer.used(), p.relays[0].used(), n.used()}
 		for i := range seconds {
 			time.Sleep(time.Second)
 			change(i)
@@ -53,8 +51,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("%s: %d bytes a second come, %d go; age %d ms", what, (after.Sessions.ReceivedBytes-before.Sessions.ReceivedBytes)/seconds,
-			(after.Sessions.SentBytes-before.Sessions.SentBytes)/seconds, after.AgeMS)
+		t.Logf("%s: %d bytes a second come, %d go; age %d ms; writer, relay and node use %.2f%%, %.2f%% and %.2f%% of a core", what, (after.Sessions.ReceivedBytes-before.Sessions.ReceivedBytes)/seconds,
+			(after.Sessions.SentBytes-before.Sessions.SentBytes)/seconds, after.AgeMS,
+			share(&p.writer.running, used[0], seconds), share(&p.relays[0].running, used[1], seconds), share(&n.running, used[2], seconds))
 	}
 	measure("nothing changes", func(int) {})
 	measure("a change of one endpoint a second", func(i int) {
@@ -68,3 +67,27 @@
 		return strings.NewReplacer(`heartbeat = "100ms"`, "", `silence = "900ms"`, "").Replace(text)
 	})
 }
+
+// used is the processor time that the program has used, by proc(5).
+func (r *running) used() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	const tick = 10 * time.Millisecond // of clock_t, which Linux has at 100 a second for programs
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	var ticks int
+	for _, f := range fields[11:13] {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * tick
+}
+
+// share is what the program has used since then, in hundredths of a core.
+func share(r *running, since time.Duration, seconds int) float64 {
+	return 100 * (r.used() - since).Seconds() / float64(seconds)
+}
--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -198,13 +198,15 @@
 }
 
 // edit changes the process's file.
-func (c *controlled) edit(change func(text string) string) {
-	c.plane.t.Helper()
-	text, err := os.ReadFile(c.config)
+func (c *controlled) edit(change func(text string) string) { c.plane.edit(c.name+".toml", change) }
+
+func (p *plane) edit(name string, change func(text string) string) {
+	p.t.Helper()
+	text, err := os.ReadFile(p.path(name))
 	if err != nil {
-		c.plane.t.Fatal(err)
+		p.t.Fatal(err)
 	}
-	c.plane.write(c.name+".toml", change(string(text)))
+	p.write(name, change(string(text)))
 }
 
 func parentTables(table string, all []*controlled) string {
@@ -311,6 +313,9 @@
 	return n
 }
 
+// edit changes the node's own file.
+func (n *controlledNode) edit(change func(text string) string) { n.plane.edit(n.name+".toml", change) }
+
 func (n *controlledNode) start() {
 	n.plane.t.Helper()
 	cmd := exec.Command(n.plane.bin, "serve", "--config", n.own)
--- a/internal/cli/control_test.go
+++ b/internal/cli/control_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+func TestCheckControl(t *testing.T) {
+	folder := t.TempDir()
+	good := controlFile(t, folder)
+	bad := write(t, folder, "bad.toml", "role = \"writer\"\nrole2 = 1\n")
+	for _, x := range []struct {
+		file, want string
+		status     int
+	}{{good, good + ": good\n", ExitKept}, {bad, "craneglade: " + bad + ":2: role2: no such key; did you mean role?\n", ExitUsage}} {
+		var out strings.Builder
+		if status := Main([]string{"check", "--control", x.file}, os.Getenv, &out, &out); status != x.status || out.String() != x.want {
+			t.Errorf("%s: %d %q, want %q", x.file, status, out.String(), x.want)
+		}
+	}
+}
+
 func write(t *testing.T, folder, name, text string) string {
 	t.Helper()
 	path := filepath.Join(folder, name)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -70,6 +70,7 @@
 	File string `arg:"" help:"A scenario (.toml, or the name of a shipped one), a node's configuration (.json), or, with --settings, a file of our own settings."`
 
 	Settings bool `help:"The file holds settings of our own, as serve --config reads them."`
+	Control  bool `help:"The file describes a process of the control plane, as control --config reads it."`
 }
 
 // Run checks a file.
@@ -84,6 +85,10 @@
 		if err != nil {
 			return usage("%s: %w", c.File, err)
 		}
+	} else if c.Control {
+		if _, err := settings.LoadControlProcess(c.File); err != nil {
+			return exit{ExitUsage, err}
+		}
 	} else if c.Settings {
 		if _, err := settings.Load(c.File); err != nil {
 			return exit{ExitUsage, err}
