--- a/internal/controlplane/changelog/bench_test.go
+++ b/internal/controlplane/changelog/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
+	"craneglade/internal/controlplane/message"
 	"craneglade/internal/controlplane/resource"
 )
 
@@ -134,12 +136,12 @@
 	})
 }
 
-// BenchmarkReplace reports the live heap of a store, its resources included, for each resource.
+// BenchmarkReplace reports the live heap of a store, its resources included as they come from the wire, for each resource.
 func BenchmarkReplace(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			before := heap()
-			all := fleet(size)
+			all := fromWire(b, fleet(size))
 			var s *Store
 			for b.Loop() {
 				s = NewStore(region, Limits{})
@@ -155,6 +157,14 @@
 	}
 }
 
+func fromWire(b *testing.B, all []resource.Resource) []resource.Resource {
+	_, _, read, _, err := message.DecodeSnapshot(message.EncodeSnapshot(region, resource.Position{Epoch: 1, Version: 1}, all))
+	if err != nil || len(read) != len(all) {
+		b.Fatal(len(read), err)
+	}
+	return slices.Clip(read)
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
