--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -5,6 +5,10 @@
 	"testing"
 	"time"
 
+	"craneglade/internal/shared"
+	"craneglade/internal/shared/escrow"
+	"craneglade/internal/shared/judgement"
+	"craneglade/internal/siting"
 	"craneglade/policy"
 )
 
@@ -55,6 +59,43 @@
 	}
 }
 
+// sharing is a Sharer that a replica is behind, as in internal/peers, without the network.
+type sharing struct {
+	replica *shared.Replica
+	now     time.Duration
+}
+
+func (s *sharing) Request(string)                        {}
+func (s *sharing) Crossed(string)                        {}
+func (s *sharing) Outcome(judgement.Key, policy.Outcome) {}
+func (s *sharing) Listed(all []judgement.Backend)        { s.replica.Listed(all) }
+func (s *sharing) View() shared.View                     { return s.replica.View(s.now) }
+
+// BenchmarkDeltaTold is BenchmarkDelta where the node shares state, and where it watches sites: both are told all backends.
+func BenchmarkDeltaTold(b *testing.B) {
+	for _, to := range []string{"sharer", "sites"} {
+		for _, n := range []int{100, 1000, 5000, 20000} {
+			b.Run(fmt.Sprintf("%s/backends=%d", to, n), func(b *testing.B) {
+				all := entries(n)
+				e, _ := newEngine(b)
+				if to == "sites" {
+					e.Watch(siting.New(&e.set, nil))
+				} else {
+					e.Share(&sharing{shared.New(shared.Config{Name: "n0", Nodes: 1, Terms: escrow.Usual(), Limits: judgement.Usual(), BytesPS: 8192, Datagram: 1400}, time.Hour), time.Hour})
+				}
+				e.takeList(&List{Version: 1, Full: true, Servers: all}, policy.ListFull)
+				one := all[n/2]
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					one.State = []string{"Terminating", "Ready"}[i%2]
+					e.takeList(&List{Version: int64(i + 2), Servers: []Listed{one}}, policy.ListDelta)
+				}
+				e.Stop()
+			})
+		}
+	}
+}
+
 // BenchmarkReplaced is what news of one new backend at a new address costs, and the end of another.
 func BenchmarkReplaced(b *testing.B) {
 	for _, n := range []int{1000, 20000} {
--- a/internal/shared/scale_test.go
+++ b/internal/shared/scale_test.go
@@ -74,15 +74,15 @@
 	for _, size := range flatSizes {
 		b.Run(fmt.Sprintf("nodes=%d/tenants=%d", size.nodes, size.tenants), func(b *testing.B) {
 			r, now, heap := heardAll(b, size.nodes, size.tenants)
+			whole := len(r.State(now))
 			b.Run("step", func(b *testing.B) {
-				for b.Loop() {
-					now += 250 * time.Millisecond
+				for b.Loop() { // at one moment, or what was heard would be forgotten meanwhile
 					r.Step(now)
 					r.usual.Reset()
 				}
 				b.ReportMetric(float64(heap), "heap-B")
 				b.ReportMetric(r.Again().Seconds(), "interval-s")
-				b.ReportMetric(float64(len(r.State(now))), "whole-B")
+				b.ReportMetric(float64(whole), "whole-B")
 			})
 			b.Run("view", func(b *testing.B) {
 				for b.Loop() {
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -12,7 +12,7 @@
 // docs/design/fleet.md.
 func BenchmarkDecision(b *testing.B) {
 	for _, size := range []struct{ boxes, nodes int }{{12, 3}, {120, 3}, {60, 80}, {1000, 80},
-		{1000, 3}, {10000, 3}, {10000, 300}, {10000, 5900}} {
+		{1000, 3}, {10000, 3}, {10000, 80}, {10000, 300}, {10000, 5900}} {
 		boxes := size.boxes
 		b.Run(fmt.Sprintf("boxes=%d/nodes=%d", boxes, size.nodes), func(b *testing.B) {
 			bal, err := policy.New(testSettings(size.nodes, false), 1)
