What shares state is told all backends only when somebody comes or goes

The index counts changes of who is listed; the model test holds what the sharer was last told against the model after each list, and fails with either count taken out.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -179,8 +179,9 @@
 
 	sites *siting.Link // nil where they are not watched
 
-	sharer Sharer        // nil for a node that shares nothing
-	until  time.Duration // what the module was told of it last counts until then
+	sharer     Sharer        // nil for a node that shares nothing
+	until      time.Duration // what the module was told of it last counts until then
+	sharerTold int           // listed.changes when it was last told which boxes there are; negative for never
 }
 
 // New returns an engine that knows no box. An error names the setting that makes no sense.
--- a/internal/engine/index.go
+++ b/internal/engine/index.go
@@ -5,8 +5,9 @@
 // index finds the backends on the list by their address, and counts those that take new requests, so that news of one
 // backend does not walk all of them. Its zero value is empty.
 type index struct {
-	byAddr map[string][]*Backend
-	open   int
+	byAddr  map[string][]*Backend
+	open    int
+	changes int // of who is listed: a backend that only drains, or is ready again, is none
 }
 
 // at are the backends at an address. What they are is not changed by what happens to the index later.
@@ -23,6 +24,7 @@
 	}
 	if all := x.byAddr[b.Addr]; !slices.Contains(all, b) {
 		x.byAddr[b.Addr] = append(all, b)
+		x.changes++
 	}
 	x.count(b, b.stop.Load() == 0)
 }
@@ -35,6 +37,7 @@
 	if i < 0 {
 		return
 	}
+	x.changes++
 	if len(all) == 1 {
 		delete(x.byAddr, b.Addr)
 		return
--- a/internal/engine/list_test.go
+++ b/internal/engine/list_test.go
@@ -13,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"craneglade/internal/shared"
+	"craneglade/internal/shared/judgement"
 	"craneglade/policy"
 )
 
@@ -44,6 +46,25 @@
 	return ids
 }
 
+// listener is a Sharer that notes which backends it was last told of, and how often it was told.
+type listener struct {
+	last  map[judgement.Key]string // name and site
+	times int
+}
+
+func (l *listener) Request(string)                        {}
+func (l *listener) Crossed(string)                        {}
+func (l *listener) Outcome(judgement.Key, policy.Outcome) {}
+func (l *listener) View() shared.View                     { return shared.View{} }
+
+func (l *listener) Listed(all []judgement.Backend) {
+	l.times++
+	l.last = map[judgement.Key]string{}
+	for _, b := range all {
+		l.last[b.Key] = b.Name + " " + b.Site
+	}
+}
+
 type noSource struct{}
 
 func (noSource) Watch() {}
@@ -156,6 +177,17 @@
 	}
 }
 
+// listed are the backends that a sharer has to know of.
+func (m *model) listed() map[judgement.Key]string {
+	all := map[judgement.Key]string{}
+	for _, b := range m.names {
+		if !b.left {
+			all[shared.Key(b.id, b.started)] = b.id + " north"
+		}
+	}
+	return all
+}
+
 func (m *model) ready() bool {
 	for _, b := range m.names {
 		if !b.closed {
@@ -231,12 +263,17 @@
 		synctest.Wait()
 		e.Stop()
 	}()
+	sharer := &listener{}
+	e.Share(sharer)
 	m := &model{names: map[string]*modelBackend{}, numbers: map[uint32]*modelBackend{}}
 	for step := range 25 {
 		l, kind := drawList(rng)
 		e.takeList(l, kind)
 		m.apply(l, kind)
 		compare(t, e, c, m, fmt.Sprintf("step %d: %+v kind %d", step, l, kind))
+		if got, want := sharer.last, m.listed(); !maps.Equal(got, want) {
+			t.Errorf("step %d: %+v kind %d: the sharer was told of %v, there are %v", step, l, kind, got, want)
+		}
 		if rng.IntN(4) == 0 {
 			time.Sleep(time.Duration(rng.IntN(12)) * time.Second)
 			synctest.Wait()
@@ -262,3 +299,22 @@
 		t.Errorf("%s: ready is %v", when, e.Ready())
 	}
 }
+
+// News that changes nobody's place on the list does not cost the sharer a whole list.
+func TestADrainIsNoNewListForTheSharer(t *testing.T) {
+	e, _ := newEngine(t)
+	defer e.Stop()
+	sharer := &listener{}
+	e.Share(sharer)
+	one := Listed{ID: "b", Addr: "a", Zone: "north", State: "Ready"}
+	for i, c := range []struct {
+		state, addr string
+		told        int
+	}{{"Ready", "a", 2}, {"Terminating", "a", 2}, {"Ready", "a", 2}, {"Ready", "elsewhere", 3}, {"Gone", "elsewhere", 4}, {"Gone", "elsewhere", 4}, {"Ready", "elsewhere", 5}} {
+		one.State, one.Addr = c.state, c.addr
+		e.takeList(&List{Version: int64(i + 1), Servers: []Listed{one}}, policy.ListDelta)
+		if sharer.times != c.told {
+			t.Errorf("after %s at %s the sharer was told %d times, want %d", c.state, c.addr, sharer.times, c.told)
+		}
+	}
+}
--- a/internal/engine/sharer.go
+++ b/internal/engine/sharer.go
@@ -22,7 +22,7 @@
 func (e *Engine) Share(s Sharer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sharer = s
+	e.sharer, e.sharerTold = s, -1
 	e.tellSharer()
 	e.look(e.clock.Now(), true)
 }
@@ -57,11 +57,12 @@
 	e.handle(now, v.Event(func(k judgement.Key) (uint32, bool) { n, ok := numbers[k]; return n, ok }))
 }
 
-// tellSharer tells which boxes there are. e.mu is held.
+// tellSharer tells which boxes there are, unless they are those that it was told of before. e.mu is held.
 func (e *Engine) tellSharer() {
-	if e.sharer == nil {
+	if e.sharer == nil || e.sharerTold == e.listed.changes {
 		return
 	}
+	e.sharerTold = e.listed.changes
 	all := make([]judgement.Backend, 0, len(e.names))
 	for _, b := range e.names {
 		if !b.left {
