--- a/internal/kit/capacity/breaks.go
+++ b/internal/kit/capacity/breaks.go
@@ -61,7 +61,8 @@
 // as some grow in jumps.
 func (d *Data) crossing(m mechanism) Fleet {
 	least := 0.0
-	for part := 1e-5; part < 1; part *= 1.02 {
+	for step := 1e-5; least < 1; step *= 1.1 {
+		part := min(step, 1)
 		if m.value(d.Along(part)) > m.limitAt {
 			most := part
 			for range 40 {
--- a/internal/kit/capacity/capacity_test.go
+++ b/internal/kit/capacity/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math"
 	"os"
 	"path/filepath"
@@ -45,7 +46,7 @@
 		if old != table && *update {
 			page = strings.Replace(page, begin+old, begin+table, 1)
 		} else if old != table {
-			t.Errorf("table %s of the page is not what the figures give:\n%s\nthey give\n%s", name, old, table)
+			t.Errorf("table %s of the page is not what the figures give: %s", name, difference(old, table))
 		}
 	}
 	if *update {
@@ -55,6 +56,17 @@
 	}
 }
 
+// difference is the first line in which a table of the page differs from the one that the figures give.
+func difference(page, figures string) string {
+	old, fresh := strings.Split(page, "\n"), strings.Split(figures, "\n")
+	for i := range min(len(old), len(fresh)) {
+		if old[i] != fresh[i] {
+			return fmt.Sprintf("row %d is\n%s\nand they give\n%s", i, old[i], fresh[i])
+		}
+	}
+	return fmt.Sprintf("it has %d rows and not %d", len(old), len(fresh))
+}
+
 // The files that figures were measured by are there.
 func TestFiguresNameTheirFiles(t *testing.T) {
 	for _, s := range load(t).Series {
--- a/internal/kit/capacity/data.go
+++ b/internal/kit/capacity/data.go
@@ -16,13 +16,15 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// Data is what is measured and assumed.
+// Data is what is measured and assumed. It is not safe for concurrent use.
 type Data struct {
 	Target      Target       `toml:"target"`
 	Start       Start        `toml:"start"`
 	Limits      Limits       `toml:"limits"`
 	Assumptions []Assumption `toml:"assumption"`
 	Series      []Series     `toml:"series"`
+
+	known map[partsKey][]float64 // parts of services that were worked out
 }
 
 // Target is the fleet that the system has to carry.
--- a/internal/kit/capacity/model.go
+++ b/internal/kit/capacity/model.go
@@ -35,23 +35,45 @@
 // power of the skew, no service above the largest part, unless there are too few to hold everything so.
 func ServiceParts(services int, skew, largest float64) []float64 {
 	parts := make([]float64, services)
+	rest := make([]float64, services+1) // sums of the powers from each rank on
+	for i := services - 1; i >= 0; i-- {
+		parts[i] = math.Pow(float64(i+1), -skew)
+		rest[i] = rest[i+1] + parts[i]
+	}
 	largest = max(largest, 1/float64(services))
 	capped := 0 // services that stand at the largest part
-	for {
-		rest, sum := 1-float64(capped)*largest, 0.0
-		for i := capped; i < services; i++ {
-			parts[i] = math.Pow(float64(i+1), -skew)
-			sum += parts[i]
-		}
-		for i := capped; i < services; i++ {
-			parts[i] *= rest / sum
+	for capped < services-1 && parts[capped]*(1-float64(capped)*largest)/rest[capped] > largest {
+		capped++
+	}
+	scale := (1 - float64(capped)*largest) / rest[capped]
+	for i := range parts {
+		if i < capped {
+			parts[i] = largest
+		} else {
+			parts[i] *= scale
 		}
-		if capped >= services-1 || parts[capped] <= largest {
-			return parts
+	}
+	return parts
+}
+
+// partsKey is what the parts of services follow from.
+type partsKey struct {
+	services      int
+	skew, largest float64
+}
+
+// parts are the parts of a fleet's services, as assumed.
+func (d *Data) parts(f Fleet) []float64 {
+	key := partsKey{int(f.Services + 0.5), d.Assumed("service_skew"), d.Assumed("largest_service")}
+	known, is := d.known[key]
+	if !is {
+		known = ServiceParts(key.services, key.skew, key.largest)
+		if d.known == nil {
+			d.known = map[partsKey][]float64{}
 		}
-		parts[capped] = largest
-		capped++
+		d.known[key] = known
 	}
+	return known
 }
 
 // Serving is what it means for a node which nodes serve which services.
@@ -81,7 +103,7 @@
 
 // serving sums up a plan that gives each service so many nodes.
 func (d *Data) serving(name string, f Fleet, nodesOf func(part float64) float64) Serving {
-	parts := ServiceParts(int(f.Services+0.5), d.Assumed("service_skew"), d.Assumed("largest_service"))
+	parts := d.parts(f)
 	endpoint, tenant := d.Measured("memory-by-backend").Value(), d.Measured("memory-by-tenant").Value()
 	s := Serving{Name: name}
 	for i, part := range parts {
--- a/internal/kit/capacity/roles.go
+++ b/internal/kit/capacity/roles.go
@@ -61,7 +61,7 @@
 
 // largest is the largest service, in backends.
 func (d *Data) largest(f Fleet) float64 {
-	return ServiceParts(int(f.Services+0.5), d.Assumed("service_skew"), d.Assumed("largest_service"))[0] * f.Backends
+	return d.parts(f)[0] * f.Backends
 }
 
 // Needs are the lines of the page's table of roles.
