--- a/internal/kit/capacity/roles.go
+++ b/internal/kit/capacity/roles.go
@@ -81,7 +81,7 @@
 	list := d.Measured("list-json").Value() / d.Measured("list-json").Sizes[0]
 	return []Need{
 		{roleRequest, "requests a second", "/s", "the target's numbers", "internal/engine", 0, "", requestsOfNode},
-		{roleRequest, "processor, HTTP, client and backend in the same process", "cores", "request-processor", "internal/httpfront, httpcarrier, policy", 0, "",
+		{roleRequest, "processor, HTTP", "cores", "request-processor", "internal/httpfront, httpcarrier, policy", 0, "",
 			func(f Fleet, c Condition) float64 {
 				return requestsOfNode(f, c) * d.Measured("request-processor").Value()
 			}},
