Scale run: the control plane at fleet size in virtual time, with faults

A few processes of each role decode what they receive and have their processor time and heap measured.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 	Fleet    fleetCmd         `cmd:"" help:"Print what a running node believes of each box, and why."`
 	Control  controlCmd       `cmd:"" help:"The control plane: run one of its processes, or ask one."`
 	Plan     planCmd          `cmd:"" help:"Work a plan through before the day."`
+	Scale    scaleCmd         `cmd:"" help:"Play the fleet at several sizes up to the target, measure what each process and each change costs, and tell the slopes."`
 	Check    checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
 }
 
--- a/internal/kit/scale/mesh/mesh.go
+++ b/internal/kit/scale/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"time"
 
+	"craneglade/internal/kit/scale/heap"
 	"craneglade/internal/kit/scale/plan"
 	"craneglade/internal/kit/scale/result"
 	"craneglade/internal/shared"
@@ -38,13 +39,16 @@
 	frameHead    = 3                   // bytes of a frame before an entry's, for the size of many in one
 )
 
+// Part is the name of the part of a run with so many tenants.
+func Part(tenants int) string { return fmt.Sprintf("mesh %d tenants", tenants) }
+
 // Measure plays one size.
 func Measure(ctx context.Context, step plan.Step, tenants, bytesPS int) (*result.Step, error) {
 	m := newMesh(step.Nodes, tenants, bytesPS)
 	if err := m.fill(ctx, 1); err != nil {
 		return nil, err
 	}
-	out := &result.Step{Part: fmt.Sprintf("mesh %d tenants", tenants), Size: step}
+	out := &result.Step{Part: Part(tenants), Size: step}
 	mechanism := fmt.Sprintf("mesh, %d tenants", tenants)
 	if err := m.steady(ctx, out, mechanism); err != nil {
 		return nil, err
@@ -284,16 +288,8 @@
 
 // heap measures what the full replica takes, by letting go of it.
 func (m *mesh) heap(out *result.Step, mechanism string) {
-	with := heapInUse()
+	with := heap.InUse()
 	runtime.KeepAlive(m.full)
 	m.full = nil
-	out.Add(mechanism, "node", "heap", "MiB", float64(with-heapInUse())/(1<<20))
-}
-
-func heapInUse() int64 {
-	runtime.GC()
-	runtime.GC() // what finalizers kept
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
+	out.Add(mechanism, "node", "heap", "MiB", float64(with-heap.InUse())/(1<<20))
 }
--- a/internal/kit/scale/plan/plan.go
+++ b/internal/kit/scale/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"os"
 	"time"
@@ -42,6 +43,8 @@
 	Faults  []Fault `toml:"fault"`
 
 	Processes Processes `toml:"processes"`
+
+	Digest string `toml:"-"` // of the file
 }
 
 // Limits are what the run may use of the machine.
@@ -81,11 +84,11 @@
 
 // Step is one size of the fleet.
 type Step struct {
-	Nodes     int `toml:"nodes"`
-	Endpoints int `toml:"endpoints"`
-	Services  int `toml:"services"`
-	Routes    int `toml:"routes"`
-	Tenants   int `toml:"tenants"`
+	Nodes     int `toml:"nodes" json:"nodes"`
+	Endpoints int `toml:"endpoints" json:"endpoints"`
+	Services  int `toml:"services" json:"services"`
+	Routes    int `toml:"routes" json:"routes"`
+	Tenants   int `toml:"tenants" json:"tenants"`
 }
 
 // Mesh plays what nodes share today, every node's counts told to every other.
@@ -118,7 +121,7 @@
 	FaultRelays   = "relays-restarted" // all relays restart at once with nothing
 )
 
-// Fault is one fault at the largest size; each is played in a run of its own.
+// Fault is one fault at the largest size. They are played one after the other on one fleet, which is whole again in between.
 type Fault struct {
 	Kind    string            `toml:"kind"`
 	Length  tomlfile.Duration `toml:"length"`
@@ -151,6 +154,7 @@
 		Network: Network{Zone: tomlfile.Duration(500 * time.Microsecond), Region: tomlfile.Duration(2 * time.Millisecond), World: tomlfile.Duration(60 * time.Millisecond)},
 		Mesh:    Mesh{NodeBytes: 8 << 10},
 	}
+	p.Digest = fmt.Sprintf("%x", sha256.Sum256(text))
 	keys, err := tomlfile.Decode(name, text, p)
 	if err != nil {
 		return nil, err
--- a/internal/kit/scale/result/report.go
+++ b/internal/kit/scale/result/report.go
@@ -44,7 +44,7 @@
 	}
 	for _, s := range r.Steps {
 		for _, note := range s.Notes {
-			fmt.Fprintf(w, "%s: %s\n", s.where(), note)
+			fmt.Fprintf(w, "%s: %s\n", s.Where(), note)
 		}
 	}
 	for _, s := range r.Steps {
@@ -53,14 +53,14 @@
 			if !c.Passed {
 				verdict = "FAILED"
 			}
-			fmt.Fprintf(w, "%s  %s: %s: %s\n", verdict, s.where(), c.Name, c.Detail)
+			fmt.Fprintf(w, "%s  %s: %s: %s\n", verdict, s.Where(), c.Name, c.Detail)
 		}
 	}
 	return nil
 }
 
-// where names the step in a line.
-func (s *Step) where() string {
+// Where names the step in a line.
+func (s *Step) Where() string {
 	axis, size := s.Axis()
 	return fmt.Sprintf("%s, %d %s", s.Part, size, axis)
 }
--- a/internal/kit/scale/result/result.go
+++ b/internal/kit/scale/result/result.go
@@ -36,6 +36,7 @@
 // Step is what was measured at one size.
 type Step struct {
 	Part    string    `json:"part"` // which part of the run: "mesh", "list", "control", "fault NAME", "processes"
+	Plan    string    `json:"plan"` // its digest
 	Size    plan.Step `json:"size"`
 	Figures []Figure  `json:"figures"`
 	Checks  []Check   `json:"checks,omitempty"`
