--- a/internal/controlplane/simulate/process.go
+++ b/internal/controlplane/simulate/process.go
@@ -34,7 +34,7 @@
 	life        int
 	down        bool
 	stalled     bool
-	waiting     []event // while it is stalled
+	waiting     []*event // while it is stalled
 	clockOffset time.Duration
 	clockRate   float64
 	wakeAt      time.Duration
@@ -51,7 +51,7 @@
 	subscriber  *subscriber.Subscriber
 	filter      changelog.Filter
 	connections map[string]*connection
-	checked     map[string]*checked // by region
+	checked     []*checked // by region, as the subscriber has them
 }
 
 // clock is the process's own monotonic clock.
@@ -91,7 +91,7 @@
 	if len(regions) == 0 {
 		return
 	}
-	u := &uplink{process: p, filter: filter, connections: map[string]*connection{}, checked: map[string]*checked{}}
+	u := &uplink{process: p, filter: filter, connections: map[string]*connection{}}
 	u.subscriber = subscriber.New(subscriber.Config{
 		Name:       p.Name,
 		Zone:       p.Zone,
@@ -105,7 +105,7 @@
 		p.options.PlantSubscriber(u.subscriber)
 	}
 	for _, region := range regions {
-		u.checked[region] = &checked{inForce: map[resource.Key]resource.Resource{}}
+		u.checked = append(u.checked, &checked{region: region, inForce: map[resource.Key]resource.Resource{}})
 		if p.publisher != nil {
 			p.publisher.Publish(u.subscriber.Store(region))
 		}
@@ -116,13 +116,23 @@
 // uplinkFor finds the subscriber of a region.
 func (p *Process) uplinkFor(region string) *uplink {
 	for _, u := range p.uplinks {
-		if u.checked[region] != nil {
+		if u.replica(region) != nil {
 			return u
 		}
 	}
 	return nil
 }
 
+// replica is what was last seen of a region, or nil.
+func (u *uplink) replica(region string) *checked {
+	for _, c := range u.checked {
+		if c.region == region {
+			return c
+		}
+	}
+	return nil
+}
+
 // age is how old the process's replica of a region is.
 func (p *Process) age(region string, now time.Duration) time.Duration {
 	if p.own[region] != nil {
@@ -214,13 +224,17 @@
 		return
 	}
 	child, life := c.child, c.child.life
-	c.send(p, child, &c.toChild, o.Message, func(m message.Message) {
+	deliver := func(m message.Message) {
 		if child.life == life && c.open && c.current() {
 			if err := c.uplink.subscriber.Receive(child.clock(), p.Name, m); err != nil {
 				p.network.checks.rejected++
 			}
 		}
-	})
+	}
+	c.send(p, child, &c.toChild, o.Message, deliver)
+	if _, beat := o.Message.(*message.Heartbeat); beat {
+		c.replayOld(deliver, o.Message.RegionName())
+	}
 }
 
 // Stall stops the process until the returned function is called. What is sent to it waits.
@@ -278,7 +292,7 @@
 		u.filter = f
 		u.subscriber.Subscribe(p.clock(), f)
 		for _, c := range u.checked {
-			c.widened = true
+			c.widened, c.known = true, false
 		}
 	}
 	p.network.schedule(p.network.now, p, func() {})
--- a/internal/controlplane/simulate/script.go
+++ b/internal/controlplane/simulate/script.go
@@ -15,7 +15,7 @@
 	chaosTime = 40 * time.Second // in which faults begin
 	// HealWithin is the time after the last fault's end in which all replicas have to be at the writer's state.
 	HealWithin = 45 * time.Second
-	settleTime = 75 * time.Second // until connections are as preferred again
+	settleTime = 40 * time.Second // until connections are as preferred again
 	// InForceWithin is the time in which a change has to be in force at every process that isn't itself at fault.
 	InForceWithin = 7 * time.Second
 	quietTime     = 10 * time.Second
@@ -24,7 +24,8 @@
 // SmallOptions are those of a script: two regions with two control processes, two zones of two relays and two nodes.
 func SmallOptions(seed uint64) Options {
 	limits := subscriber.DefaultLimits()
-	limits.Store.Transactions = 20 // so that history often doesn't reach back
+	limits.Store.Transactions = 20        // so that history often doesn't reach back
+	limits.ReturnAfter = 10 * time.Second // so that settleTime can be short
 	return Options{
 		Seed:            seed,
 		Regions:         2,
@@ -75,8 +76,8 @@
 }
 
 // RunScript plays one script: faults and changes drawn from the seed of the options for a while; then all heals and all
-// replicas have to reach the writers' states in time; then a change has to get through in time while one relay is stalled,
-// and again while one relay is cut off from the control processes.
+// replicas have to reach the writers' states in time; then a change has to get through in time while all relays of a zone
+// are stalled, and again while one relay is cut off from the control processes.
 func RunScript(options Options) Report {
 	n := New(options)
 	s := &script{network: n, options: n.options, random: rand.New(rand.NewPCG(options.Seed, scriptStream))}
@@ -86,10 +87,8 @@
 	n.CheckAll(CheckConverged)
 	n.Run(n.now + settleTime)
 	s.quiet()
-	s.probe(CheckStall, func(relay *Process) func() { return relay.Stall() })
-	s.probe(CheckLag, func(relay *Process) func() {
-		return n.Cut(func(a, b *Process) bool { return a == relay && b.Role == RoleControl })
-	})
+	s.probeStall()
+	s.probeLag()
 	report := Report{Seed: options.Seed, Violations: n.Violations(), Log: s.log}
 	for _, p := range n.processes {
 		report.Traffic = append(report.Traffic, p.Traffic)
@@ -146,7 +145,7 @@
 		s.note("cut zone %q off for %s", p.Zone, s.later(15*time.Second, heal))
 	case 7:
 		former := s.options.Link
-		n.SetLink(Link{Latency: former.Latency, Jitter: 200 * time.Millisecond, Loss: 0.05, Double: 0.05, Late: 0.05, Torn: 0.05})
+		n.SetLink(Link{Latency: former.Latency, Jitter: 200 * time.Millisecond, Loss: 0.05, Double: 0.05, Late: 0.05, Torn: 0.05, Invalid: 0.1, Replay: 0.02})
 		s.note("a bad network for %s", s.later(10*time.Second, func() { n.SetLink(former) }))
 	case 8:
 		s.promote()
@@ -231,25 +230,78 @@
 	}
 }
 
-// probe changes all logs while one relay has a fault. All others have to have the change in force in time.
-func (s *script) probe(check Check, fault func(relay *Process) (end func())) {
-	n := s.network
+// probeStall stalls all relays of a zone, so that its nodes have to go to another zone's.
+func (s *script) probeStall() {
+	zone := s.anyRelay().Zone
+	var stalled []*Process
+	var wakes []func()
+	for _, p := range s.network.processes {
+		if p.Role == RoleRelay && p.Zone == zone {
+			stalled = append(stalled, p)
+			wakes = append(wakes, p.Stall())
+		}
+	}
+	s.note("all relays of %s stall", zone)
+	s.probe(CheckStall, stalled)
+	for _, wake := range wakes {
+		wake()
+	}
+	s.settle()
+}
+
+// probeLag cuts a relay off from the control processes. Its children still hear of it.
+func (s *script) probeLag() {
+	relay := s.anyRelay()
+	heal := s.network.Cut(func(a, b *Process) bool { return a == relay && b.Role == RoleControl })
+	s.note("%s is cut off from the control processes", relay.Name)
+	s.probe(CheckLag, []*Process{relay})
+	heal()
+	s.settle()
+}
+
+func (s *script) anyRelay() *Process {
 	var relays []*Process
-	for _, p := range n.processes {
+	for _, p := range s.network.processes {
 		if p.Role == RoleRelay {
 			relays = append(relays, p)
 		}
 	}
-	relay := relays[s.random.IntN(len(relays))]
-	end := fault(relay)
-	s.note("%s: %s", check, relay.Name)
+	return relays[s.random.IntN(len(relays))]
+}
+
+// probe changes all logs a second after a fault. All but the processes at fault have to have the change in force in time.
+func (s *script) probe(check Check, atFault []*Process) {
+	n := s.network
 	n.Run(n.now + time.Second)
 	for r := range s.options.Regions {
 		s.change(regionName(r))
 	}
 	n.Run(n.now + InForceWithin)
-	n.CheckAll(check, relay)
-	end()
-	n.Run(n.now + settleTime)
-	n.CheckAll(CheckConverged)
+	n.CheckAll(check, atFault...)
+}
+
+// settle waits until all is as it was before a fault.
+func (s *script) settle() {
+	s.network.Run(s.network.now + settleTime)
+	s.network.CheckAll(CheckConverged)
+}
+
+// FailedChecks plays scripts with the seeds from 0 and counts by check in how many of them it failed. It stops at the first
+// seed that fails the check until; all are played where that is "".
+func FailedChecks(seeds int, until Check, options func(seed uint64) Options) map[Check]int {
+	failed := map[Check]int{}
+	for seed := range seeds {
+		report := RunScript(options(uint64(seed)))
+		named := map[Check]bool{}
+		for _, v := range report.Violations {
+			named[v.Check] = true
+		}
+		for check := range named {
+			failed[check]++
+		}
+		if failed[until] > 0 {
+			break
+		}
+	}
+	return failed
 }
--- a/internal/controlplane/subscriber/replica.go
+++ b/internal/controlplane/subscriber/replica.go
@@ -18,8 +18,12 @@
 	// freshAt is when the writer was known to stand at the store's position.
 	freshAt time.Duration
 
+	// unread is the part of the parents' digest that stems from fields and resources which this version doesn't know.
+	unread message.Digest
+
 	lag        lag
 	progressAt time.Duration // when the source last brought something, or had nothing more
+	unserved   bool          // the source stands where this replica does, and doesn't take it for a subscriber
 	askAgain   bool          // at askAt
 	askAt      time.Duration
 	askTo      resource.Position // not needed any more once this is in force; zero for at any rate
@@ -97,6 +101,9 @@
 	}
 }
 
+// digest is that of the subscription as parents have it.
+func (r *replica) digest() message.Digest { return r.store.Digest(r.filter) + r.unread }
+
 // prune drops resources of services that are not subscribed to.
 func (r *replica) prune() {
 	var changes []resource.Change
@@ -112,6 +119,7 @@
 		r.note(TransactionRefused{r.region, "", r.store.Position(), r.store.Position(), err})
 		return
 	}
+	r.unread = 0
 	r.applied(Applied{Region: r.region, Position: r.store.Position(), Snapshot: true, Changes: changes})
 }
 
@@ -213,7 +221,7 @@
 	r.breakOff()
 	r.source = p
 	r.lag = lag{}
-	r.askAgain = false
+	r.askAgain, r.unserved = false, false
 	r.attempts = 0
 	r.progressAt = r.now
 }
@@ -264,14 +272,15 @@
 }
 
 // checkProgress asks again where the source has more than is in force and sends nothing of it, where a snapshot stopped in
-// the middle, or where it is silent and nobody is better.
+// the middle, or where it is silent and nobody is better. A request that was lost shows by the same, and a state that was
+// refused is asked for again, as what was wrong may have been on the way.
 func (r *replica) checkProgress() {
 	r.returnToPreferred()
 	if r.source == nil || r.source.state != parentConnected || r.askAgain {
 		return
 	}
-	more := r.session(r.source).position.Compare(r.store.Position()) > 0 && r.refused == ""
-	if !more && !r.resync && !r.silent(r.source) {
+	more := r.session(r.source).position.Compare(r.store.Position()) > 0
+	if !more && !r.resync && !r.assembly.active && !r.unserved && !r.silent(r.source) {
 		r.progressAt = r.now
 		return
 	}
@@ -330,11 +339,11 @@
 	m := &message.Subscribe{Region: r.region, Have: r.store.Position(), Standby: as == askedStandby}
 	if as == askedStream {
 		m.All, m.Services = r.filter.All, r.filter.Services
-		m.Digest = r.store.Digest(r.filter)
+		m.Digest = r.digest()
 		if r.resync {
 			m.Have, m.Digest = resource.Position{}, 0
 		}
-		r.askAgain = false
+		r.askAgain, r.unserved = false, false
 		r.progressAt = r.now
 		r.breakOff()
 	}
