--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -5,6 +5,10 @@
 	"testing"
 	"time"
 
+	"craneglade/internal/shared"
+	"craneglade/internal/shared/escrow"
+	"craneglade/internal/shared/judgement"
+	"craneglade/internal/siting"
 	"craneglade/policy"
 )
 
@@ -55,20 +59,52 @@
 	}
 }
 
+// sharing is a Sharer that a replica is behind, as in internal/peers, without the network.
+type sharing struct {
+	replica *shared.Replica
+	now     time.Duration
+}
+
+func (s *sharing) Request(string)                        {}
+func (s *sharing) Crossed(string)                        {}
+func (s *sharing) Outcome(judgement.Key, policy.Outcome) {}
+func (s *sharing) Listed(all []judgement.Backend)        { s.replica.Listed(all) }
+func (s *sharing) View() shared.View                     { return s.replica.View(s.now) }
+
+// BenchmarkDeltaTold is BenchmarkReplaced where the node shares state, and where it watches sites: both are told all
+// backends when one comes or goes.
+func BenchmarkDeltaTold(b *testing.B) {
+	for _, to := range []string{"sharer", "sites"} {
+		for _, n := range []int{100, 1000, 5000, 20000} {
+			b.Run(fmt.Sprintf("%s/backends=%d", to, n), func(b *testing.B) {
+				all := entries(n)
+				e, _ := newEngine(b)
+				if to == "sites" {
+					e.Watch(siting.New(&e.set, nil))
+				} else {
+					e.Share(&sharing{shared.New(shared.Config{Name: "n0", Nodes: 1, Terms: escrow.Usual(), Limits: judgement.Usual(), BytesPS: 8192, Datagram: 1400}, time.Hour), time.Hour})
+				}
+				e.takeList(&List{Version: 1, Full: true, Servers: all}, policy.ListFull)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					replaceOne(e, all, i)
+				}
+				e.Stop()
+			})
+		}
+	}
+}
+
 // BenchmarkReplaced is what news of one new backend at a new address costs, and the end of another.
 func BenchmarkReplaced(b *testing.B) {
-	for _, n := range []int{1000, 20000} {
+	for _, n := range []int{100, 1000, 5000, 20000} {
 		b.Run(fmt.Sprint("backends=", n), func(b *testing.B) {
 			all := entries(n)
 			e, _ := newEngine(b)
 			e.takeList(&List{Version: 1, Full: true, Servers: all}, policy.ListFull)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				gone, fresh := all[i%n], all[i%n]
-				gone.State = "Gone"
-				fresh.ID = fmt.Sprint("fresh-", i)
-				all[i%n] = fresh
-				e.takeList(&List{Version: int64(i + 2), Servers: []Listed{gone, fresh}}, policy.ListDelta)
+				replaceOne(e, all, i)
 			}
 			e.Stop()
 		})
@@ -105,3 +141,13 @@
 	b.ReportMetric(float64(longest.Microseconds()), "longest-wait-us")
 	b.ReportMetric(float64(took.Microseconds()), "forgotten-us")
 }
+
+// replaceOne takes in that one of the backends has gone, and that another stands at its address.
+func replaceOne(e *Engine, all []Listed, i int) {
+	one := &all[i%len(all)]
+	gone, fresh := *one, *one
+	gone.State = "Gone"
+	fresh.ID = fmt.Sprint("fresh-", i)
+	*one = fresh
+	e.takeList(&List{Version: int64(i + 2), Servers: []Listed{gone, fresh}}, policy.ListDelta)
+}
