--- a/internal/controlplane/subscriber/subscriber_test.go
+++ b/internal/controlplane/subscriber/subscriber_test.go
@@ -436,6 +436,26 @@
 	}
 }
 
+// TestRetryBudget: however many candidates there are, and however fast they refuse, connects keep to the budget.
+func TestRetryBudget(t *testing.T) {
+	h := newHarness(t, 26)
+	attempts := 0
+	const outage = 20 * time.Second
+	for end := h.now + outage; h.now < end; h.now += 10 * time.Millisecond {
+		h.step()
+		refused := h.connects
+		h.connects = nil
+		for _, name := range refused {
+			attempts++
+			h.s.Disconnected(h.now, name)
+		}
+	}
+	limits := DefaultLimits()
+	if most := limits.RetryBurst + int(limits.RetryPerSec*outage.Seconds()); attempts > most || attempts < most-2 {
+		t.Errorf("%d attempts in %s, at most %d", attempts, outage, most)
+	}
+}
+
 // TestOwnStallIsNoFaultOfParents: a process that was stopped itself finds its parents' messages waiting.
 func TestOwnStallIsNoFaultOfParents(t *testing.T) {
 	h, first, second := ready(t, 3)
