--- a/internal/controlplane/subscriber/subscriber_test.go
+++ b/internal/controlplane/subscriber/subscriber_test.go
@@ -352,8 +352,8 @@
 		h.mustReceive(first, m)
 	}
 	h.pass(2*time.Minute, h.beatAt(first, at(1, 1)), h.beat(second))
-	if h.source() != second {
-		t.Errorf("streams from %q, which is behind", h.source())
+	if changes := h.region().Counts.SourceChanges; h.source() != second || changes != 1 {
+		t.Errorf("streams from %q after %d changes; the other is behind", h.source(), changes)
 	}
 	h.expectState()
 }
