Control plane: benchmark of a change for everybody, and wire sizes in the flat-cost test

Need: the dearest case, one change that all subscribe to, was not measured; the flat-cost test counted estimated bytes, and counts encoded ones now.

--- a/internal/controlplane/publisher/publisher_test.go
+++ b/internal/controlplane/publisher/publisher_test.go
@@ -560,6 +560,41 @@
 	}
 }
 
+// BenchmarkStepForAll is one change of a service that every session subscribes to.
+func BenchmarkStepForAll(b *testing.B) {
+	for _, sessions := range fleetSizes {
+		b.Run(fmt.Sprint(sessions), func(b *testing.B) {
+			p, log := benchmarkFleet(b, 0)
+			f := changelog.Filter{}
+			for i := range 100 {
+				f.Services = append(f.Services, fmt.Sprintf("service-%05d", i))
+			}
+			for id := range sessions {
+				p.Connected(0, SessionID(id))
+				if err := p.Receive(0, SessionID(id), &message.Subscribe{Region: north, Services: f.Services, Have: at(1, 1), Digest: log.Digest(f)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			p.Step(0)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, err := log.Append(1, set(tenant("service-00050", "t", float64(i)))); err != nil {
+					b.Fatal(err)
+				}
+				out := p.Step(0)
+				if len(out) != sessions {
+					b.Fatalf("%d messages", len(out))
+				}
+				for _, o := range out {
+					_ = p.Receive(0, o.Session, &message.Acknowledge{Region: north, Position: log.Position()})
+					p.sessions[o.Session].bucket.tokens = p.cfg.SessionBurst
+				}
+				p.bucket.tokens = p.bucket.burst
+			}
+		})
+	}
+}
+
 // BenchmarkStepOfHeartbeats is one heartbeat to each session.
 func BenchmarkStepOfHeartbeats(b *testing.B) {
 	for _, sessions := range fleetSizes {
--- a/internal/controlplane/simulate/scenario_test.go
+++ b/internal/controlplane/simulate/scenario_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"craneglade/internal/controlplane/message"
 	"craneglade/internal/controlplane/publisher"
 	"craneglade/internal/controlplane/resource"
 )
@@ -252,6 +253,7 @@
 	perNode := func(nodes int) float64 {
 		o := zoneOptions()
 		o.Nodes, o.Verify = nodes, false
+		o.Size = func(m message.Message) int { return len(message.Encode(m)) }
 		n := started(o)
 		before, start := 0, n.now
 		for _, p := range ofRole(n, RoleNode) {
