--- a/internal/kit/scale/hierarchy/fault.go
+++ b/internal/kit/scale/hierarchy/fault.go
@@ -55,7 +55,7 @@
 	}
 	r.inForce(out, ", "+f.Kind, n.changes.made, limit)
 	out.Add(Mechanism, "change", "in force at the last node, the writer's absence included, "+f.Kind, "s", n.changes.longest.Seconds())
-	n.changes.exclude = nil
+	n.changes.exclude, n.changes.crossing = nil, nil
 	if w.err != nil {
 		return nil, w.err
 	}
@@ -139,7 +139,7 @@
 	for i := range f.Changes {
 		n.At(n.now+time.Duration(int64(f.Length)*int64(i)/int64(f.Changes)), w.configuration)
 	}
-	return func() { n.cut, n.changes.crossing = nil, nil }
+	return func() { n.cut = nil } // both sides are waited for again once all have the same
 }
 
 // stall stops part of the nodes.
