--- a/internal/discovery/size_test.go
+++ b/internal/discovery/size_test.go
@@ -25,9 +25,9 @@
 			t.Fatal(err)
 		}
 		each := float64(len(text)) / float64(n)
-		t.Logf("%d backends: %d bytes, %.1f each; the bound is reached at %.0f", n, len(text), each, maxList/each)
-		if fits := len(text) <= maxList; fits != (n <= largestService) {
-			t.Errorf("a list of %d backends takes %d bytes of %d", n, len(text), maxList)
+		t.Logf("%d backends: %d bytes, %.1f each; the bound is reached at %.0f", n, len(text), each, maxListBytes/each)
+		if fits := len(text) <= maxListBytes; fits != (n <= largestService) {
+			t.Errorf("a list of %d backends takes %d bytes of %d", n, len(text), maxListBytes)
 		}
 	}
 }
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -221,6 +221,9 @@
 		for id, b := range e.names {
 			if !seen[id] {
 				e.drop(b)
+				if l.Late { // gone by this as by a drain that is named, and perhaps for as long
+					b.ShutFrom(time.Now())
+				}
 			}
 		}
 	}
--- a/internal/shared/queue_test.go
+++ b/internal/shared/queue_test.go
@@ -31,7 +31,7 @@
 	for i, r := range f.nodes {
 		for _, tenant := range tenants {
 			heard := 0
-			r.table.Rates(r.now, quota+tenant, func(of int, _ float64, age time.Duration) {
+			r.table.Rates(r.clock.now, quotaPrefix+tenant, func(of int, _ float64, age time.Duration) {
 				heard++
 				if age > 3*r.Again() {
 					t.Errorf("node %d has a count of node %d for tenant %s that is %v old; each is told every %v", i, of, tenant, age, r.Again())
@@ -49,7 +49,7 @@
 	r := New(config(0, 3, 1), time.Hour)
 	q := newQueue(func() int { return 3 }, 1)
 	for _, name := range []string{"a", "a", "b", "c"} {
-		q.QueueBroadcast(&item{r: r, name: name, said: r.now})
+		q.QueueBroadcast(&queuedEntry{replica: r, name: name, sentAt: r.clock.now})
 	}
 	if got := len(q.GetBroadcasts(0, 1<<16)); got != 3 {
 		t.Errorf("%d of 3 items come out of the queue", got)
