Control processes keep their quorum's state in walfile

Cause: two packages kept the same. logfile took a damaged length in the middle of a log for a torn end, and cut off what was confirmed; walfile looks for records behind it.

--- a/internal/controlnet/member.go
+++ b/internal/controlnet/member.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"craneglade/internal/controlnet/logfile"
+	"craneglade/internal/controlnet/walfile"
 	"craneglade/internal/controlplane/changelog"
 	"craneglade/internal/controlplane/message"
 	"craneglade/internal/controlplane/quorum"
@@ -52,7 +52,7 @@
 	ended     chan struct{}
 
 	// These belong to run.
-	folder   *logfile.Folder
+	storage  *walfile.File
 	replica  *quorum.Replica
 	staged   *changelog.Store // what the log will hold once the pending proposal is taken
 	pending  *proposal
@@ -109,13 +109,13 @@
 			m.links[x.ID] = newMemberLink(x)
 		}
 	}
-	folder, err := logfile.Open(cfg.State, cfg.Region, m.id)
+	storage, state, err := walfile.Open(cfg.State, func(line string) { log.Warn(line) })
 	if err != nil {
 		return nil, err
 	}
-	m.folder = folder
-	if err := m.load(ids); err != nil {
-		return nil, errors.Join(err, folder.Close())
+	m.storage = storage
+	if err := m.load(ids, &state); err != nil {
+		return nil, errors.Join(err, storage.Close())
 	}
 	return m, nil
 }
@@ -123,25 +123,34 @@
 // unknownAge is the age of a log of which nothing was heard yet.
 const unknownAge = 24 * time.Hour
 
-// load makes the replica go on from what the folder holds.
-func (m *member) load(ids []uint64) error {
-	state, torn, err := m.folder.Load()
-	if err != nil {
+// load makes the replica go on from what the storage holds.
+func (m *member) load(ids []uint64, state *quorum.State) (err error) {
+	empty := state.Hard == quorum.HardState{} && state.Snapshot.Index == 0 && len(state.Entries) == 0
+	if err := identify(m.cfg.State, m.cfg.Region, m.id, empty); err != nil {
 		return err
 	}
-	if torn > 0 {
-		m.log.Warn("the end of the log was not written whole, and is cut off", "bytes", torn)
-	}
 	if err := m.restore(state.Snapshot.Data); err != nil {
 		return err
 	}
-	if m.replica, err = quorum.New(quorum.Config{ID: m.id, Peers: ids, State: state}); err != nil {
+	catchUp(state)
+	if m.replica, err = quorum.New(quorum.Config{ID: m.id, Peers: ids, State: *state}); err != nil {
 		return err
 	}
 	m.log.Info("the log is open", "member", m.id, "of", len(ids), "term", state.Hard.Term, "entries", len(state.Entries))
 	return nil
 }
 
+// catchUp makes a stored state one that a replica can go on from where a crash has left a snapshot of the writer with the hard
+// state of before: what a snapshot stands for is committed, and its term has come. In a term of which nothing was kept
+// nothing was voted or told either.
+func catchUp(state *quorum.State) {
+	hard, snapshot := &state.Hard, &state.Snapshot
+	hard.Commit = max(hard.Commit, snapshot.Index)
+	if hard.Term < snapshot.Term {
+		hard.Term, hard.Vote = snapshot.Term, 0
+	}
+}
+
 // restore makes the served log what a snapshot of the quorum holds.
 func (m *member) restore(data []byte) error {
 	if len(data) == 0 {
@@ -247,7 +256,7 @@
 		if !ok {
 			return m.replica.Failure()
 		}
-		if err := m.folder.Persist(ready.Persist); err != nil {
+		if err := m.storage.Save(ready.Persist); err != nil {
 			return err
 		}
 		for _, o := range ready.Send {
@@ -363,7 +372,7 @@
 
 // compact makes a snapshot of the log where much is behind the last one.
 func (m *member) compact() error {
-	if m.folder.Behind() < int(m.cfg.Limits.Log) {
+	if m.storage.Size() < int64(m.cfg.Limits.Log) {
 		return nil
 	}
 	var position resource.Position
@@ -404,7 +413,7 @@
 	if !errors.Is(err, errEnded) {
 		m.log.Error("this process takes no part in its region's log any more; mend the cause and start it anew", "err", err)
 	}
-	if err := m.folder.Close(); err != nil {
+	if err := m.storage.Close(); err != nil {
 		m.log.Error("the state folder did not close", "err", err)
 	}
 }
--- a/internal/controlnet/member_test.go
+++ b/internal/controlnet/member_test.go
@@ -14,7 +14,10 @@
 	"testing"
 	"time"
 
+	"craneglade/internal/controlnet/walfile"
 	"craneglade/internal/controlplane/changelog"
+	"craneglade/internal/controlplane/message"
+	"craneglade/internal/controlplane/quorum"
 	"craneglade/internal/controlplane/resource"
 	"craneglade/internal/peers/frame"
 	"craneglade/internal/settings"
@@ -191,6 +194,46 @@
 	}
 }
 
+// A crash between the two files of a state folder leaves a snapshot of the writer beside an older log. The member starts, and
+// has what the snapshot holds.
+func TestACrashWhileASnapshotIsTaken(t *testing.T) {
+	served := changelog.NewStore("north", changelog.Limits{})
+	if _, err := served.Append(7, []resource.Change{{Resource: resource.Resource{Key: resource.Key{Service: "a", Kind: resource.KindService, Name: "a"},
+		Service: &resource.Service{Region: "north", MaxAttempts: 1}}}}); err != nil {
+		t.Fatal(err)
+	}
+	data := message.EncodeSnapshot("north", served.Position(), served.Snapshot(changelog.Filter{All: true}))
+	for _, term := range []uint64{2, 3} {
+		m := quorumUnderTest(t, 3)[0]
+		storage, _, err := walfile.Open(m.cfg.State, func(string) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := identify(m.cfg.State, "north", 1, true); err != nil {
+			t.Fatal(err)
+		}
+		if err := storage.Save(quorum.Persist{Hard: &quorum.HardState{Term: term, Vote: 1}, Entries: []quorum.LogEntry{{Index: 1, Term: 1}}}); err != nil {
+			t.Fatal(err)
+		}
+		logPath := filepath.Join(m.cfg.State, "log")
+		before, err := os.ReadFile(logPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := storage.Save(quorum.Persist{Hard: &quorum.HardState{Term: 3, Commit: 9}, Snapshot: &quorum.Snapshot{Index: 9, Term: 3, Data: data}}); err != nil {
+			t.Fatal(err)
+		}
+		storage.Close()
+		if err := os.WriteFile(logPath, before, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		m.start()
+		if got := m.status(); got.Position != "7.1" || got.Resources != 1 {
+			t.Errorf("with a log of term %d: %+v", term, got)
+		}
+	}
+}
+
 // A member whose disk fails takes no part any more, says so, and goes on serving.
 func TestAMemberWhoseDiskFails(t *testing.T) {
 	m := quorumUnderTest(t, 1)[0]
@@ -211,7 +254,7 @@
 	if _, err := opened.apply(service); err != nil {
 		t.Fatal(err)
 	}
-	opened.folder.Close() // every write fails from here on
+	opened.storage.Close() // every write fails from here on
 	if _, err := opened.apply(service); !errors.Is(err, errUnknown) {
 		t.Errorf("a change that can't be kept: %v", err)
 	}
--- a/internal/controlnet/walfile/walfile.go
+++ b/internal/controlnet/walfile/walfile.go
@@ -19,7 +19,7 @@
 
 // Errors of Open and Save, which wrap them.
 var (
-	ErrCorrupt = errors.New("stored log is damaged") // remedy: empty the directory, and the replica learns all anew from the others
+	ErrCorrupt = errors.New("stored log is damaged") // remedy: a restore; one that starts empty has forgotten its votes
 	ErrInUse   = errors.New("stored log is used by another process")
 	ErrFailed  = errors.New("an earlier write failed") // the file's end is not known any more; open it anew
 )
