A name whose address was told under another name is not kept without its member

Cause: membership.listOne left byID pointing to an address that the list told under another name, unless that one was ready. Once the member was forgotten, a whole list without that name met a nil pointer, and the node with [dns] ended. Now one address has one name, as engine.apply has it. TestAddressToldUnderAnotherNameThenForgotten panicked before.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -61,11 +61,11 @@
 		return // the end of a backend that was never known here
 	}
 	m := f.member(b.Addr)
+	if m.backend.ID != b.ID && f.byID[m.backend.ID] == b.Addr {
+		delete(f.byID, m.backend.ID) // one address has one process: the list's latest word is of another one
+	}
 	if m.list != Silent && b.State == Ready && (b.ID != m.backend.ID || b.StartedMS > m.backend.StartedMS) {
 		// A new process, under the old name or another: what was withdrawn was its predecessor.
-		if m.backend.ID != b.ID {
-			delete(f.byID, m.backend.ID)
-		}
 		f.renew(now, b.Addr)
 		m = f.member(b.Addr)
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -360,3 +360,26 @@
 		})
 	}
 }
+
+// A name whose address was told under another name is not the list's any more: once that other one is forgotten, a whole
+// list that names neither finds nothing to withdraw. (It was a nil pointer.)
+func TestAddressToldUnderAnotherNameThenForgotten(t *testing.T) {
+	f := fleet()
+	f.List(sec, true, listed(0))
+	other := box(1, Draining)
+	other.Addr = box(0, Ready).Addr
+	f.List(2*sec, false, []Box{other})
+	other.State = Gone
+	f.List(3*sec, false, []Box{other})
+	for now := 4 * sec; now < 10*60*sec; now += sec {
+		f.Heard(now)
+		f.Tick(now)
+	}
+	if len(f.members) != 0 {
+		t.Fatalf("%d members are kept, want none: the case that this test is for does not come up", len(f.members))
+	}
+	f.List(601*sec, true, nil)
+	if len(f.byID) != 0 {
+		t.Errorf("names without a member are kept: %v", f.byID)
+	}
+}
