--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,16 +23,17 @@
 )
 
 type commands struct {
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-	Serve    serveCmd         `cmd:"" default:"1" help:"Run a load balancer node, as GW_CONFIG and the other GW_* variables say. This is what craneglade does without a command."`
-	Rehearse rehearseCmd      `cmd:"" help:"Play a scenario on this machine: nodes, boxes, a box list and clients; judge the four rules."`
-	Lab      labCmd           `cmd:"" help:"Play a scenario in virtual time, over seeds and settings of the decision module, and compare them."`
-	Judge    judgeCmd         `cmd:"" help:"Judge the trace of a rehearsal again."`
-	Fleet    fleetCmd         `cmd:"" help:"Print what a running node believes of each box, and why."`
-	Control  controlCmd       `cmd:"" help:"The control plane: run one of its processes, or ask one."`
-	Plan     planCmd          `cmd:"" help:"Work a plan through before the day."`
-	Scale    scaleCmd         `cmd:"" help:"Play the fleet at several sizes up to the target, measure what each process and each change costs, and tell the slopes."`
-	Check    checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
+	Version   kong.VersionFlag `help:"Print the version and exit."`
+	Serve     serveCmd         `cmd:"" default:"1" help:"Run a load balancer node, as GW_CONFIG and the other GW_* variables say. This is what craneglade does without a command."`
+	Rehearse  rehearseCmd      `cmd:"" help:"Play a scenario on this machine: nodes, boxes, a box list and clients; judge the four rules."`
+	Lab       labCmd           `cmd:"" help:"Play a scenario in virtual time, over seeds and settings of the decision module, and compare them."`
+	Judge     judgeCmd         `cmd:"" help:"Judge the trace of a rehearsal again."`
+	Fleet     fleetCmd         `cmd:"" help:"Print what a running node believes of each box, and why."`
+	Control   controlCmd       `cmd:"" help:"The control plane: run one of its processes, or ask one."`
+	Plan      planCmd          `cmd:"" help:"Work a plan through before the day."`
+	Scale     scaleCmd         `cmd:"" help:"Play the fleet at several sizes up to the target, measure what each process and each change costs, and tell the slopes."`
+	ScaleHost scaleHostCmd     `cmd:"" hidden:"" help:"A process of craneglade scale."`
+	Check     checkCmd         `cmd:"" help:"Check a scenario file (.toml) or a node's configuration (.json) and start nothing."`
 }
 
 // app is what a command works with.
--- a/internal/kit/scale/hierarchy/fleet.go
+++ b/internal/kit/scale/hierarchy/fleet.go
@@ -184,3 +184,32 @@
 	return resource.Resource{Key: s.key(resource.KindTenant, fmt.Sprintf("t%012x", drawn>>16)),
 		Tenant: &resource.Tenant{Quota: float64(drawn%10_000)/10 + float64(generation)}}
 }
+
+// Catalogue is what the log of a fleet of one region holds and who serves what, for runs with processes.
+type Catalogue struct{ fleet *fleet }
+
+// NewCatalogue draws the fleet of a size, as New does.
+func NewCatalogue(p *plan.Plan, step plan.Step) *Catalogue {
+	one := *p
+	one.Fleet.Regions = 1
+	return &Catalogue{newFleet(&one, step, rand.New(rand.NewPCG(p.Seed, seedStream)))}
+}
+
+// Region is the region of the catalogue's log.
+func (c *Catalogue) Region() string { return regionName(0) }
+
+// Log is all resources.
+func (c *Catalogue) Log() []resource.Resource { return c.fleet.log(0) }
+
+// Serves are the services of a node, sorted.
+func (c *Catalogue) Serves(node int) []string { return c.fleet.serves[node] }
+
+// Changed is a service's own resource in the state of a generation, with the nodes that serve it. Services are numbered;
+// one past the last is the first again.
+func (c *Catalogue) Changed(number, generation int) (r resource.Resource, nodes []int) {
+	s := &c.fleet.services[number%len(c.fleet.services)]
+	return s.own(generation), s.nodes
+}
+
+// Generation is that of a service's own resource.
+func Generation(s *resource.Service) int { return int((s.DrainGrace - time.Second) / time.Millisecond) }
--- a/internal/kit/scale/plan/need.go
+++ b/internal/kit/scale/plan/need.go
@@ -51,5 +51,5 @@
 	if p.Processes.Hosts == 0 {
 		return 1
 	}
-	return 1 + 1 + p.Processes.Hosts + p.Processes.Relays + 2*p.Processes.Daemons // this one and the writer; a daemon and its backend
+	return 1 + 1 + p.Processes.Hosts + p.Processes.Relays + p.Processes.Daemons // this one and the writer; backends are in this one
 }
--- a/internal/kit/scale/scale.go
+++ b/internal/kit/scale/scale.go
@@ -15,6 +15,7 @@
 	"craneglade/internal/kit/scale/hierarchy"
 	"craneglade/internal/kit/scale/mesh"
 	"craneglade/internal/kit/scale/plan"
+	"craneglade/internal/kit/scale/processes"
 	"craneglade/internal/kit/scale/result"
 )
 
@@ -24,19 +25,24 @@
 	PartMesh    = "mesh"
 	PartControl = "control"
 	PartFaults  = "faults" // after PartControl, at the largest size
+
+	// PartProcesses plays real processes. It is played only where it is asked for.
+	PartProcesses = "processes"
 )
 
-// Parts are all parts, in the order in which they are played.
+// Parts are those that are played where none is asked for, in their order.
 func Parts() []string { return []string{PartList, PartMesh, PartControl, PartFaults} }
 
 // Options say what is played.
 type Options struct {
 	File   string // of the plan, for the report
 	Plan   *plan.Plan
-	Parts  []string // none for all
+	Parts  []string // none for Parts()
 	Dir    string   // where steps are saved
 	Resume bool     // steps that Dir holds are not played again
 	Tell   func(line string)
+
+	Program string // the file of craneglade itself, for PartProcesses
 }
 
 // InUseError tells that a directory holds steps already.
@@ -98,7 +104,14 @@
 		}
 	}
 	if r.wants(PartControl) || r.wants(PartFaults) {
-		return r.control(ctx)
+		if err := r.control(ctx); err != nil {
+			return err
+		}
+	}
+	if r.wants(PartProcesses) {
+		r.Tell("starting " + processes.Names(&r.Plan.Processes))
+		size := processes.Size(r.Plan)
+		return r.step(PartProcesses, size, func() (*result.Step, error) { return processes.Measure(ctx, r.Plan, r.Program) })
 	}
 	return nil
 }
