--- a/internal/controlplane/message/message.go
+++ b/internal/controlplane/message/message.go
@@ -73,9 +73,19 @@
 }
 
 // RegionName is the region whose log the message is about.
-func (m *Subscribe) RegionName() string    { return m.Region }
+func (m *Subscribe) RegionName() string { return m.Region }
+
+// RegionName is the region whose log the message is about.
 func (m *SnapshotPart) RegionName() string { return m.Region }
-func (m *Delta) RegionName() string        { return m.Region }
-func (m *Heartbeat) RegionName() string    { return m.Region }
-func (m *Acknowledge) RegionName() string  { return m.Region }
-func (m *Busy) RegionName() string         { return m.Region }
+
+// RegionName is the region whose log the message is about.
+func (m *Delta) RegionName() string { return m.Region }
+
+// RegionName is the region whose log the message is about.
+func (m *Heartbeat) RegionName() string { return m.Region }
+
+// RegionName is the region whose log the message is about.
+func (m *Acknowledge) RegionName() string { return m.Region }
+
+// RegionName is the region whose log the message is about.
+func (m *Busy) RegionName() string { return m.Region }
