Clients of the control plane's tests come again where a node is behind

Cause: one of eight plays on two cores failed with "too much at once": the machine ran the node so late that its front refused a request (a mean wait of 60 ms in the kernel), which is the node's right and no word on its backends. Change: such a refusal, by status, body and Retry-After, is asked again within the test's patience; every other answer but a served one fails as before.

--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -353,8 +353,20 @@
 
 var requestIDs atomic.Int64
 
-// ask sends one request to the node, and tells whether it was served.
+// errBehind is a refusal of a node that was itself not run in time: it reads requests so late that it refuses some, and tells
+// clients to come again. It is the machine's load, and no word on the node's backends.
+var errBehind = errors.New("the node is behind")
+
+// ask sends one request to the node, and tells whether it was served. One that is refused as the node is behind comes again.
 func (n *controlledNode) ask(client *http.Client) error {
+	err := n.askOnce(client)
+	for end := time.Now().Add(patience); errors.Is(err, errBehind) && time.Now().Before(end); err = n.askOnce(client) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return err
+}
+
+func (n *controlledNode) askOnce(client *http.Client) error {
 	id := fmt.Sprint("r", requestIDs.Add(1))
 	req, err := http.NewRequest("GET", "http://"+n.address+"/api", nil)
 	if err != nil {
@@ -369,6 +381,9 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode == 503 && string(body) == "too much at once\n" && resp.Header.Get("Retry-After") != "" {
+		return errBehind
+	}
 	if err != nil || resp.StatusCode != 200 || string(body) != "made for "+id {
 		return fmt.Errorf("answered %d %q, %v", resp.StatusCode, body, err)
 	}
