--- a/internal/controlnet/logfile/logfile.go
+++ b/internal/controlnet/logfile/logfile.go
@@ -28,6 +28,7 @@
 	snapshotRecord byte = iota + 1 // index, term, data
 	hardRecord                     // term, vote, commit
 	entryRecord                    // index, term, data
+	batchRecord                    // bodies of hard and entry records, each behind its length of 32 bits, taken whole or not at all
 )
 
 // ErrFailed is returned by Persist after a write that failed: what is in the files is not known until they are opened anew.
@@ -110,6 +111,33 @@
 
 // take brings the state to what it is after a record.
 func (f *Folder) take(body []byte) error {
+	if len(body) > 0 && body[0] == batchRecord {
+		return f.takeBatch(body[1:])
+	}
+	return f.takeOne(body)
+}
+
+// takeBatch brings the state to what it is after all records of a batch.
+func (f *Folder) takeBatch(text []byte) error {
+	for len(text) > 0 {
+		if len(text) < batchHead {
+			return errDamaged
+		}
+		size := uint64(binary.BigEndian.Uint32(text))
+		text = text[batchHead:]
+		if uint64(len(text)) < size {
+			return errDamaged
+		}
+		if err := f.takeOne(text[:size]); err != nil {
+			return err
+		}
+		text = text[size:]
+	}
+	return nil
+}
+
+// takeOne brings the state to what it is after a record that is no batch.
+func (f *Folder) takeOne(body []byte) error {
 	const kind, number = 1, 8
 	if len(body) < kind+2*number {
 		return fmt.Errorf("%d bytes are too few: %w", len(body), errDamaged)
@@ -138,18 +166,25 @@
 	return append(b, data...)
 }
 
-// appendState appends the records of a hard state and of entries.
+// batchHead is the length before each body of a batch, in bytes.
+const batchHead = 4
+
+// appendState appends a hard state and entries as one record: a crash must not leave entries of a term without the term,
+// or a commit index without its entries.
 func appendState(text []byte, hard *quorum.HardState, entries []quorum.LogEntry) (all []byte, ok bool) {
+	batch := []byte{batchRecord}
 	for i := range entries {
 		e := &entries[i]
-		if text, ok = appendRecord(text, body(entryRecord, e.Data, e.Index, e.Term)); !ok {
-			return nil, false
-		}
+		batch = appendToBatch(batch, body(entryRecord, e.Data, e.Index, e.Term))
 	}
-	if hard == nil {
-		return text, true
+	if hard != nil {
+		batch = appendToBatch(batch, body(hardRecord, nil, hard.Term, hard.Vote, hard.Commit))
 	}
-	return appendRecord(text, body(hardRecord, nil, hard.Term, hard.Vote, hard.Commit))
+	return appendRecord(text, batch)
+}
+
+func appendToBatch(batch, body []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(batch, uint32(len(body))), body...)
 }
 
 // Persist keeps what a Ready says is to be kept. Once it has returned without an error that survives.
--- a/internal/controlnet/logfile/logfile_test.go
+++ b/internal/controlnet/logfile/logfile_test.go
@@ -133,7 +133,8 @@
 func TestDamagedFolders(t *testing.T) {
 	path := t.TempDir()
 	f, _, _ := opened(t, path)
-	persist(t, f, &quorum.HardState{Term: 1, Vote: 1}, entry(1, 1, "one"), entry(2, 1, "two"))
+	persist(t, f, &quorum.HardState{Term: 1, Vote: 1}, entry(1, 1, "one"))
+	persist(t, f, nil, entry(2, 1, "two")) // the last record: what is damaged before it is no crash's doing
 	f.Close()
 	unknown, _ := appendRecord(nil, body(9, nil, 1, 2))
 	gap, _ := appendRecord(nil, body(entryRecord, nil, 7, 2))
--- a/internal/controlplane/message/message.go
+++ b/internal/controlplane/message/message.go
@@ -72,10 +72,20 @@
 	RetryAfter time.Duration
 }
 
-// RegionName is the region whose log the message is about.
-func (m *Subscribe) RegionName() string    { return m.Region }
+// RegionName is the region whose log is subscribed to, told of or acknowledged.
+func (m *Subscribe) RegionName() string { return m.Region }
+
+// RegionName is the region whose log is subscribed to, told of or acknowledged.
 func (m *SnapshotPart) RegionName() string { return m.Region }
-func (m *Delta) RegionName() string        { return m.Region }
-func (m *Heartbeat) RegionName() string    { return m.Region }
-func (m *Acknowledge) RegionName() string  { return m.Region }
-func (m *Busy) RegionName() string         { return m.Region }
+
+// RegionName is the region whose log is subscribed to, told of or acknowledged.
+func (m *Delta) RegionName() string { return m.Region }
+
+// RegionName is the region whose log is subscribed to, told of or acknowledged.
+func (m *Heartbeat) RegionName() string { return m.Region }
+
+// RegionName is the region whose log is subscribed to, told of or acknowledged.
+func (m *Acknowledge) RegionName() string { return m.Region }
+
+// RegionName is the region whose log is subscribed to, told of or acknowledged.
+func (m *Busy) RegionName() string { return m.Region }
