Empty lines before a request are passed over, up to four, and begin no request

Cause: http.ReadRequest takes an empty line for the request line, so one before it was answered 400 and the connection closed; RFC 9112, 2.2 has a server ignore at least one. Change: httpfront reads over up to four (line feeds alone count) before the first byte of a request, within the time and the size of a head; on a kept connection they leave it between requests, and the request's own time begins with its first byte. framing passes over them as well, so that a Content-Length beside a Transfer-Encoding is still seen. Checked: the packages httpfront and, by name, the tests of forms, chunks and slow clients of node, with -race.

--- a/internal/httpfront/framing.go
+++ b/internal/httpfront/framing.go
@@ -17,7 +17,8 @@
 
 // framing reads from the bytes of a request's head which header fields say where its body ends. net/http drops a
 // Content-Length beside a Transfer-Encoding (RFC 9112, 6.3), and with it the sign of a request that is smuggled. It holds
-// one line's start, however long the head is, and sees line ends, folded lines and the head's end where net/http does.
+// one line's start, however long the head is, and sees line ends, folded lines and the head's end where net/http does. Empty
+// lines before the request line are passed over, as readers of requests do before they hand it to net/http.
 type framing struct {
 	line    []byte   // the start of the line that is coming
 	cut     bool     // the line is longer
@@ -51,6 +52,9 @@
 func (f *framing) endLine() {
 	line, cut := bytes.TrimSuffix(f.line, []byte("\r")), f.cut
 	f.line, f.cut = f.line[:0], false
+	if f.lines == 0 && len(line) == 0 {
+		return
+	}
 	f.lines++
 	switch {
 	case f.lines == 1: // the request line
--- a/internal/httpfront/framing_test.go
+++ b/internal/httpfront/framing_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// Empty lines before the request line are no end of the head: what frames the body is still seen, in one piece or in many.
+func TestFramingBehindEmptyLines(t *testing.T) {
+	t.Parallel()
+	for _, lead := range []string{"\r\n", "\n", "\r\n\n\r\n"} {
+		for _, bytewise := range []bool{false, true} {
+			var f framing
+			var from io.Reader = strings.NewReader(lead + headWith("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"))
+			if bytewise {
+				from = iotest.OneByteReader(from)
+			}
+			if _, err := io.Copy(io.Discard, scanned{from, &f}); err != nil {
+				t.Fatal(err)
+			}
+			if no := f.check(); no == nil || no.Status != http.StatusBadRequest || !f.ended {
+				t.Errorf("%q (byte by byte: %v): %v, want 400", lead, bytewise, no)
+			}
+		}
+	}
+}
+
 // The next head starts anew.
 func TestFramingOfTheNextHead(t *testing.T) {
 	t.Parallel()
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -25,6 +25,8 @@
 
 const (
 	maxID = 256
+	// maxEmptyLines is how many empty lines before a request are passed over. They count towards the size of its head.
+	maxEmptyLines = 4
 	// bodyRate is what a body beyond the usual size has to come at, in bytes a second.
 	bodyRate = 1 << 20
 	// acceptFor is how long after SIGTERM connections are still accepted: whoever deals them out notices only after a while.
--- a/internal/httpfront/read.go
+++ b/internal/httpfront/read.go
@@ -18,13 +18,13 @@
 	} else {
 		s.deadline(c, end)
 	}
-	behind := c.in.Buffered() > 0 // it came while the one before was answered
 	c.framing.reset()
 	if buffered, err := c.in.Peek(c.in.Buffered()); err == nil {
 		c.framing.scan(buffered)
 	}
-	if _, err := c.in.Peek(1); err != nil {
-		return nil, nil
+	behind, no, err := c.awaitRequest()
+	if err != nil || no != nil {
+		return nil, no
 	}
 	r := &message.Request{Request: engine.Request{Arrived: time.Now()}}
 	r.Payload = r
@@ -38,7 +38,6 @@
 	}
 	r.Arrived = r.Arrived.Add(-late)
 	s.reading(c, end)
-	var no *message.Rejection
 	if r.In, no = c.readHead(end); no != nil {
 		return nil, no
 	}
@@ -62,6 +61,45 @@
 	return r, nil
 }
 
+// awaitRequest waits for the first byte of a request and passes over empty lines before it (RFC 9112, 2.2). buffered tells
+// whether that byte had come before it was waited for. An error means that there is no request.
+func (c *clientConn) awaitRequest() (buffered bool, no *message.Rejection, err error) {
+	for lines := 0; ; lines++ {
+		buffered = c.in.Buffered() > 0
+		length, err := c.emptyLine()
+		if err != nil {
+			return false, nil, err
+		}
+		if length == 0 {
+			return buffered, nil, nil
+		}
+		if lines == maxEmptyLines {
+			return false, &message.Rejection{Status: http.StatusBadRequest, Text: "too many empty lines before a request"}, nil
+		}
+		if _, err := c.in.Discard(length); err != nil {
+			return false, nil, err
+		}
+	}
+}
+
+// emptyLine waits for the next byte and returns the length of the line end that it begins, in bytes; 0 for anything else.
+func (c *clientConn) emptyLine() (length int, err error) {
+	next, err := c.in.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	switch next[0] {
+	case '\n':
+		return 1, nil
+	case '\r':
+		next, err = c.in.Peek(2)
+		if err == nil && next[1] == '\n' {
+			return 2, nil
+		}
+	}
+	return 0, err
+}
+
 // readHead reads a request's head, which is to be there by end.
 func (c *clientConn) readHead(end time.Time) (*http.Request, *message.Rejection) {
 	in, err := http.ReadRequest(c.in)
--- a/internal/node/forms_test.go
+++ b/internal/node/forms_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 )
@@ -56,6 +58,81 @@
 	}
 }
 
+// Empty lines before a request are passed over, up to a few, at once and byte by byte: on a new connection, behind an
+// answer and between two requests that came together. Where the body ends is seen behind them as well.
+func TestEmptyLinesBeforeARequest(t *testing.T) {
+	t.Parallel()
+	both := edit(quote("q").text(), "Host:", "Transfer-Encoding: chunked\r\nHost:")
+	for _, c := range []struct {
+		name, text string
+		want       []int // the answers, in their order
+	}{
+		{"one", "\r\n" + quote("q").text(), []int{200}},
+		{"a line feed alone", "\n" + quote("q").text(), []int{200}},
+		{"four", "\r\n\n\r\n\r\n" + quote("q").text(), []int{200}},
+		{"five", strings.Repeat("\r\n", 5) + quote("q").text(), []int{400}},
+		{"without end", strings.Repeat("\r\n", 20000), []int{400}},
+		{"a carriage return alone", "\r" + quote("q").text(), []int{400}},
+		{"a blank", " \r\n" + quote("q").text(), []int{400}},
+		{"between requests", quote("a").text() + "\r\n" + quote("b").text() + "\r\n\r\n" + view("c").text(), []int{200, 200, 200}},
+		{"behind chunks", "\r\n" + quote("a").chunkedHead(codingLine) + inChunks("a door", 2) + "\r\n" + quote("b").text(), []int{200, 200}},
+		{"a length beside chunks", "\r\n" + both, []int{400}},
+	} {
+		for _, size := range []int{len(c.text), 1} {
+			name := c.name
+			if size == 1 {
+				name += ", byte by byte"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				b := newBox(t, served)
+				r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+				client := r.dial(t)
+				go func() { // the node may answer and close before it has read all
+					for rest := c.text; rest != ""; rest = rest[size:] {
+						if _, err := io.WriteString(client, rest[:size]); err != nil {
+							return
+						}
+					}
+				}()
+				served := 0
+				for i, want := range c.want {
+					resp, _ := client.answer()
+					if resp.StatusCode != want {
+						t.Fatalf("answer %d: %d, want %d", i, resp.StatusCode, want)
+					}
+					if want == http.StatusOK {
+						served++
+					}
+				}
+				if n := len(b.requests()); n != served {
+					t.Errorf("the backend got %d requests, want %d", n, served)
+				}
+			})
+		}
+	}
+}
+
+// An empty line behind a request's body leaves its connection between requests, and the request that follows has its own
+// time; a client that sends nothing but empty lines is cut off.
+func TestEmptyLinesAreNoRequest(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newRegistry(t), settingsJSON, nil, newBox(t, served).entry("s-1"))
+	kept, silent := r.dial(t), r.dial(t)
+	silent.send("\r\n")
+	kept.send(quote("a").text() + "\r\n")
+	if resp, _ := kept.answer(); resp.StatusCode != 200 {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	if n, err := silent.Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes, %v, want the connection closed", n, err)
+	}
+	// As long as a head may take has passed, and the connection that rests is still there.
+	if resp, _ := kept.ask(quote("b")); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
+
 // All forms of an answer that has an end are served, byte by byte too.
 func TestFormsOfAnAnswer(t *testing.T) {
 	t.Parallel()
