--- a/internal/message/budget_test.go
+++ b/internal/message/budget_test.go
@@ -19,11 +19,11 @@
 	if !s.Admit(&a) || !s.Admit(&b) {
 		t.Fatal("no room for two of three")
 	}
-	p := &Reply{}
-	if !s.Hold(HeadCost) {
+	p, room := &Reply{}, s.AnswerRoom()
+	if !room.Take(HeadCost) {
 		t.Fatal("no room for an answer")
 	}
-	p.Holds(s, HeadCost)
+	p.Holds(room)
 	if s.Admit(&c) {
 		t.Error("a fourth is let in")
 	}
