--- a/internal/bodies/budget.go
+++ b/internal/bodies/budget.go
@@ -27,7 +27,6 @@
 type Class struct {
 	Most   int64 // a larger one is turned away
 	Memory int64 // a larger one is not kept in memory
-	Usual  int64 // a larger one leaves half of the memory of all bodies to others; 0 where none has to
 	Disk   bool  // may be kept on disk
 	Once   bool  // may be streamed without being kept; where it may not, it waits for no tier and is turned away
 }
@@ -72,7 +71,7 @@
 	switch {
 	case size > c.Most:
 		return TooLarge
-	case size <= c.Memory && b.fits(c, size, size):
+	case size <= c.Memory && b.fits(size):
 		return Memory
 	case c.Disk && !b.shut && b.used[Disk]+size <= b.limits.Disk:
 		return Disk
@@ -82,13 +81,9 @@
 	return TooLarge
 }
 
-// fits tells whether a body that has size bytes then may have more of them in memory.
-func (b *Budget) fits(c Class, size, more int64) bool {
-	limit := b.limits.Memory
-	if c.Usual > 0 && size > c.Usual {
-		limit /= 2
-	}
-	return b.used[Memory]+more+max(0, b.heads-b.limits.Heads) <= limit
+// fits tells whether bodies may have so many bytes more of memory.
+func (b *Budget) fits(size int64) bool {
+	return b.used[Memory]+size+max(0, b.heads-b.limits.Heads) <= b.limits.Memory
 }
 
 // Extend takes more room for a body whose size nobody has told, of which held bytes have room in memory already, and
@@ -96,7 +91,7 @@
 // it held in memory stays held until the caller gives it back. Once is not among the tiers, as its length is not known:
 // a class that may be streamed goes on in memory beyond what it may keep there otherwise.
 func (b *Budget) Extend(c Class, held, size int64) (Tier, error) {
-	fits := size <= c.Most && b.fits(c, size, size-held)
+	fits := size <= c.Most && b.fits(size-held)
 	switch {
 	case fits && size <= c.Memory:
 	case c.Disk && !b.shut && b.used[Disk]+c.Most <= b.limits.Disk:
@@ -117,16 +112,7 @@
 
 // Hold takes room in memory for what is no body (heads, answers), and tells whether there is any. Release gives it back.
 func (b *Budget) Hold(size int64) bool {
-	return b.hold(size, b.limits.Memory+b.limits.Heads)
-}
-
-// HoldLong is Hold for what is beyond the usual size: half of all room stays for others.
-func (b *Budget) HoldLong(size int64) bool {
-	return b.hold(size, (b.limits.Memory+b.limits.Heads)/2)
-}
-
-func (b *Budget) hold(size, limit int64) bool {
-	if b.used[Memory]+b.heads+size > limit {
+	if b.used[Memory]+b.heads+size > b.limits.Memory+b.limits.Heads {
 		return false
 	}
 	b.heads += size
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -40,7 +40,7 @@
 	// backend work.
 	RestWait time.Duration
 	Reports  bool           // answers may hold load reports
-	Bodies   *message.Store // room for answers; one that has none is passed on while it comes, where its length is told
+	Bodies   *message.Store // room for answers; one that has none, or is over message.MaxBody, is passed on while it comes
 	Dial     func(ctx context.Context, addr string) (net.Conn, error)
 	DialOn   func(ctx context.Context, network, addr string) (net.Conn, error) // for boxes with several addresses, of any kind
 	Now      func() time.Time                                                  // what connections age by; nil for time.Now
@@ -169,7 +169,7 @@
 	}
 	sent, err := c.Write(text)
 	whole := sent == len(text)
-	if err == nil && !p.GoesWithHead() {
+	if err == nil && p != nil && p.Memory == nil {
 		err = p.Send(ctx, c)
 		whole = err == nil
 		if errors.Is(err, message.ErrBody) || errors.Is(err, message.ErrClient) {
@@ -183,10 +183,17 @@
 	}
 	var resp *http.Response
 	var body []byte
+	var held int64
 	stream := false
-	room := n.bodies.AnswerRoom()
 	if err == nil {
-		resp, body, stream, err = c.read(r.In.Method, room, n.bodies.Answer)
+		resp, body, err = c.read(r.In.Method, func(size int64) bool {
+			if size > message.MaxBody || !n.bodies.Hold(size) {
+				stream = true
+				return false
+			}
+			held = size
+			return true
+		}, n.bodies.Answer)
 	}
 	switch {
 	case err == nil, errors.Is(err, errSpoilt):
@@ -221,7 +228,9 @@
 		b.heard.Add(1)
 	}
 	if err != nil {
-		room.Free()
+		if held > 0 {
+			n.bodies.Free(held)
+		}
 		outcome := policy.Reset // unless shown otherwise it may have run
 		switch cause := context.Cause(ctx); {
 		case cause != nil && !errors.Is(cause, errTimeout):
@@ -240,10 +249,10 @@
 		return engine.Result{Outcome: outcome}, c.addr != "" && !whole && ctx.Err() == nil && (p == nil || p.Memory != nil)
 	}
 	res = n.judge(a.Backend, resp, body)
-	if p, ok := res.Reply.(*message.Reply); ok {
-		p.Holds(room)
-	} else {
-		room.Free()
+	if p, ok := res.Reply.(*message.Reply); ok && held > 0 {
+		p.Holds(n.bodies, held)
+	} else if held > 0 {
+		n.bodies.Free(held)
 	}
 	return res, false
 }
@@ -254,7 +263,7 @@
 	req := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: http.Header{"User-Agent": nil},
 		Body: http.NoBody}
 	var body []byte // what goes out with the head
-	if p := r.Body; p != nil && p.GoesWithHead() {
+	if p := r.Body; p != nil && p.Memory != nil {
 		body = p.Memory
 		req.ContentLength, req.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
 	}
@@ -274,6 +283,55 @@
 	return bytes.Replace(b.Bytes(), []byte("\r\nContent-Length: 0\r\n"), fmt.Appendf(nil, "\r\nContent-Length: %d\r\n", in.ContentLength), 1), nil
 }
 
+// errSpoilt is an answer that can't be the backend's answer to the request. The request may have run.
+var errSpoilt = errors.New("a spoilt answer")
+
+// read reads one answer whole, before any of it goes on: one that breaks can still be tried again. Of a served one that
+// hold, asked with its size, has no room for, it reads the head. Larger ones than most are spoilt.
+func (c *backendConn) read(method string, hold func(size int64) bool, most int64) (*http.Response, []byte, error) {
+	c.cap.N = message.MaxHead + message.MaxBody
+	for {
+		if _, err := c.in.Peek(1); err != nil {
+			return nil, nil, err
+		}
+		if err := c.SetReadDeadline(time.Now().Add(answerTime)); err != nil {
+			return nil, nil, err
+		}
+		head := c.head()
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, nil, fmt.Errorf("%w: it switches protocols", errSpoilt)
+		}
+		if resp.StatusCode < 200 { // informational: the answer follows, perhaps after a while
+			if err := c.SetReadDeadline(time.Time{}); err != nil {
+				return nil, nil, err
+			}
+			continue
+		}
+		if resp.StatusCode == http.StatusOK && resp.ContentLength > 0 && resp.ContentLength <= most && !hold(resp.ContentLength) {
+			c.cap.N += resp.ContentLength
+			return resp, nil, nil
+		}
+		if resp.ContentLength > message.MaxBody {
+			return nil, nil, fmt.Errorf("%w: %d bytes", errSpoilt, resp.ContentLength)
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !saysClose(head) {
+			return nil, nil, fmt.Errorf("%w: no length", errSpoilt)
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
+		if err == nil && len(body) > message.MaxBody {
+			err = errors.New("too large a body")
+		}
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
+		}
+		return resp, body, c.SetReadDeadline(time.Time{})
+	}
+}
+
 // head is an answer's head, without the empty line, as long as no more is read; nil where it doesn't end, or not within the buffer.
 func (c *backendConn) head() []byte {
 	for {
--- a/internal/httpfront/chunked.go
+++ b/internal/httpfront/chunked.go
@@ -23,12 +23,12 @@
 // have, and where it grows beyond the usual size the time that a body of the size so far has.
 func (s *Front) readChunked(c *clientConn, r *message.Request, end time.Time) *message.Rejection {
 	in := r.In
-	by := s.bodyDeadline(r, end, 0)
+	by := bodyDeadline(r, end, 0)
 	s.deadline(c, by)
 	c.cap.N = s.bodies.Most(r.Class)*wireFactor + wireSlack
 	body, no := s.bodies.ReadUnsized(s.ctx, r.Class, in.Body, func(size int64) {
-		if size > message.UsualBody {
-			by = s.bodyDeadline(r, end, size)
+		if size > message.MaxBody {
+			by = bodyDeadline(r, end, size)
 			s.deadline(c, by)
 		}
 	})
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -27,14 +27,14 @@
 	maxID = 256
 	// maxEmptyLines is how many empty lines before a request are passed over. They count towards the size of its head.
 	maxEmptyLines = 4
+	// bodyRate is what a body beyond the usual size has to come at, in bytes a second.
+	bodyRate = 1 << 20
 	// acceptFor is how long after SIGTERM connections are still accepted: whoever deals them out notices only after a while.
 	acceptFor = 500 * time.Millisecond
 	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
 	headTime = 1500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
 	bodyTime = time.Second             // from there to the last byte
-	// longBodyTime is from there to the last byte of a long body, whatever its size and its client's patience.
-	longBodyTime = 1300 * time.Millisecond
-	readTime     = 50 * time.Millisecond // within this of a request's first byte most are there
+	readTime = 50 * time.Millisecond   // within this of a request's first byte most are there
 	// silentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
 	silentTime = 200 * time.Millisecond
 	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -12,50 +12,34 @@
 	"craneglade/internal/admission"
 	"craneglade/internal/engine"
 	"craneglade/internal/message"
-	"craneglade/internal/settings"
 	"craneglade/internal/sock"
 	"craneglade/policy"
 )
 
 func TestTimesOwedToClients(t *testing.T) {
-	if headTime+max(bodyTime, longBodyTime) > 2800*time.Millisecond || idleTime < 2*time.Second {
+	if headTime+bodyTime > 2800*time.Millisecond || idleTime < 2*time.Second {
 		t.Error("3 s are owed to a bad client, 2 s to a connection between requests")
 	}
 }
 
 // A body has its second behind the head; a larger one has the time that its size so far allows, but no more than its
-// client's patience, and not more than bad clients are owed an error in unless settings of our own allow it.
+// client's patience.
 func TestTimeOfABody(t *testing.T) {
 	arrived := time.Unix(1000, 0)
 	head := arrived.Add(headTime)
-	own := &settings.Bodies{Classes: []settings.Class{{Name: "own", Most: 1 << 30}}}
-	store, err := message.NewStore(0, own, engine.NewClock())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer store.Stop()
-	f := &Front{bodies: store}
-	const second = 1 << 20 // bytes that a long body has a second for
+	r := &message.Request{Request: engine.Request{Arrived: arrived, Patience: 4 * time.Second}}
 	for _, c := range []struct {
-		class    string
-		patience time.Duration
-		size     int64
-		want     time.Duration // from the request's first byte
+		size int64
+		want time.Duration // from the request's first byte
 	}{
-		{"own", 4 * time.Second, 0, 2500 * time.Millisecond},
-		{"own", 4 * time.Second, message.UsualBody, 2500 * time.Millisecond},
-		{"own", 4 * time.Second, second / 2, 3 * time.Second},
-		{"own", 4 * time.Second, second, 3500 * time.Millisecond},
-		{"own", 4 * time.Second, 100 * second, 4 * time.Second},
-		{"other", 4 * time.Second, 0, 2500 * time.Millisecond},
-		{"other", 4 * time.Second, message.UsualBody, 2500 * time.Millisecond},
-		{"other", 4 * time.Second, second / 8, 2625 * time.Millisecond},
-		{"other", 4 * time.Second, message.LongestBody, 2800 * time.Millisecond},
-		{"other", 2600 * time.Millisecond, message.LongestBody, 2600 * time.Millisecond},
+		{0, 2500 * time.Millisecond},
+		{message.MaxBody, 2500 * time.Millisecond},
+		{bodyRate / 2, 3 * time.Second},
+		{bodyRate, 3500 * time.Millisecond},
+		{100 * bodyRate, 4 * time.Second},
 	} {
-		r := &message.Request{Request: engine.Request{Class: c.class, Arrived: arrived, Patience: c.patience}}
-		if got := f.bodyDeadline(r, head, c.size).Sub(arrived); got != c.want {
-			t.Errorf("%s, %d bytes: %v, want %v", c.class, c.size, got, c.want)
+		if got := bodyDeadline(r, head, c.size).Sub(arrived); got != c.want {
+			t.Errorf("%d bytes: %v, want %v", c.size, got, c.want)
 		}
 	}
 }
--- a/internal/httpfront/read.go
+++ b/internal/httpfront/read.go
@@ -131,7 +131,7 @@
 	if isChunked(in) {
 		return s.readChunked(c, r, end)
 	}
-	s.deadline(c, s.bodyDeadline(r, end, in.ContentLength))
+	s.deadline(c, bodyDeadline(r, end, in.ContentLength))
 	c.cap.N = in.ContentLength
 	var no *message.Rejection
 	r.Body, no = s.bodies.Read(s.ctx, r.Class, in)
@@ -139,23 +139,14 @@
 }
 
 // bodyDeadline is by when a request's body of a size, in bytes, is to be there. One beyond the usual size may take longer,
-// but not longer than anybody waits for the answer, nor, unless settings of our own allow its size, than a client is owed
-// an error in. head is by when the head was to be there.
-func (s *Front) bodyDeadline(r *message.Request, head time.Time, size int64) time.Time {
+// but not longer than anybody waits for the answer.
+func bodyDeadline(r *message.Request, head time.Time, size int64) time.Time {
 	by := head.Add(bodyTime)
-	if size <= message.UsualBody {
-		return by
-	}
-	by = earlier(by.Add(message.LongTime(size)), r.Arrived.Add(r.Patience))
-	if !s.bodies.HasOwn(r.Class) {
-		by = earlier(by, head.Add(longBodyTime))
+	if size > message.MaxBody {
+		by = by.Add(time.Duration(size) * time.Second / bodyRate)
+		if up := r.Arrived.Add(r.Patience); up.Before(by) {
+			by = up
+		}
 	}
 	return by
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/httpfront/write.go
+++ b/internal/httpfront/write.go
@@ -13,9 +13,6 @@
 	"craneglade/internal/message"
 )
 
-// writeSize is the size of the pieces in which long answers are written, in bytes.
-const writeSize = 32 << 10
-
 // answer is what a client is told.
 type answer struct {
 	status     int
@@ -70,28 +67,20 @@
 		ContentLength: int64(len(a.body)), Body: io.NopCloser(bytes.NewReader(a.body))}
 	if f := a.flow; f != nil {
 		resp.ContentLength, resp.Body = f.Size, io.NopCloser(f)
-		err := writeBuffered(&resp, message.Paced{Conn: c.Conn})
+		out := bufio.NewWriterSize(message.Paced{Conn: c.Conn}, 32<<10)
+		err := resp.Write(out)
+		if err == nil {
+			err = out.Flush()
+		}
 		f.End(err)
 		return err
 	}
-	c.SetWriteDeadline(time.Now().Add(message.WriteTime + message.LongTime(resp.ContentLength)))
-	if resp.ContentLength > message.UsualBody { // not held twice
-		return writeBuffered(&resp, c.Conn)
-	}
 	var b bytes.Buffer
 	b.Grow(512 + len(a.body))
 	if err := resp.Write(&b); err != nil {
 		return err
 	}
+	c.SetWriteDeadline(time.Now().Add(message.WriteTime))
 	_, err := c.Write(b.Bytes())
 	return err
 }
-
-// writeBuffered writes an answer in pieces.
-func writeBuffered(resp *http.Response, to io.Writer) error {
-	out := bufio.NewWriterSize(to, writeSize)
-	if err := resp.Write(out); err != nil {
-		return err
-	}
-	return out.Flush()
-}
--- a/internal/message/body.go
+++ b/internal/message/body.go
@@ -23,11 +23,8 @@
 	usual    bodies.Class
 	spool    *bodies.Spool // nil without a disk
 	deadline time.Duration
-	Answer   int64 // the longest body of an answer, in bytes
-	// heldAnswer is the longest one that is held whole before any of it goes on: a longer one, whose length is told, is
-	// streamed.
-	heldAnswer int64
-	clock      engine.Clock
+	Answer   int64 // the largest body of an answer; beyond the usual size it is streamed
+	clock    engine.Clock
 
 	mu     sync.Mutex
 	budget *bodies.Budget
@@ -37,7 +34,8 @@
 // NewStore returns the store of a node with so many megabytes of memory, 0 for any number, and settings of our own, which
 // may be nil. An error is one of the folder that they name.
 func NewStore(memoryMB int, own *settings.Bodies, clock engine.Clock) (*Store, error) {
-	s := &Store{classes: map[string]bodies.Class{}, clock: clock}
+	s := &Store{classes: map[string]bodies.Class{}, usual: bodies.Class{Most: MaxBody, Memory: MaxBody}, Answer: MaxBody,
+		clock: clock}
 	limits := bodies.Limits{Memory: 1 << 40, Heads: 1 << 40}
 	if memoryMB > 0 {
 		limits.Memory = int64(memoryMB) << 20 / 4
@@ -47,6 +45,7 @@
 		if own.Memory > 0 {
 			limits.Memory = int64(own.Memory)
 		}
+		s.Answer = max(s.Answer, int64(own.Answer))
 		for _, c := range own.Classes {
 			s.classes[c.Name] = bodies.Class{Most: int64(c.Most), Memory: int64(c.Memory), Disk: c.Disk, Once: c.Once}
 		}
@@ -59,12 +58,6 @@
 			limits.Disk = int64(d.Total)
 		}
 	}
-	longest := max(UsualBody, min(LongestBody, limits.Memory/longestPart))
-	s.usual = bodies.Class{Most: longest, Memory: longest, Usual: UsualBody}
-	s.Answer, s.heldAnswer = longest, longest
-	if own != nil && own.Answer > 0 {
-		s.Answer, s.heldAnswer = max(UsualBody, int64(own.Answer)), UsualBody
-	}
 	s.budget = bodies.NewBudget(limits)
 	return s, nil
 }
@@ -123,12 +116,6 @@
 	}
 }
 
-// HasOwn tells whether settings of our own say what the bodies of a class may be.
-func (s *Store) HasOwn(class string) bool {
-	_, ok := s.classes[class]
-	return ok
-}
-
 func (s *Store) class(name string) bodies.Class {
 	if c, ok := s.classes[name]; ok {
 		return c
@@ -289,19 +276,9 @@
 	ErrClient = errors.New("the client's body did not come")
 )
 
-// GoesWithHead tells whether a body is written together with the head, in one write: one in memory, of the usual size. A
-// nil body does.
-func (p *Body) GoesWithHead() bool {
-	return p == nil || p.Memory != nil && len(p.Memory) <= UsualBody
-}
-
-// Send writes a body that does not go with the head. An error that wraps ErrBody or ErrClient is not the backend's doing; after
+// Send writes a body that is not in memory. An error that wraps ErrBody or ErrClient is not the backend's doing; after
 // any error the last byte was not written.
 func (p *Body) Send(ctx context.Context, to net.Conn) error {
-	if p.Memory != nil {
-		_, err := to.Write(p.Memory)
-		return err
-	}
 	if p.kept != nil {
 		for off := int64(0); off < p.kept.Size(); {
 			chunk := make([]byte, min(chunkSize, p.kept.Size()-off))
--- a/internal/message/budget_test.go
+++ b/internal/message/budget_test.go
@@ -19,11 +19,11 @@
 	if !s.Admit(&a) || !s.Admit(&b) {
 		t.Fatal("no room for two of three")
 	}
-	p, room := &Reply{}, s.AnswerRoom()
-	if !room.Take(HeadCost) {
+	p := &Reply{}
+	if !s.Hold(HeadCost) {
 		t.Fatal("no room for an answer")
 	}
-	p.Holds(room)
+	p.Holds(s, HeadCost)
 	if s.Admit(&c) {
 		t.Error("a fourth is let in")
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -10,18 +10,8 @@
 )
 
 const (
-	// UsualBody is up to how many bytes the body of a request or an answer is of the usual size. Longer ones are taken as
-	// far as the memory allows (Store), and have more time.
-	UsualBody = 64 << 10
-	MaxHead   = 16 << 10 // bytes of a head
-
-	// LongestBody is the longest body that is taken where no settings of our own have another, in bytes, on a node with
-	// memory for it: one takes no more than a part in longestPart of the memory of all bodies.
-	LongestBody = 1 << 20
-	longestPart = 8
-
-	// longRate is what a body beyond the usual size has to come or go at, in bytes a second.
-	longRate = 1 << 20
+	MaxBody = 64 << 10 // bytes of a request's or an answer's body, but where settings of our own allow more
+	MaxHead = 16 << 10 // bytes of a head
 
 	// WriteTime is for how long a client may pause while it sends or reads.
 	WriteTime = 2 * time.Second
@@ -69,25 +59,19 @@
 	Body   []byte
 	Flow   *Flow // in place of Body, for one that is still coming
 
-	room *AnswerRoom // nil for none
+	store *Store // whose room for size bytes it holds; nil for none
+	size  int64
 }
 
-// Holds has a reply give back its body's room once it is released.
-func (p *Reply) Holds(room *AnswerRoom) { p.room = room }
+// Holds has a reply give back size bytes of a store's room once it is released.
+func (p *Reply) Holds(s *Store, size int64) { p.store, p.size = s, size }
 
 // Release gives back what the reply holds. It may be called again, and of none.
 func (p *Reply) Release() {
-	if p != nil && p.room != nil {
-		p.room.Free()
-	}
-}
-
-// LongTime is how much longer than one of the usual size a body of a size, in bytes, may take.
-func LongTime(size int64) time.Duration {
-	if size <= UsualBody {
-		return 0
+	if p != nil && p.store != nil {
+		p.store.Free(p.size)
+		p.store = nil
 	}
-	return time.Duration(size) * time.Second / longRate
 }
 
 // Rejection is the answer to what is no request, or whose body has no place. Its connection is closed: what follows on
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -368,21 +368,15 @@
 	r.empty(t, d)
 }
 
-// Without a file of our own nothing longer than the default's longest is taken, and the longest goes on whole, to another
-// backend too where the first breaks off.
-func TestLongestBody(t *testing.T) {
+// Without a file of our own nothing larger than the protocol's bodies is taken.
+func TestUsualBodies(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, func(c net.Conn, r *http.Request, nth int) bool {
-		return (nth > 1 || r.Header.Get("X-Request-Id") != "again") && echo(c, r, nth)
-	})
-	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	for _, id := range []string{"r1", "again"} {
-		q := big(id, message.LongestBody)
-		if resp, body := r.dial(t).ask(q); resp.StatusCode != 200 || body != q.echoed() {
-			t.Errorf("%s: %d", id, resp.StatusCode)
-		}
+	r := newRig(t, newRegistry(t), settingsJSON, nil, newBox(t, echo).entry("s-1"))
+	q := big("r1", message.MaxBody)
+	if resp, body := r.dial(t).ask(q); resp.StatusCode != 200 || body != q.echoed() {
+		t.Errorf("%d", resp.StatusCode)
 	}
-	if resp, _ := r.dial(t).ask(big("r2", message.LongestBody+1)); resp.StatusCode != 413 {
+	if resp, _ := r.dial(t).ask(big("r2", message.MaxBody+1)); resp.StatusCode != 413 {
 		t.Errorf("%d", resp.StatusCode)
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -132,7 +132,7 @@
 		{"a negative length", strings.Replace(save("x").text(), "Length: 8", "Length: -8", 1), 400},
 		{"a huge length", strings.Replace(save("x").text(), "Length: 8", "Length: 99999999999999999999", 1), 400},
 		{"two lengths", with("Content-Length: 7"), 400},
-		{"a body too large", without(func(q *call) { q.body = strings.Repeat("x", message.LongestBody+1) }), 413},
+		{"a body too large", without(func(q *call) { q.body = strings.Repeat("x", message.MaxBody+1) }), 413},
 		{"a body too large that is not sent", strings.Replace(save("x").text(), "Length: 8", "Length: 60000000", 1), 413},
 		{"cut short", strings.TrimSuffix(save("x").text(), "ow"), 400},
 		{"chunks that are none", "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: x\r\nX-Class: quote\r\nX-Deadline: 50000m\r\n" +
@@ -165,7 +165,7 @@
 		}
 	}
 	large := save("whole")
-	large.body = strings.Repeat("x", message.LongestBody)
+	large.body = strings.Repeat("x", message.MaxBody)
 	if resp, _ := r.dial(t).ask(large); resp.StatusCode != 200 {
 		t.Errorf("the largest body: answered %d", resp.StatusCode)
 	}
@@ -256,7 +256,7 @@
 		}, 500, 503},
 		{"a head without end", func(c net.Conn, _ *http.Request, _ int) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", message.MaxHead+message.UsualBody))
+			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", message.MaxHead+message.MaxBody))
 			return err == nil
 		}, 500, 503},
 		{"an answer said to be huge", func(c net.Conn, _ *http.Request, _ int) bool {
@@ -275,7 +275,7 @@
 			return true
 		}, 200, 200},
 		{"an answer too large", func(c net.Conn, _ *http.Request, _ int) bool {
-			return reply(c, 200, "", strings.Repeat("x", message.LongestBody+1))
+			return reply(c, 200, "", strings.Repeat("x", message.MaxBody+1))
 		}, 500, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
