An answer is no longer cut by the informational heads and the chunk framing around it

Cause: httpcarrier's connection had one cap, 80 KiB, for all heads and the body of an answer. Behind 18 informational heads of 0.9 KiB an answer of 64 KiB without a length ended at the cap, which reads as the connection's end: 64,980 of 65,536 bytes were passed on as whole (seen with a probe). One of 16 KiB in chunks of a byte was spoilt for the same reason. Change: the cap is set anew for the body.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -29,6 +29,10 @@
 	errLate    = errors.New("backends may drop the repeat no more")
 )
 
+// chunkedFactor bounds what an answer in chunks may take on the wire, in bytes for each of its body: one byte in a chunk
+// of its own takes 6.
+const chunkedFactor = 8
+
 // answerTime is how long an answer may take from its first byte to its last.
 const answerTime = 250 * time.Millisecond
 
@@ -321,6 +325,8 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !saysClose(head) {
 			return nil, nil, fmt.Errorf("%w: no length", errSpoilt)
 		}
+		// The connection's cap is never what ends a body: one that ends with its connection would pass as whole.
+		c.cap.N = chunkedFactor*message.MaxBody + message.MaxHead
 		body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBody+1))
 		if err == nil && len(body) > message.MaxBody {
 			err = errors.New("too large a body")
--- a/internal/node/forms_test.go
+++ b/internal/node/forms_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
 	"testing"
+
+	"craneglade/internal/message"
 )
 
 // edit replaces a text's first old by fresh.
@@ -175,3 +178,32 @@
 		}
 	}
 }
+
+// What stands before or between the bytes of an answer's body takes nothing of what the body may have: neither
+// informational heads nor the framing of small chunks cut it.
+func TestAnswerIsNotCutByWhatIsAroundIt(t *testing.T) {
+	t.Parallel()
+	hints := strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </"+strings.Repeat("a", 900)+">\r\n\r\n", 18)
+	longest := strings.Repeat("x", message.MaxBody)
+	for _, c := range []struct{ name, text, want string }{
+		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + longest, longest},
+		{"hints, no length", hints + "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + longest, longest},
+		{"hints, no length, too long", hints + "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + longest + "x", ""},
+		{"hints and a length", hints + fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(longest)) + longest, longest},
+		{"small chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + inChunks(longest[:16<<10], 1), longest[:16<<10]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBox(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(conn, c.text)
+				conn.Close()
+				return false
+			})
+			r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+			resp, body := r.dial(t).ask(quote("q"))
+			if served := resp.StatusCode == 200; served != (c.want != "") || served && body != c.want {
+				t.Errorf("answered %d, %d bytes, want %d", resp.StatusCode, len(body), len(c.want))
+			}
+		})
+	}
+}
