--- a/internal/controlplane/publisher/publisher.go
+++ b/internal/controlplane/publisher/publisher.go
@@ -52,7 +52,7 @@
 		MaxSnapshots:          16,
 		SnapshotTimeout:       10 * time.Second,
 		PartBytes:             32 << 10,
-		MaxDeltaBytes:         1 << 20,
+		MaxDeltaBytes:         3 << 20, // the largest transaction fits, and a frame holds it
 		HeartbeatInterval:     time.Second,
 		BusyWait:              time.Second,
 	}
@@ -83,7 +83,7 @@
 // Bounds on what a session may ask for.
 const (
 	MaxRegions  = 64
-	MaxServices = 100_000 // of one subscription
+	MaxServices = message.MaxServices // of one subscription
 )
 
 // SessionID names a session; the caller never uses one again.
--- a/internal/controlplane/publisher/publisher_test.go
+++ b/internal/controlplane/publisher/publisher_test.go
@@ -246,6 +246,32 @@
 	}
 }
 
+// TestLargeDelta: the largest transaction goes as a delta; what no frame holds goes as a snapshot.
+func TestLargeDelta(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.connect(1, current(h, cart))
+	many := func(round int) (changes []resource.Change) {
+		for i := range resource.MaxChanges {
+			changes = append(changes, set(tenant("cart", fmt.Sprintf("%060d-%d", i, round), 1))...)
+		}
+		return changes
+	}
+	h.append(1, many(0)...)
+	if deltas := only[*message.Delta](h.step(1)); len(deltas) != 1 || len(deltas[0].Changes) != resource.MaxChanges {
+		t.Fatalf("%d deltas", len(deltas))
+	}
+	h.acknowledge(1, h.log.Position(), "")
+	h.now += 10 * time.Second
+	h.append(1, many(1)...)
+	h.append(1, many(2)...)
+	h.append(1, many(3)...)
+	h.append(1, many(4)...)
+	sent := h.step(1)
+	if deltas, parts := only[*message.Delta](sent), only[*message.SnapshotPart](sent); len(deltas) != 0 || len(parts) == 0 {
+		t.Errorf("%d deltas, %d parts", len(deltas), len(parts))
+	}
+}
+
 // TestWindow: a session that acknowledges nothing isn't sent more than the window, and goes on when it does.
 func TestWindow(t *testing.T) {
 	h := newHarness(t, Config{MaxUnacknowledged: 200})
--- a/internal/controlplane/publisher/subscription.go
+++ b/internal/controlplane/publisher/subscription.go
@@ -211,7 +211,7 @@
 		return
 	case delta != nil:
 		size := p.cfg.Size(delta)
-		if size > p.cfg.MaxDeltaBytes {
+		if size > p.cfg.MaxDeltaBytes || len(delta.Changes) > message.MaxResources {
 			p.startSnapshot(sub)
 			return
 		}
