--- a/internal/controlplane/message/message.go
+++ b/internal/controlplane/message/message.go
@@ -72,20 +72,20 @@
 	RetryAfter time.Duration
 }
 
-// RegionName is the region whose log is subscribed to, told of or acknowledged.
+// RegionName is the region whose log the message is about.
 func (m *Subscribe) RegionName() string { return m.Region }
 
-// RegionName is the region whose log is subscribed to, told of or acknowledged.
+// RegionName is the region whose log the message is about.
 func (m *SnapshotPart) RegionName() string { return m.Region }
 
-// RegionName is the region whose log is subscribed to, told of or acknowledged.
+// RegionName is the region whose log the message is about.
 func (m *Delta) RegionName() string { return m.Region }
 
-// RegionName is the region whose log is subscribed to, told of or acknowledged.
+// RegionName is the region whose log the message is about.
 func (m *Heartbeat) RegionName() string { return m.Region }
 
-// RegionName is the region whose log is subscribed to, told of or acknowledged.
+// RegionName is the region whose log the message is about.
 func (m *Acknowledge) RegionName() string { return m.Region }
 
-// RegionName is the region whose log is subscribed to, told of or acknowledged.
+// RegionName is the region whose log the message is about.
 func (m *Busy) RegionName() string { return m.Region }
