--- a/internal/kit/capacity/breaks.go
+++ b/internal/kit/capacity/breaks.go
@@ -96,9 +96,13 @@
 	}
 	lim := d.Limits
 	return []mechanism{
-		{"a change of anything but discovery: a restart of every node", "in force in 7 s", "missing: configuration by version", lim.InForceSeconds, d.restartAll,
+		{"a change of anything but discovery: a restart of every node", "in force in 7 s", "was missing: configuration by version (internal/controlplane, controlnet)", lim.InForceSeconds, d.restartAll,
 			func() float64 { return 0 }},
-		{"changes a day by restarts of every node, one behind the other", "the day is over", "missing: configuration by version", 1,
+		{"a change in the running hierarchy, at the last node", "7 s", "internal/controlplane, controlnet (built)", lim.InForceSeconds,
+			func(f Fleet) float64 { return d.Measured("scale-in-force-last").Estimate(f.Nodes) }, nil},
+		{"bytes of a node in the running hierarchy", "8 KiB a second", "internal/controlplane, controlnet (built)", lim.ControlPerS,
+			func(f Fleet) float64 { return d.Measured("scale-node-in").Estimate(f.Nodes) }, nil},
+		{"changes a day by restarts of every node, one behind the other", "the day is over", "was missing: configuration by version (internal/controlplane, controlnet)", 1,
 			func(f Fleet) float64 { return f.ChangesPerDay * d.restartAll(f) / day }, nil},
 		{"one service in a process", "1 service", "missing: several services in one process", 1, func(f Fleet) float64 { return d.Shuffled(f).Services }, nil},
 		{"flat counts, 4 tenants: told every", "7 s", "internal/shared", lim.InForceSeconds, func(f Fleet) float64 { return flat("flat-interval-4", f) },
@@ -135,6 +139,10 @@
 			func(f Fleet) float64 { return d.Measured("list-delta-sites").Estimate(largest(f)) }, nil},
 		{"a whole list of the largest service: lock held", "1 ms", "internal/engine, policy", lim.LockSeconds,
 			func(f Fleet) float64 { return d.Measured("list-full").Estimate(largest(f)) }, nil},
+		{"a first list of the largest service by [control], in pieces: longest hold", "1 ms", "internal/node, engine, policy", lim.LockSeconds,
+			func(f Fleet) float64 { return d.Measured("control-hold-list").Estimate(largest(f)) }, nil},
+		{"a change in the largest service by [control]: longest hold", "1 ms", "internal/node, engine, policy", lim.LockSeconds,
+			func(f Fleet) float64 { return d.Measured("control-hold-change").Estimate(largest(f)) }, nil},
 		{"a decision, all backends in one process, up to 12 nodes that serve them", "2.8 ms added", "policy", lim.AddedSeconds,
 			func(f Fleet) float64 { return d.Measured("decision").Estimate(f.Backends) }, nil},
 		{"a decision, all backends in one process, all nodes serve them", "2.8 ms added", "policy, internal/subset", lim.AddedSeconds,
--- a/internal/kit/capacity/data.go
+++ b/internal/kit/capacity/data.go
@@ -80,6 +80,7 @@
 	Unit    string      `toml:"unit"` // seconds, bytes or a count
 	Sizes   []float64   `toml:"sizes"`
 	Runs    [][]float64 `toml:"runs"` // by size
+	Note    string      `toml:"note"` // what is to be known to read the figures
 	Command string      `toml:"command"`
 	File    string      `toml:"file"`
 }
--- a/internal/kit/capacity/roles.go
+++ b/internal/kit/capacity/roles.go
@@ -56,6 +56,12 @@
 // relays are how many relays there are, and children are the nodes of one.
 func (d *Data) relays() float64 { return d.Assumed("relays_per_zone") * d.Target.Zones }
 
+// heartbeats are the bytes a second of the heartbeats that a node gets from its parents, as frames on the wire.
+func (d *Data) heartbeats() float64 {
+	const parents = 2
+	return (d.Measured("heartbeat-bytes").Value() + d.Measured("frame-overhead").Value()) * d.Target.Regions * parents / d.Assumed("heartbeat_seconds")
+}
+
 // requestsOfNode are the requests a second of one node.
 func requestsOfNode(f Fleet, c Condition) float64 { return f.RequestsPerSecond / f.Nodes * c.Requests }
 
@@ -66,9 +72,8 @@
 
 // Needs are the lines of the page's table of roles.
 func (d *Data) Needs() []Need {
-	delta, heartbeat := d.Measured("delta-bytes").Value(), d.Measured("heartbeat-bytes").Value()
-	parents := 2.0
-	beats := func() float64 { return heartbeat * d.Target.Regions * parents / d.Assumed("heartbeat_seconds") }
+	delta := d.Measured("delta-bytes").Value()
+	beats := func() float64 { return d.heartbeats() }
 	deltas := func(f Fleet, c Condition) float64 { // bytes a second of a node
 		return d.transactions(f, c) * d.Shuffled(f).Services / f.Services * delta
 	}
@@ -101,16 +106,28 @@
 			func(f Fleet, _ Condition) float64 { return d.Measured("list-delta-sharing").Estimate(d.largest(f)) }},
 		{roleRequest, "whole list of the largest service, lock held", "s", "list-full", "internal/engine, policy", d.Limits.LockSeconds, "request path held",
 			func(f Fleet, _ Condition) float64 { return d.Measured("list-full").Estimate(d.largest(f)) }},
+		{roleRequest, "the same by [control], in pieces: longest hold", "s", "control-hold-list", "internal/node, engine, policy", d.Limits.LockSeconds, "request path held",
+			func(f Fleet, _ Condition) float64 { return d.Measured("control-hold-list").Estimate(d.largest(f)) }},
+		{roleRequest, "a change of one of them by [control]: longest hold", "s", "control-hold-change", "internal/node, engine, policy", d.Limits.LockSeconds, "request path held",
+			func(f Fleet, _ Condition) float64 { return d.Measured("control-hold-change").Estimate(d.largest(f)) }},
 		{roleRequest, "services of a node (one process has one today)", "", "assumed (nodes_per_service)", "missing: several services in one process", 1, "services of a process",
 			func(f Fleet, _ Condition) float64 { return d.Shuffled(f).Services }},
 		{roleRequest, "heap of backends, tenants and replica, nodes that serve most", "B", "memory-by-backend, memory-by-tenant, store-heap", "internal/engine, policy, internal/admission", d.Limits.ControlBytes, "control's memory",
 			func(f Fleet, _ Condition) float64 { return d.Shuffled(f).Memory }},
 		{roleRequest, "connections to backends", "", "internal/subset by its formula", "internal/subset, httpcarrier", d.Limits.Descriptors, "descriptors",
 			func(f Fleet, _ Condition) float64 { return d.Shuffled(f).Connections }},
-		{roleControl, "bytes in: deltas and heartbeats", "B/s", "delta-bytes, heartbeat-bytes", "internal/controlplane/publisher, subscriber", d.Limits.ControlPerS, "control's bytes",
+		{roleControl, "bytes in: deltas and heartbeats", "B/s", "delta-bytes, heartbeat-bytes, frame-overhead", "internal/controlplane/publisher, subscriber", d.Limits.ControlPerS, "control's bytes",
 			func(f Fleet, c Condition) float64 {
 				return deltas(f, c) + beats() + burst(f, c)/d.Limits.InForceSeconds
 			}},
+		{roleControl, "bytes in, running hierarchy", "B/s", "scale-node-in", "internal/controlplane, controlnet", d.Limits.ControlPerS, "control's bytes",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-node-in").Estimate(f.Nodes) }},
+		{roleControl, "processor, running hierarchy", "cores", "scale-node-processor", "internal/controlplane/subscriber", d.Limits.ControlCore, "control's processor",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-node-processor").Estimate(f.Nodes) }},
+		{roleControl, "heap, running hierarchy, a tenth of the tenants", "B", "scale-node-heap", "internal/controlplane/subscriber", d.Limits.ControlBytes, "control's memory",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-node-heap").Estimate(f.Nodes) }},
+		{roleControl, "a change in force at the last node", "s", "scale-in-force-last", "internal/controlplane, controlnet", d.Limits.InForceSeconds, "in force",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-in-force-last").Estimate(f.Nodes) }},
 		{roleControl, "bytes of its start: all that it serves", "B", "snapshot-*", "internal/controlplane/publisher, subscriber", 0, "",
 			func(f Fleet, _ Condition) float64 { return start(f) }},
 		{roleControl, "its start at the allowed bytes a second, mean node", "s", "snapshot-*", "internal/controlplane/subscriber", 0, "",
@@ -141,6 +158,14 @@
 				anew := c.NodesAnew * f.Nodes / d.Assumed("relays_per_zone") * start(f) / d.Limits.InForceSeconds
 				return children(f)*(deltas(f, c)+beats()+burst(f, c)/d.Limits.InForceSeconds) + starts/d.relays()*start(f) + anew
 			}},
+		{roleRelay, "bytes out, running hierarchy", "B/s", "scale-relay-out", "internal/controlplane/publisher", d.Assumed("relay_bytes_per_second"), "of a relay, assumed",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-relay-out").Estimate(f.Nodes) }},
+		{roleRelay, "processor, running hierarchy", "cores", "scale-relay-processor", "internal/controlplane/publisher, subscriber", 1, "a core",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-relay-processor").Estimate(f.Nodes) }},
+		{roleRelay, "heap, running hierarchy, a tenth of the tenants", "B", "scale-relay-heap", "internal/controlplane/changelog", 0, "",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-relay-heap").Estimate(f.Nodes) }},
+		{roleRelay, "start of all relays with nothing", "s", "scale-relay-start", "internal/controlplane/publisher, subscriber", 0, "",
+			func(f Fleet, _ Condition) float64 { return d.Measured("scale-relay-start").Estimate(f.Nodes) }},
 		{roleRelay, "sessions (descriptors), half of them standby", "", "assumed (relays_per_zone)", "internal/controlnet", d.Limits.Descriptors, "descriptors",
 			func(f Fleet, _ Condition) float64 { return 2 * children(f) }},
 		{roleWriter, "transactions a second, all regions", "/s", "assumed (changes_per_restart, release_peak)", "internal/controlplane/changelog, quorum", 0, "",
--- a/internal/kit/capacity/tables.go
+++ b/internal/kit/capacity/tables.go
@@ -70,7 +70,7 @@
 			{"largest service", "backends", d.largest(f)}, {"transactions on a release day", "/s", d.transactions(f, conditions[1])},
 			{"nodes of a relay", "", f.Nodes / d.relays()}, {"a zone's starts at a relay", "s", f.Nodes / d.Target.Zones / d.Assumed("relays_per_zone") * s.SnapshotBytes / d.Assumed("relay_bytes_per_second")},
 			{"a change by restarts", "s", d.restartAll(f)}, {"endpoints that a node of a cell knows", "", d.Celled(f).Endpoints},
-			{"heartbeats of a node", "B/s", d.Measured("heartbeat-bytes").Value() * d.Target.Regions * 2 / d.Assumed("heartbeat_seconds")}}
+			{"heartbeats of a node", "B/s", d.heartbeats()}}
 	}
 	value := d.Assumed(name)
 	half, now, twice := results(d.with(name, value/2)), results(d), results(d.with(name, 2*value))
@@ -112,7 +112,11 @@
 			_, exponent := s.Power()
 			grows = fmt.Sprintf("size^%.2f", exponent)
 		}
-		t.row("`"+s.Name+"`", s.What, s.By, strings.Join(values, "; "), grows, "`"+s.Command+"`, "+s.File)
+		what := s.What
+		if s.Note != "" {
+			what += " (" + s.Note + ")"
+		}
+		t.row("`"+s.Name+"`", what, s.By, strings.Join(values, "; "), grows, "`"+s.Command+"`, "+s.File)
 	}
 	return t.String()
 }
