--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,6 @@
-// Package discovery follows the box list that PROTOCOL describes, from one address, over HTTP/1.1: watched where it is
-// pushed, asked where it must be.
+// Package discovery follows the backend list that PROTOCOL describes, from one address, over HTTP/1.1, by calls
+// that wait for a change. After a failure an agent of this machine, which pushes the list, is asked again at once; another
+// discovery when the decision module says so.
 package discovery
 
 import (
@@ -21,8 +22,8 @@
 )
 
 const (
-	watchRest = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
-	maxList   = 16 << 20
+	minWatchInterval = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
+	maxListBytes     = 16 << 20              // of an answer
 )
 
 // Config is what a source is made from.
@@ -31,6 +32,7 @@
 	Addr   string // host:port
 	Push   bool   // the address is an agent of this machine, at which asking costs nothing; else every call is work
 	Whole  bool   // the list that is known is another discovery's: its versions tell nothing here
+	Late   bool   // calls for the list that is known have failed, and none was answered since: see engine.List
 	Log    *slog.Logger
 }
 
@@ -53,7 +55,7 @@
 
 // New returns a source that asks for nothing yet.
 func New(cfg Config) *Source {
-	d := &Source{engine: cfg.Engine, addr: cfg.Addr, push: cfg.Push, plan: schedule{push: cfg.Push, whole: cfg.Whole}, log: cfg.Log,
+	d := &Source{engine: cfg.Engine, addr: cfg.Addr, push: cfg.Push, plan: schedule{push: cfg.Push, whole: cfg.Whole, doubt: cfg.Late}, log: cfg.Log,
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	d.ctx, d.leave = context.WithCancel(context.Background())
 	return d
@@ -62,6 +64,13 @@
 // Addr is the address that the source asks.
 func (d *Source) Addr() string { return d.addr }
 
+// Late tells whether the last call for the list has failed, so that what is told next may have counted as told for a while.
+func (d *Source) Late() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.plan.doubt
+}
+
 // Stop ends what the source has under way, and returns once it has ended.
 func (d *Source) Stop() {
 	d.leave()
@@ -111,7 +120,7 @@
 			if !behind {
 				d.news(l, kind, true)
 			}
-			if rest := watchRest - time.Since(begun); rest > 0 {
+			if rest := minWatchInterval - time.Since(begun); rest > 0 {
 				timing.Sleep(d.ctx, rest)
 			}
 			continue
@@ -183,7 +192,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/shared/scale_test.go
+++ b/internal/shared/scale_test.go
@@ -43,12 +43,12 @@
 	for i := 1; i < nodes; i++ {
 		for tenant := range cfg.Quotas {
 			w := counts.Window{Incarnation: 1, Epoch: 20, Counts: [counts.Epochs]uint64{1, 20, 20, 20, 20, 20, 20, 20}}
-			frame := packet.Frame(packet.Entry{Kind: packet.Window, Node: escrow.Node{Number: i, Incarnation: 1}, Key: quota + tenant, Window: w})
+			frame := packet.Frame(packet.Entry{Kind: packet.Window, Node: escrow.Node{Number: i, Incarnation: 1}, Key: quotaPrefix + tenant, Window: w})
 			if _, err := r.Receive(now, frame); err != nil {
 				tb.Fatal(err)
 			}
 		}
-		r.usual.Reset()
+		r.ordinaryQueue.Reset()
 	}
 	r.Notes()
 	return r, now, heapInUse() - before
@@ -78,7 +78,7 @@
 			b.Run("step", func(b *testing.B) {
 				for b.Loop() { // at one moment, or what was heard would be forgotten meanwhile
 					r.Step(now)
-					r.usual.Reset()
+					r.ordinaryQueue.Reset()
 				}
 				b.ReportMetric(float64(heap), "heap-B")
 				b.ReportMetric(r.Again().Seconds(), "interval-s")
@@ -129,11 +129,11 @@
 					}
 				})
 				for _, r := range f.nodes {
-					ages = append(ages, r.ages(quota+"a", n)...)
+					ages = append(ages, r.ages(quotaPrefix+"a", n)...)
 				}
 			}
 			told := f.nodes[0].Again()
-			if told < turn {
+			if told < minRepeatInterval {
 				t.Errorf("%d nodes are told every %v, more often than ever meant", n, told)
 			}
 			slices.Sort(ages)
@@ -145,7 +145,7 @@
 
 // ages are those of the counts of all others for a key, infinite for what is not known.
 func (r *Replica) ages(key string, nodes int) (all []float64) {
-	r.table.Rates(r.now, key, func(_ int, _ float64, age time.Duration) { all = append(all, age.Seconds()) })
+	r.table.Rates(r.clock.now, key, func(_ int, _ float64, age time.Duration) { all = append(all, age.Seconds()) })
 	for len(all) < nodes-1 {
 		all = append(all, math.Inf(1))
 	}
