--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -17,7 +17,7 @@
 )
 
 type scaleCmd struct {
-	Plan      string   `arg:"" type:"path" help:"The plan, such as deploy/scale/target.toml."`
+	Plan      string   `arg:"" help:"The plan, such as deploy/scale/target.toml."`
 	Check     bool     `help:"Check the plan, print what it needs, and play nothing."`
 	Steps     string   `default:"scale-steps" placeholder:"DIR" type:"path" help:"Where each step is saved as soon as it is measured (${default})."`
 	Resume    bool     `help:"Go on with an interrupted run: steps that are there are not played again."`
--- a/internal/kit/scale/hierarchy/measure.go
+++ b/internal/kit/scale/hierarchy/measure.go
@@ -62,6 +62,8 @@
 	}
 	r.out.Add(Mechanism, "relay", "start until all relays have everything", "s", took.Seconds())
 	before := n.traffic()
+	nothing := make([]Traffic, len(before))
+	r.out.Add(Mechanism, "relay", "bytes in of a start", "B", perProcess(nothing, before, RoleRelay, func(t Traffic) int64 { return t.BytesIn }, n))
 	for _, p := range n.byRole[RoleNode] {
 		n.At(n.now+time.Duration(n.random.Int64N(int64(startSpread))), p.Start)
 	}
--- a/internal/kit/scale/processes/measure.go
+++ b/internal/kit/scale/processes/measure.go
@@ -48,6 +48,7 @@
 		return err
 	}
 	r.out.AddWall(Mechanism, "node", "start of all until all have everything", "s", time.Since(began).Seconds())
+	r.turnedAway()
 	for i := range r.plan.Processes.Daemons {
 		d, err := r.startDaemon(fmt.Sprintf("daemon-%02d", i))
 		if err != nil {
@@ -58,6 +59,19 @@
 	return eventually(ctx, "all daemons with everything", func() bool { return r.daemonsAt(position) })
 }
 
+// turnedAway adds how many connections relays turned away, and how many were given up before they were sessions.
+func (r *run) turnedAway() {
+	away, strangers := int64(0), int64(0)
+	for _, c := range r.relays {
+		if s, err := c.status(); err == nil {
+			away += s.Counts.TurnedAway
+			strangers += s.Counts.Strangers
+		}
+	}
+	r.out.AddWall(Mechanism, "relay", "connections turned away at the start, of all relays", "1", float64(away))
+	r.out.AddWall(Mechanism, "relay", "connections that became no session at the start, of all relays", "1", float64(strangers))
+}
+
 func (r *run) daemonsAt(position string) bool {
 	return !slices.ContainsFunc(r.daemons, func(d *daemon) bool { return d.position() != position })
 }
--- a/internal/kit/scale/result/result_test.go
+++ b/internal/kit/scale/result/result_test.go
@@ -81,3 +81,20 @@
 		t.Error("the page has no chart, or a failed check passed")
 	}
 }
+
+func TestFlat(t *testing.T) {
+	for _, c := range []struct {
+		small, large float64
+		want         bool
+	}{{100, 119, true}, {100, 81, true}, {100, 121, false}, {100, 79, false}} {
+		all := steps(c.small, c.large)
+		CheckFlat(&all[0], &all[1], "node", "bytes in")
+		if check := all[1].Checks[0]; check.Passed != c.want || !strings.Contains(check.Detail, "bytes in 100 and ") {
+			t.Errorf("%v and %v: %+v", c.small, c.large, check)
+		}
+	}
+	all := steps(1, 1)
+	if CheckFlat(&all[0], &all[1], "node", "heap"); all[1].Checks[0].Passed {
+		t.Error("a figure that was not measured is flat")
+	}
+}
--- a/internal/kit/scale/scale.go
+++ b/internal/kit/scale/scale.go
@@ -30,6 +30,9 @@
 	PartProcesses = "processes"
 )
 
+// flatNodes is the size from which on a node is to cost the same.
+const flatNodes = 300
+
 // Parts are those that are played where none is asked for, in their order.
 func Parts() []string { return []string{PartList, PartMesh, PartControl, PartFaults} }
 
@@ -170,7 +173,23 @@
 			return err
 		}
 	}
-	return r.keep(played.Finish(), began)
+	out = played.Finish()
+	if small := r.flatFrom(); small != nil && size == r.Plan.Largest() {
+		result.CheckFlat(small, out, "node", "bytes in", "bytes out", "messages in", "messages out", "heap")
+	}
+	return r.keep(out, began)
+}
+
+// flatFrom is the smallest step of the control plane from which on a node is to cost the same, or nil where none was played.
+func (r *run) flatFrom() *result.Step {
+	var from *result.Step
+	for i := range r.steps {
+		s := &r.steps[i]
+		if s.Part == PartControl && s.Size.Nodes >= flatNodes && s.Size != r.Plan.Largest() && (from == nil || s.Size.Nodes < from.Size.Nodes) {
+			from = s
+		}
+	}
+	return from
 }
 
 // step plays a step, unless it is there already.
