--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -194,11 +194,19 @@
 // configure adds tables to the process's file.
 func (c *controlled) configure(tables string) {
 	c.plane.t.Helper()
-	text, err := os.ReadFile(c.config)
+	c.edit(func(text string) string { return text + tables })
+}
+
+// edit changes the process's file.
+func (c *controlled) edit(change func(text string) string) { c.plane.edit(c.name+".toml", change) }
+
+func (p *plane) edit(name string, change func(text string) string) {
+	p.t.Helper()
+	text, err := os.ReadFile(p.path(name))
 	if err != nil {
-		c.plane.t.Fatal(err)
+		p.t.Fatal(err)
 	}
-	c.plane.write(c.name+".toml", string(text)+tables)
+	p.write(name, change(string(text)))
 }
 
 func parentTables(table string, all []*controlled) string {
@@ -305,6 +313,9 @@
 	return n
 }
 
+// edit changes the node's own file.
+func (n *controlledNode) edit(change func(text string) string) { n.plane.edit(n.name+".toml", change) }
+
 func (n *controlledNode) start() {
 	n.plane.t.Helper()
 	cmd := exec.Command(n.plane.bin, "serve", "--config", n.own)
@@ -453,6 +464,7 @@
 // A writer, two relays and three nodes, with requests at each node all the time and one fault after the other: no request
 // fails, all nodes come to the same position, and nothing new goes to what drains once its grace is over.
 func TestControlPlane(t *testing.T) {
+	t.Parallel()
 	p := fleet(t, nil)
 	defer p.stopClients()
 
@@ -562,8 +574,10 @@
 	<-stopped
 	least := <-taken
 	p.writer.start()
-	p.everywhere(p.writer.position())
+	last := p.writer.position()
+	p.everywhere(last)
 	for _, c := range append([]*controlled{p.writer}, p.relays...) {
+		p.eventually(c.name+" at "+last, func() bool { return c.position() == last })
 		left, right := c.quota("left"), c.quota("right")
 		if left != right || left < float64(least) || left > float64(least)+1 {
 			p.t.Errorf("%s: %v and %v after a kill behind change %d", c.name, left, right, least)
--- a/internal/controlplane/publisher/publisher_test.go
+++ b/internal/controlplane/publisher/publisher_test.go
@@ -246,6 +246,32 @@
 	}
 }
 
+// TestLargeDelta: the largest transaction goes as a delta; what no frame holds goes as a snapshot.
+func TestLargeDelta(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.connect(1, current(h, cart))
+	many := func(round int) (changes []resource.Change) {
+		for i := range resource.MaxChanges {
+			changes = append(changes, set(tenant("cart", fmt.Sprintf("%060d-%d", i, round), 1))...)
+		}
+		return changes
+	}
+	h.append(1, many(0)...)
+	if deltas := only[*message.Delta](h.step(1)); len(deltas) != 1 || len(deltas[0].Changes) != resource.MaxChanges {
+		t.Fatalf("%d deltas", len(deltas))
+	}
+	h.acknowledge(1, h.log.Position(), "")
+	h.now += 10 * time.Second
+	h.append(1, many(1)...)
+	h.append(1, many(2)...)
+	h.append(1, many(3)...)
+	h.append(1, many(4)...)
+	sent := h.step(1)
+	if deltas, parts := only[*message.Delta](sent), only[*message.SnapshotPart](sent); len(deltas) != 0 || len(parts) == 0 {
+		t.Errorf("%d deltas, %d parts", len(deltas), len(parts))
+	}
+}
+
 // TestWindow: a session that acknowledges nothing isn't sent more than the window, and goes on when it does.
 func TestWindow(t *testing.T) {
 	h := newHarness(t, Config{MaxUnacknowledged: 200})
@@ -560,6 +586,41 @@
 	}
 }
 
+// BenchmarkStepForAll is one change of a service that every session subscribes to.
+func BenchmarkStepForAll(b *testing.B) {
+	for _, sessions := range fleetSizes {
+		b.Run(fmt.Sprint(sessions), func(b *testing.B) {
+			p, log := benchmarkFleet(b, 0)
+			f := changelog.Filter{}
+			for i := range 100 {
+				f.Services = append(f.Services, fmt.Sprintf("service-%05d", i))
+			}
+			for id := range sessions {
+				p.Connected(0, SessionID(id))
+				if err := p.Receive(0, SessionID(id), &message.Subscribe{Region: north, Services: f.Services, Have: at(1, 1), Digest: log.Digest(f)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			p.Step(0)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, err := log.Append(1, set(tenant("service-00050", "t", float64(i)))); err != nil {
+					b.Fatal(err)
+				}
+				out := p.Step(0)
+				if len(out) != sessions {
+					b.Fatalf("%d messages", len(out))
+				}
+				for _, o := range out {
+					_ = p.Receive(0, o.Session, &message.Acknowledge{Region: north, Position: log.Position()})
+					p.sessions[o.Session].bucket.tokens = p.cfg.SessionBurst
+				}
+				p.bucket.tokens = p.bucket.burst
+			}
+		})
+	}
+}
+
 // BenchmarkStepOfHeartbeats is one heartbeat to each session.
 func BenchmarkStepOfHeartbeats(b *testing.B) {
 	for _, sessions := range fleetSizes {
