--- a/internal/kit/scale/hierarchy/changes.go
+++ b/internal/kit/scale/hierarchy/changes.go
@@ -13,7 +13,6 @@
 type tracker struct {
 	open     map[string][]*change          // by service
 	taken    []time.Duration               // until in force: one for each change and node
-	lasts    []time.Duration               // at the last node: one for each change
 	exclude  func(*Process) bool           // nodes that changes don't wait for: those that a fault holds up
 	crossing func(*service, *Process) bool // pairs that a cut separates
 	made     int
@@ -26,13 +25,12 @@
 	at      time.Duration // from which its time counts: made, or when its writer came back
 	version uint64
 	nodes   map[*Process]struct{} // that it is not in force at
-	last    time.Duration
 }
 
 func (t *tracker) init() { t.open = map[string][]*change{} }
 
 // reset forgets what was measured; open changes are still followed.
-func (t *tracker) reset() { t.taken, t.lasts, t.made, t.longest = nil, nil, 0, 0 }
+func (t *tracker) reset() { t.taken, t.made, t.longest = nil, 0, 0 }
 
 // appended notes a change that a writer has taken.
 func (t *tracker) appended(n *Network, s *service, position resource.Position) {
@@ -74,7 +72,6 @@
 		}
 		delete(c.nodes, p)
 		t.taken = append(t.taken, now-c.at)
-		c.last = max(c.last, now-c.at)
 		t.longest = max(t.longest, now-c.made)
 	}
 	t.close(service)
@@ -82,12 +79,7 @@
 
 // close takes out changes that nobody waits for.
 func (t *tracker) close(service string) {
-	rest := slices.DeleteFunc(t.open[service], func(c *change) bool {
-		if len(c.nodes) == 0 && c.last > 0 {
-			t.lasts = append(t.lasts, c.last)
-		}
-		return len(c.nodes) == 0
-	})
+	rest := slices.DeleteFunc(t.open[service], func(c *change) bool { return len(c.nodes) == 0 })
 	if len(rest) == 0 {
 		delete(t.open, service)
 		return
--- a/internal/kit/scale/hierarchy/fault.go
+++ b/internal/kit/scale/hierarchy/fault.go
@@ -43,7 +43,7 @@
 	}
 	w.stop()
 	during := n.changes.taken
-	n.changes.taken, n.changes.lasts = nil, nil
+	n.changes.taken = nil
 	heal()
 	if err := r.healed(ctx, f, out, before); err != nil {
 		return nil, err
--- a/internal/kit/scale/hierarchy/twin_test.go
+++ b/internal/kit/scale/hierarchy/twin_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// TestALostChangeIsNamed plants a fault: a relay that withholds what it is to send. The checks have to name it.
+// TestALostChangeIsNamed has a node stand still that counts as healthy. The checks have to name what is not in force there.
 func TestALostChangeIsNamed(t *testing.T) {
 	p, ctx := twinPlan(t), context.Background()
 	p.Rates.Measure = tomlfile.Duration(time.Second)
