--- a/internal/controlplane/subscriber/receive.go
+++ b/internal/controlplane/subscriber/receive.go
@@ -15,7 +15,7 @@
 		return r.drop(p.candidate.Name, r.region, DropMalformed, fmt.Sprintf("an age of %s", m.Age))
 	}
 	s.position = m.Position
-	s.freshAt = r.now - min(m.Age, ageUnknown)
+	s.freshAt = r.now - min(m.Age, ageUnknown) - r.waited()
 	if p == r.source {
 		r.unserved = m.Sent.IsZero() && m.Position == r.store.Position() && !m.Position.IsZero()
 	}
@@ -24,7 +24,7 @@
 		verified = r.compareSent(p, m)
 	}
 	if verified && !r.resync && (m.Position == r.store.Position() || r.faults.ageUnchecked) {
-		r.freshAt = max(r.freshAt, s.freshAt-r.waited())
+		r.freshAt = max(r.freshAt, s.freshAt)
 	}
 	if p == r.source && r.now-r.acknowledged >= r.cfg.Limits.Acknowledge {
 		r.acknowledge(p, "")
--- a/internal/controlplane/subscriber/subscriber.go
+++ b/internal/controlplane/subscriber/subscriber.go
@@ -350,7 +350,7 @@
 		s.stall = 0 // what was on its way in the last stall has come, or its connection was given up
 	}
 	s.stall += gap
-	s.stallUntil = now + max(s.stall, s.cfg.Limits.Silence+s.cfg.Limits.Silence/checksPerSilence)
+	s.stallUntil = now + s.cfg.Limits.Silence + s.cfg.Limits.Silence/checksPerSilence
 	for _, p := range s.parents {
 		p.excuse(gap)
 	}
