--- a/internal/controlnet/accept.go
+++ b/internal/controlnet/accept.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"craneglade/internal/controlplane/message"
 	"craneglade/internal/controlplane/publisher"
 	"craneglade/internal/peers/frame"
 	"craneglade/internal/timing"
@@ -97,9 +96,9 @@
 		p.downstreams[id] = s
 		p.cfg.Publisher.Connected(p.cfg.Clock(), id)
 	})
-	err := s.run(ctx, func(m message.Message) {
+	err := s.run(ctx, func(r received) {
 		p.Do(func() {
-			if err := p.cfg.Publisher.Receive(p.cfg.Clock(), id, m); err != nil {
+			if err := p.cfg.Publisher.Receive(p.cfg.Clock(), id, r.message); err != nil {
 				p.counters.bad.Add(1)
 				p.warnings.warn("a subscriber's message was dropped", "from", s.peer, "err", err)
 			}
--- a/internal/controlnet/process.go
+++ b/internal/controlnet/process.go
@@ -323,15 +323,18 @@
 	if !current {
 		return s.conn.Close()
 	}
-	return s.run(d.ctx, func(m message.Message) {
+	return s.run(d.ctx, func(r received) {
 		p.Do(func() {
 			if u.links[d.link.parent] != d.link {
 				return
 			}
 			now := p.cfg.Clock()
 			u.heard(now)
+			if r.partial {
+				u.subscriber.Skipped(now, d.link.parent)
+			}
 			// What is wrong with a message was noted by the subscriber.
-			_ = u.subscriber.Receive(now, d.link.parent, m)
+			_ = u.subscriber.Receive(now, d.link.parent, r.message)
 		})
 	}, p.unreadable(s))
 }
--- a/internal/controlnet/process_test.go
+++ b/internal/controlnet/process_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"craneglade/internal/controlplane/changelog"
 	"craneglade/internal/controlplane/message"
 	"craneglade/internal/controlplane/parents"
@@ -324,7 +326,7 @@
 		t.Fatalf("%v, %+v", err, s)
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.run(context.Background(), func(message.Message) {}, func(error) {}) }()
+	go func() { ended <- s.run(context.Background(), func(received) {}, func(error) {}) }()
 	for range 64 {
 		s.send(make([]byte, 1<<20))
 	}
@@ -358,3 +360,81 @@
 		t.Error(fmt.Sprint("the log is\n", text))
 	}
 }
+
+// A parent of a later version sends fields that this one can't read, and counts them in its digest. The state is taken all
+// the same, and not asked for again and again.
+func TestAParentOfALaterVersion(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	asked := make(chan *message.Subscribe, 100)
+	go serveLaterVersion(ln, asked)
+	news := make(chan News, 10)
+	c := started(t, child(ln.Addr().String(), func(n News) { news <- n }), false)
+	select {
+	case n := <-news:
+		if len(n.Changes) != 1 || n.Position != (resource.Position{Epoch: 1, Version: 1}) {
+			t.Errorf("%+v", n)
+		}
+	case <-time.After(patience):
+		t.Fatalf("nothing came into force; the state: %+v", c.Status().Parents)
+	}
+	if len(asked) != 1 {
+		t.Errorf("asked for the log %d times", len(asked))
+	}
+}
+
+// serveLaterVersion answers the first subscription on ln with a snapshot that holds what no reader of this version knows.
+func serveLaterVersion(ln net.Listener, asked chan<- *message.Subscribe) {
+	raw, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	defer raw.Close()
+	conn, err := frame.Accept(raw, frame.Config{Keys: [][]byte{testKey}, Cluster: "test", Handshake: patience, ReadTimeout: patience, WriteTimeout: patience})
+	if err != nil {
+		return
+	}
+	all := []resource.Resource{{Key: resource.Key{Service: "a", Kind: resource.KindService, Name: "a"}, Service: &resource.Service{Region: "north", MaxAttempts: 1}}}
+	part := &message.SnapshotPart{Region: "north", Position: resource.Position{Epoch: 1, Version: 1}, Last: true, Resources: all, Digest: message.DigestOf(all) + 1}
+	later := withUnknownFields(message.Encode(part))
+	for greeted := false; ; {
+		text, err := conn.Read()
+		if err != nil {
+			return
+		}
+		if !greeted {
+			greeted = true
+			conn.Write(greeting("parent", asSubscriber))
+			continue
+		}
+		messages, _, _ := message.Decode(text)
+		for _, m := range messages {
+			if subscribe, ok := m.(*message.Subscribe); ok {
+				asked <- subscribe
+				conn.Write(later)
+			}
+		}
+	}
+}
+
+// withUnknownFields adds a field of a later version to each message of a frame.
+func withUnknownFields(frame []byte) []byte {
+	var later []byte
+	for len(frame) > 0 {
+		number, kind, tag := protowire.ConsumeTag(frame)
+		size := protowire.ConsumeFieldValue(number, kind, frame[tag:])
+		field := frame[:tag+size]
+		frame = frame[tag+size:]
+		if kind != protowire.BytesType {
+			later = append(later, field...)
+			continue
+		}
+		body, _ := protowire.ConsumeBytes(field[tag:])
+		body = protowire.AppendVarint(protowire.AppendTag(bytes.Clone(body), 100, protowire.VarintType), 7)
+		later = protowire.AppendBytes(protowire.AppendTag(later, number, kind), body)
+	}
+	return later
+}
--- a/internal/controlnet/session.go
+++ b/internal/controlnet/session.go
@@ -106,9 +106,15 @@
 	}
 }
 
+// received is a message that came on a session.
+type received struct {
+	message message.Message
+	partial bool // its frame held fields or resources of a later version, which were skipped
+}
+
 // run reads and writes until the session ends or ctx does, and returns why. receive is called with each message from one
 // goroutine; bad with what could not be read as one.
-func (s *session) run(ctx context.Context, receive func(m message.Message), bad func(err error)) error {
+func (s *session) run(ctx context.Context, receive func(received), bad func(err error)) error {
 	stop := context.AfterFunc(ctx, func() { s.close(ctx.Err()) })
 	defer stop()
 	var both sync.WaitGroup
@@ -164,7 +170,7 @@
 	}
 }
 
-func (s *session) read(receive func(m message.Message), bad func(err error)) error {
+func (s *session) read(receive func(received), bad func(err error)) error {
 	for {
 		encoded, err := s.conn.Read()
 		if err != nil {
@@ -178,8 +184,9 @@
 			bad(err)
 			continue
 		}
+		partial := skipped.Fields > 0 || skipped.Resources > 0
 		for _, m := range messages {
-			receive(m)
+			receive(received{m, partial})
 		}
 	}
 }
--- a/internal/controlplane/subscriber/subscriber.go
+++ b/internal/controlplane/subscriber/subscriber.go
@@ -247,6 +247,8 @@
 	if r == nil {
 		return s.drop(parent, m.RegionName(), DropUnknownRegion, fmt.Sprintf("%T", m))
 	}
+	skipped := p.skipped
+	p.skipped = false
 	session := &p.sessions[r.index]
 	switch m := m.(type) {
 	case *message.Heartbeat:
@@ -254,13 +256,9 @@
 		return r.heartbeat(p, session, m)
 	case *message.Delta:
 		p.heardAt, session.heardAt = s.now, s.now
-		skipped := p.skipped
-		p.skipped = false
 		return r.delta(p, session, m, skipped)
 	case *message.SnapshotPart:
 		p.heardAt, session.heardAt = s.now, s.now
-		skipped := p.skipped
-		p.skipped = false
 		return r.snapshotPart(p, session, m, skipped)
 	case *message.Busy:
 		p.heardAt, session.heardAt = s.now, s.now
--- a/internal/controlplane/subscriber/subscriber_test.go
+++ b/internal/controlplane/subscriber/subscriber_test.go
@@ -787,6 +787,21 @@
 	}
 }
 
+// TestFieldsOfALaterVersionInAHeartbeat: they say nothing of the message behind it, whose digest is compared as ever.
+func TestFieldsOfALaterVersionInAHeartbeat(t *testing.T) {
+	h, first, _ := ready(t, 2)
+	h.s.Skipped(h.now, first)
+	h.beat(first)()
+	before := h.region().Position
+	h.append(1, set(tenant("u", 1))...)
+	delta := h.delta(before)
+	delta.Digest++
+	_ = h.s.Receive(h.now, first, delta)
+	if h.region().Counts.Mismatches != 1 || h.region().Position != before {
+		t.Errorf("a delta with a wrong digest: %+v", h.region())
+	}
+}
+
 // TestSubscriptionChanges: what it no longer holds goes at once, what is new comes with a snapshot.
 func TestSubscriptionChanges(t *testing.T) {
 	h, first, _ := ready(t, 2)
