--- a/internal/controlplane/publisher/publisher.go
+++ b/internal/controlplane/publisher/publisher.go
@@ -46,10 +46,10 @@
 	return Config{
 		BytesPerSecond:        32 << 20,
 		Burst:                 4 << 20,
-		SessionBytesPerSecond: 1 << 20,
-		SessionBurst:          256 << 10,
+		SessionBytesPerSecond: 4 << 20,
+		SessionBurst:          1 << 20,
 		MaxUnacknowledged:     512 << 10,
-		MaxSnapshots:          16,
+		MaxSnapshots:          64, // bytes are bounded by the budgets, and whole snapshots are shared
 		SnapshotTimeout:       10 * time.Second,
 		PartBytes:             32 << 10,
 		MaxDeltaBytes:         3 << 20, // the largest transaction fits, and a frame holds it
--- a/internal/controlplane/simulate/process.go
+++ b/internal/controlplane/simulate/process.go
@@ -100,6 +100,7 @@
 		Candidates: candidates,
 		Seed:       p.network.random.Uint64(),
 		Limits:     p.options.Subscriber,
+		Leaf:       p.publisher == nil,
 	}, p.clock())
 	if p.options.PlantSubscriber != nil {
 		p.options.PlantSubscriber(u.subscriber)
--- a/internal/controlplane/subscriber/subscriber.go
+++ b/internal/controlplane/subscriber/subscriber.go
@@ -50,7 +50,7 @@
 		Stale:        15 * time.Second,
 		ReturnAfter:  30 * time.Second,
 		BackoffBase:  time.Second,
-		BackoffLimit: 30 * time.Second,
+		BackoffLimit: 5 * time.Second,
 		RetryBurst:   6,
 		RetryPerSec:  0.5,
 		MaxBusy:      time.Minute,
@@ -71,6 +71,7 @@
 	Candidates []parents.Candidate
 	Seed       uint64
 	Limits     Limits
+	Leaf       bool // nobody subscribes to this process, as at a node: its replicas keep no history
 }
 
 // Outgoing is a message for a parent.
@@ -182,7 +183,7 @@
 	}
 	s.budget = retryBudget{tokens: float64(cfg.Limits.RetryBurst), burst: float64(cfg.Limits.RetryBurst), perSec: cfg.Limits.RetryPerSec, filledAt: now}
 	for i, region := range cfg.Regions {
-		r := &replica{Subscriber: s, region: region, index: i, store: changelog.NewStore(region, cfg.Limits.Store), freshAt: now - ageUnknown}
+		r := &replica{Subscriber: s, region: region, index: i, store: changelog.NewStore(region, cfg.storeLimits()), freshAt: now - ageUnknown}
 		s.replicas = append(s.replicas, r)
 		s.byRegion[region] = r
 	}
@@ -190,6 +191,18 @@
 	return s
 }
 
+// leafTransactions is the history of a replica that nobody subscribes to: what a store keeps at the least.
+const leafTransactions = 1
+
+// storeLimits are those of each replica.
+func (c *Config) storeLimits() changelog.Limits {
+	limits := c.Limits.Store
+	if c.Leaf {
+		limits.Transactions = leafTransactions
+	}
+	return limits
+}
+
 // Store is the replica of a region, or nil. Only the subscriber changes it.
 func (s *Subscriber) Store(region string) *changelog.Store {
 	if r := s.byRegion[region]; r != nil {
--- a/internal/kit/scale/hierarchy/network.go
+++ b/internal/kit/scale/hierarchy/network.go
@@ -28,7 +28,7 @@
 	dialTimeout       = 2 * time.Second // of a connection to who can't be reached
 	silentHeartbeats  = 3               // a parent is silent after so many heartbeats that did not come
 	burstSeconds      = 2               // of a publisher's bytes that may go at once, as in internal/controlnet
-	relaySnapshots    = 8               // that a relay or writer sends at a time, as by default
+	relaySnapshots    = 64              // that a relay or writer sends at a time, as by default
 	checkEvery        = 1 << 14         // events between two looks at the context
 	minStep           = time.Millisecond
 	seedStream        = 0x5ca1e
@@ -242,7 +242,7 @@
 	}
 	u := &uplink{regions: regions, links: map[string]*link{}}
 	u.subscriber = subscriber.New(subscriber.Config{Name: p.Name, Zone: p.zoneName(), Regions: names, Filter: filter, Candidates: candidates,
-		Seed: n.random.Uint64(), Limits: limits}, p.clock())
+		Seed: n.random.Uint64(), Limits: limits, Leaf: p.publisher == nil}, p.clock())
 	if p.publisher != nil {
 		for _, name := range names {
 			p.publisher.Publish(u.subscriber.Store(name))
--- a/internal/kit/scale/hollow/hollow.go
+++ b/internal/kit/scale/hollow/hollow.go
@@ -121,7 +121,7 @@
 func (h *host) newNode(cfg *Node, number uint64, key []byte, log *slog.Logger) *node {
 	n := &node{}
 	n.subscriber = subscriber.New(subscriber.Config{Name: cfg.Name, Zone: cfg.Zone, Regions: []string{h.cfg.Region}, Filter: changelog.Filter{Services: cfg.Services},
-		Candidates: h.cfg.Parents, Seed: uint64(os.Getpid())<<20 + number, Limits: controlnet.LimitsFor(h.cfg.Silence)}, h.clock())
+		Candidates: h.cfg.Parents, Seed: uint64(os.Getpid())<<20 + number, Limits: controlnet.LimitsFor(h.cfg.Silence), Leaf: true}, h.clock())
 	n.process = controlnet.NewProcess(controlnet.Config{Name: cfg.Name, Keys: [][]byte{key}, Cluster: h.cfg.Cluster, BytesPerSecond: h.cfg.Bytes,
 		StaleAfter: h.cfg.Silence, Subscribers: []*subscriber.Subscriber{n.subscriber}, Clock: h.clock, Log: log,
 		Applied: func(news controlnet.News) { h.applied(cfg.Name, news.Changes) }})
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -45,7 +45,7 @@
 	minSilence               = 200 * time.Millisecond
 	maxSilence               = time.Minute
 	defaultServedBytes       = 8 << 20 // a second, to all subscribers together
-	defaultServedSnapshots   = 8
+	defaultServedSnapshots   = 64
 	defaultServedSubscribers = 1000
 	maxServedSubscribers     = 10000
 )
--- a/internal/settings/control_test.go
+++ b/internal/settings/control_test.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Limits.Heartbeat.D() != time.Second || c.Limits.Snapshots != 8 || c.Limits.Subscribers != 1000 || c.Limits.Bytes != 8<<20 || c.Limits.Silence.D() != 3*time.Second || c.Regions[0] != "north" || len(c.Members) != 1 || c.Members[0].ID != 1 {
+	if c.Limits.Heartbeat.D() != time.Second || c.Limits.Snapshots != 64 || c.Limits.Subscribers != 1000 || c.Limits.Bytes != 8<<20 || c.Limits.Silence.D() != 3*time.Second || c.Regions[0] != "north" || len(c.Members) != 1 || c.Members[0].ID != 1 {
 		t.Errorf("%+v", c)
 	}
 	refusals(t, writer, parse, []struct{ old, new, want string }{
