--- a/internal/controlnet/accept.go
+++ b/internal/controlnet/accept.go
@@ -14,7 +14,8 @@
 // acceptPause is how long accepting rests after it has failed, as where no descriptor is left.
 const acceptPause = 50 * time.Millisecond
 
-// maxHandshakes is how many connections may be at their beginning at a time.
+// maxHandshakes is how many connections may be at their beginning at a time. Further ones wait in the listener's backlog:
+// closing them would have the nodes of a zone that start together come again after their backoff.
 const maxHandshakes = 128
 
 // accept takes subscribers' connections until ctx ends.
@@ -23,22 +24,23 @@
 	defer stop()
 	places, handshakes := make(chan struct{}, p.cfg.MaxSubscribers), make(chan struct{}, maxHandshakes)
 	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		select {
+		case handshakes <- struct{}{}:
+		case <-ctx.Done():
 			return
 		}
-		if err != nil {
-			p.warnings.warn("a connection could not be accepted", "err", err)
-			if !timing.Sleep(ctx, acceptPause) {
-				return
-			}
+		conn, err := ln.Accept()
+		if err == nil {
+			p.sessions.Go(func() { p.receive(ctx, conn, handshakes, places) })
 			continue
 		}
-		select {
-		case handshakes <- struct{}{}:
-			p.sessions.Go(func() { p.receive(ctx, conn, handshakes, places) })
-		default:
-			p.turnAway(conn, "a connection was turned away: too many are at their beginning")
+		<-handshakes
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		p.warnings.warn("a connection could not be accepted", "err", err)
+		if !timing.Sleep(ctx, acceptPause) {
+			return
 		}
 	}
 }
--- a/internal/controlnet/process_test.go
+++ b/internal/controlnet/process_test.go
@@ -255,6 +255,25 @@
 	}
 }
 
+// More connections at their beginning than are taken at a time wait for their turn, here until the handshakes of those
+// before them time out: none is turned away.
+func TestConnectionsBeyondTheHandshakesWait(t *testing.T) {
+	t.Parallel()
+	p := newParent(t, 10)
+	for range maxHandshakes {
+		conn, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	client(t, p.address, "late")
+	eventually(t, "the late one", func() bool { return len(p.Status().Names) == 1 })
+	if s := p.Status(); s.Counts.TurnedAway != 0 {
+		t.Errorf("%d were turned away", s.Counts.TurnedAway)
+	}
+}
+
 // What can't be read as a message is counted, dropped and told in one line, and the session goes on.
 func TestUnreadableMessages(t *testing.T) {
 	p := newParent(t, 10)
