Without load reports an answer's own time tells of the others' requests

Cause: where answers hold no load reports, a node counted only its own attempts at a backend.

Change: under settings without reports (report.how other than piggyback) an answer counts as a report of as many requests as its time is multiples of its class's best mean, less one.

TestDecodeCreate names the new setting, as its line tells of no reports.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -424,6 +424,7 @@
 		Cancel: in.Limits.Cancel, Copies: in.Limits.Copies, MustAskIn: seconds(in.Rules.MustAskIn),
 		QueueOnly: in.Report.How == "piggyback" && slices.Contains(in.Report.Names, "depth") &&
 			!slices.Contains(in.Report.Names, "concurrent"),
+		NoReports:  in.Report.How != "piggyback",
 		DrainGrace: seconds(in.Rules.DrainGrace),
 		ColdShare:  in.Rules.ColdShare, ColdFor: seconds(in.Rules.ColdFor),
 		FallFactor: in.Rules.FallFactor, FallFor: seconds(in.Rules.FallFor)}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -65,7 +65,7 @@
 		Classes: []policy.Class{{Name: "a", Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Worth: 3,
 			Effect: policy.Keyed, Group: policy.GroupZone, Window: 2 * time.Second}},
 		Tenants:     []policy.Tenant{{Name: "t", QuotaPerS: 9.5}},
-		MaxAttempts: 6, Cancel: true, Copies: true, RetryAfter: 2 * time.Second,
+		MaxAttempts: 6, Cancel: true, Copies: true, NoReports: true, RetryAfter: 2 * time.Second,
 		DrainGrace: 500 * time.Millisecond, ColdShare: 0.32, ColdFor: 9 * time.Second,
 		FallFactor: 3, FallFor: 2 * time.Second}
 	if m.Kind != Create || m.Instance != 3 || m.Seed != 77 || !reflect.DeepEqual(m.Settings, want) {
@@ -182,6 +182,22 @@
 	})
 }
 
+// Answers hold load reports where the settings say so, and nowhere else.
+func TestSettingsTellOfReports(t *testing.T) {
+	for text, want := range map[string]policy.Settings{
+		`{"report":{"how":"piggyback","names":["concurrent","depth"]}}`: {},
+		`{"report":{"how":"piggyback","names":["depth"]}}`:              {QueueOnly: true},
+		`{"report":{"how":"pull","names":["depth"]}}`:                   {NoReports: true},
+		`{"report":{"how":"silent"}}`:                                   {NoReports: true},
+		`{}`:                                                            {NoReports: true},
+	} {
+		s, err := DecodeSettings([]byte(text))
+		if err != nil || s.Policy.QueueOnly != want.QueueOnly || s.Policy.NoReports != want.NoReports {
+			t.Errorf("%s: %+v, %v", text, s.Policy, err)
+		}
+	}
+}
+
 // A report that makes no sense in one figure is ignored whole: taken in part, it would make a backend look idle or
 // crowded.
 func TestLoadReports(t *testing.T) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -59,6 +59,7 @@
 	MaxAttempts int           // attempts for one request; at least 1
 	Cancel      bool          // attempts may be cancelled
 	QueueOnly   bool          // load reports tell what waits and not what is held
+	NoReports   bool          // answers hold no load reports
 	Copies      bool          // a request may have two attempts out at a time
 	RetryAfter  time.Duration // longest retry-after that clients honour; 0 when they see none
 	DrainGrace  time.Duration
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -298,7 +298,10 @@
 	}
 	s.flying = slices.Delete(s.flying, 0, ended(s.flying))
 	took := max(0, ev.Took.Seconds())
-	n := max(ev.Load.Queue, ev.Load.Held, 0)
+	n, told := max(ev.Load.Queue, ev.Load.Held, 0), ev.Load.Known
+	if best := r.class.best; b.set.NoReports && !told && ev.Outcome == OK && best > 0 {
+		n, told = max(0, took/best-1), true // an answer's own time is all that tells of others' requests
+	}
 	if w := ev.Load.Work; ev.Load.Held < 0 && w > 0 && w < math.MaxInt32 && b.ramp(s, now) == 1 {
 		// Where the queue alone is told, many slots hide a crowd from it: a backend chokes on what is in work
 		// with nothing waiting. Requests then take many times as long as at their best.
@@ -309,7 +312,7 @@
 	if q, h := ev.Load.Queue, ev.Load.Held; q >= 0 && h-q < math.MaxInt32 {
 		s.slots = max(s.slots, h-q) // so many it has in work at once
 	}
-	if ev.Load.Known && n < math.MaxInt32 { // and not NaN
+	if told && n < math.MaxInt32 { // and not NaN
 		held := b.level.Mean*b.ramp(s, now) + s.others // which its own report moves as slowly as before
 		b.level.Add(now, max(0, n-s.ownLag), levelTau/b.sharers, few)
 		s.others = held - b.level.Mean*b.ramp(s, now) + (n-s.ownLag-held)*(1-math.Exp((s.reportAt-now)/othersTau))
--- a/policy/state.go
+++ b/policy/state.go
@@ -84,17 +84,16 @@
 	room          float64 // smallest occupancy that drew 'full', infinite before one did
 	slots         float64 // most requests that it had in work at once, by its reports
 	alike         float64 // and that any of its kind had
-	latency       float64 // decayed sum of latencies,
-	occupancy     float64 // and of the occupancies plus one that they were met at
 	typical       float64 // service time of its kind
 	lastOK        float64
 	lostAt        float64         // when an attempt that others had overtaken timed out
-	work          float64         // reported time in work, smoothed,
-	base          float64         // and the least that its kind's mean has been
+	work, base    float64         // reported time in work, smoothed, and the least that its kind's mean has been
 	health.Record                 // of the backend as a whole
 	classes       []health.Record // of each class there, as some fail where others work; nil before one failed
 	served        float64         // decayed count of answers; sends would also count what a crowded backend turns away
 	chance        float64         // while cold: part of this node's picks that a warm one of its kind serves
+
+	latency, occupancy float64 // decayed sums of latencies, and of the occupancies plus one that they were met at
 }
 
 // Balancer is the state of one node. It is not safe for concurrent use.
@@ -112,11 +111,7 @@
 	tenant   map[string]*tenant
 	part     float64     // this node's part of all traffic
 	sharers  float64     // nodes that work with a backend, by their mean
-	total    float64     // decayed count of requests,
-	lessers  float64     // and of those that are diverted first
 	born     float64     // when the first plan was made
-	picks    float64     // decayed count of draws,
-	span     float64     // and of the seconds that they were counted in
 	worth    float64     // mean worth of a request lately
 	far      decay.Tally // latencies of answers from other zones, as parts of their class's in this one
 	sends    decay.Tally // attempts, and those of them that left the zone at a price
@@ -133,4 +128,7 @@
 	drift    decay.Swing // how that moves,
 	swing    float64     // and so what others hold since their reports
 	out      []Action
+
+	total, lessers float64 // decayed counts of requests, and of those that are diverted first
+	picks, span    float64 // decayed counts of draws, and of the seconds that they were counted in
 }
--- /dev/null
+++ b/policy/unreported_test.go
@@ -0,0 +1,171 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"craneglade/internal/subset"
+)
+
+// Where no backend reports its load, answers that take many times as long as at their best tell of a crowd. Where
+// backends do report, or the attempt failed, the time of an attempt is no report.
+func TestAnswersTellOfACrowdWhereNoReportsDo(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		noReports bool
+		outcome   Outcome
+		took      time.Duration
+		held      float64 // by others, about
+		mode      mode
+	}{
+		{"quick answers", true, OK, 25 * time.Millisecond, 0, normal},
+		{"slow answers", true, OK, 500 * time.Millisecond, 19, overload},
+		{"slow answers where backends report", false, OK, 500 * time.Millisecond, 0, normal},
+		{"slow failures", true, Failed, 500 * time.Millisecond, 0, normal},
+	} {
+		b := node(t, settings(func(s *Settings) { s.NoReports = c.noReports }), Entry{ID: 1, Zone: "a"})
+		s := b.servers[1]
+		now := t0
+		answer := func(outcome Outcome, took time.Duration) {
+			now += 50 * time.Millisecond
+			send := Action{ID: now.String()}
+			b.requests[send.ID] = &request{id: send.ID, class: b.classes[0], open: 1,
+				attempts: []*attempt{{server: s, open: true, met: b.waiting(s, now.Seconds()) + 1}}}
+			b.Handle(now, &Event{Kind: EvOutcome, ID: send.ID, Took: took, Outcome: outcome, Last: true}, nil)
+			b.Handle(now, &Event{Kind: EvTimer, Token: "tick"}, nil)
+		}
+		for range 200 {
+			answer(OK, 25*time.Millisecond)
+		}
+		for range 400 {
+			answer(c.outcome, c.took)
+		}
+		s.own, s.ownLag, s.ghosts = 0, 0, 0
+		s.update(now.Seconds(), b)
+		if n := b.waiting(s, now.Seconds()); n < c.held*0.9-0.1 || n > c.held*1.1+0.1 || s.mode != c.mode {
+			t.Errorf("%s: %.2f held in mode %d, want about %.0f in %d", c.name, n, s.mode, c.held, c.mode)
+		}
+	}
+}
+
+// crowdedFleet is a fleet of nodes that share backends which report nothing. Each backend serves in turn.
+type crowdedFleet struct {
+	nodes  []*Balancer
+	free   [][]time.Duration // by backend and core: when it has served what it took
+	due    []dueEvent        // a heap by time
+	number int               // of events so far, which puts those of one moment in order
+	random *rand.Rand
+	inTime int // answers within the aim
+}
+
+type dueEvent struct {
+	at     time.Duration
+	number int
+	node   int
+	event  Event
+}
+
+func (f *crowdedFleet) Len() int      { return len(f.due) }
+func (f *crowdedFleet) Swap(i, j int) { f.due[i], f.due[j] = f.due[j], f.due[i] }
+func (f *crowdedFleet) Push(x any)    { f.due = append(f.due, x.(dueEvent)) }
+func (f *crowdedFleet) Less(i, j int) bool {
+	return f.due[i].at < f.due[j].at || f.due[i].at == f.due[j].at && f.due[i].number < f.due[j].number
+}
+func (f *crowdedFleet) Pop() any {
+	x := f.due[len(f.due)-1]
+	f.due = f.due[:len(f.due)-1]
+	return x
+}
+
+func (f *crowdedFleet) add(at time.Duration, node int, event Event) {
+	f.number++
+	heap.Push(f, dueEvent{at, f.number, node, event})
+}
+
+const (
+	crowdedWork     = 25 * time.Millisecond // mean work of a request
+	crowdedCores    = 2
+	crowdedAim      = 190 * time.Millisecond
+	crowdedDeadline = 440 * time.Millisecond
+)
+
+// send has a backend take an attempt. It serves it also where its node no longer waits.
+func (f *crowdedFleet) send(now time.Duration, node int, send Action) {
+	cores := f.free[send.Server]
+	core := slices.Index(cores, slices.Min(cores))
+	work := time.Duration(float64(crowdedWork) * (0.5 + f.random.Float64()))
+	cores[core] = max(now, cores[core]) + work
+	end, outcome := cores[core], OK
+	if end > now+send.Wait {
+		end, outcome = now+send.Wait, TimedOut
+	}
+	f.add(end, node, Event{Kind: EvOutcome, ID: send.ID, Server: send.Server, Took: end - now, Outcome: outcome, Last: true})
+	if outcome == OK && end-now <= crowdedAim {
+		f.inTime++
+	}
+}
+
+// play lets requests come at a part of what the backends can serve, by the second, and returns the part of what could be
+// served in its last five seconds that was answered in time.
+func (f *crowdedFleet) play(load ...float64) float64 {
+	most := float64(len(f.free)*crowdedCores) / crowdedWork.Seconds()
+	for second, part := range load {
+		n := int(part * most)
+		for i := range n {
+			at := t0 + time.Duration(float64(time.Second)*(float64(second)+float64(i)/float64(n)))
+			f.add(at, f.random.IntN(len(f.nodes)), Event{Kind: EvRequest, ID: fmt.Sprint(second, "-", i), Class: "only", Left: crowdedDeadline})
+		}
+	}
+	const counted = 5
+	end := t0 + time.Duration(len(load))*time.Second
+	for len(f.due) > 0 {
+		next := heap.Pop(f).(dueEvent)
+		if next.at > end {
+			break
+		}
+		if next.at < end-counted*time.Second {
+			f.inTime = 0
+		}
+		for _, action := range f.nodes[next.node].Handle(next.at, &next.event, nil) {
+			switch action.Kind {
+			case ActSend:
+				f.send(next.at, next.node, action)
+			case ActTimer:
+				f.add(action.At, next.node, Event{Kind: EvTimer, Token: action.Token})
+			}
+		}
+	}
+	return float64(f.inTime) / (most * counted)
+}
+
+// Many nodes share backends that report nothing, and one attempt of each is a crowd. No node sees more than its own few:
+// what answers take has to tell it, or backends stay so full that they answer nearly nothing in time.
+func TestManyNodesKeepAnswersInTimeWithoutReports(t *testing.T) {
+	const nodes, backends = 32, 12
+	var entries []Entry
+	for i := range backends {
+		entries = append(entries, Entry{ID: uint32(i), Place: subset.Hash(fmt.Sprint(i)), Kind: "k"})
+	}
+	f := &crowdedFleet{random: rand.New(rand.NewPCG(1, 2))}
+	for range backends {
+		f.free = append(f.free, make([]time.Duration, crowdedCores))
+	}
+	for number := range nodes {
+		b, err := New(Settings{Nodes: nodes, Number: number, NoReports: true, MaxAttempts: 4, Cancel: true,
+			Classes: []Class{{Name: "only", Aim: crowdedAim, Deadline: crowdedDeadline, Worth: 4, LateWorth: 0.1}}}, uint64(number))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.nodes = append(f.nodes, b)
+		f.add(t0, number, Event{Kind: EvList, List: ListFull, Entries: entries})
+		f.add(t0, number, Event{Kind: EvTimer, Token: "tick"})
+	}
+	quiet, burst := 0.6, 1.5
+	if got := f.play(quiet, quiet, quiet, quiet, quiet, burst, burst, burst, burst, burst, burst, burst, burst); got < 0.8 {
+		t.Errorf("under a burst %.2f of what could be served is answered in time", got)
+	}
+}
