--- a/policy/state.go
+++ b/policy/state.go
@@ -73,8 +73,7 @@
 	mode          mode
 	own           float64    // this node's attempts in flight
 	flying        []*attempt // out, in the order of the sends; those that have ended are taken off later
-	ownLag        float64    // the same, at about the time of the latest report
-	ownAt         float64    // when that was brought up to date
+	ownLag, ownAt float64    // own at about the time of the latest report, and when that was brought up to date
 	sentAt        float64    // when something was last sent to it
 	ghosts        float64    // attempts that timed out here lately: no report shows their end yet
 	others        float64    // occupancy by reports beyond this node's own and the mean of all, smoothed
@@ -82,8 +81,7 @@
 	turned        float64 // requests that it has turned away since its last answer
 	full, fullAt  float64 // occupancy when it last did, and when that was
 	room          float64 // smallest occupancy that drew 'full', infinite before one did
-	slots         float64 // most requests that it had in work at once, by its reports
-	alike         float64 // and that any of its kind had
+	slots, alike  float64 // most requests that it had in work at once, by its reports, and that any of its kind had
 	typical       float64 // service time of its kind
 	lastOK        float64
 	lostAt        float64         // when an attempt that others had overtaken timed out
@@ -101,8 +99,6 @@
 	set      Settings
 	tune     Tuning
 	rng      *rand.Rand
-	aim      float64 // shortest told aim, infinite when none was told
-	half     float64 // half the shortest told deadline, infinite when none was told
 	classes  []*class
 	servers  map[uint32]*server
 	order    []*server // sorted by id
@@ -129,6 +125,7 @@
 	swing    float64     // and so what others hold since their reports
 	out      []Action
 
+	aim, half      float64 // shortest told aim, and half the shortest told deadline; infinite when none was told
 	total, lessers float64 // decayed counts of requests, and of those that are diverted first
 	picks, span    float64 // decayed counts of draws, and of the seconds that they were counted in
 }
--- a/policy/unreported_test.go
+++ b/policy/unreported_test.go
@@ -91,6 +91,7 @@
 	crowdedCores    = 2
 	crowdedAim      = 190 * time.Millisecond
 	crowdedDeadline = 440 * time.Millisecond
+	crowdedStart    = 50 * 365 * 24 * time.Hour // as on a clock that counts from long ago
 )
 
 // send has a backend take an attempt. It serves it also where its node no longer waits.
@@ -116,12 +117,12 @@
 	for second, part := range load {
 		n := int(part * most)
 		for i := range n {
-			at := t0 + time.Duration(float64(time.Second)*(float64(second)+float64(i)/float64(n)))
+			at := crowdedStart + time.Duration(float64(time.Second)*(float64(second)+float64(i)/float64(n)))
 			f.add(at, f.random.IntN(len(f.nodes)), Event{Kind: EvRequest, ID: fmt.Sprint(second, "-", i), Class: "only", Left: crowdedDeadline})
 		}
 	}
 	const counted = 5
-	end := t0 + time.Duration(len(load))*time.Second
+	end := crowdedStart + time.Duration(len(load))*time.Second
 	for len(f.due) > 0 {
 		next := heap.Pop(f).(dueEvent)
 		if next.at > end {
@@ -161,8 +162,8 @@
 			t.Fatal(err)
 		}
 		f.nodes = append(f.nodes, b)
-		f.add(t0, number, Event{Kind: EvList, List: ListFull, Entries: entries})
-		f.add(t0, number, Event{Kind: EvTimer, Token: "tick"})
+		f.add(crowdedStart, number, Event{Kind: EvList, List: ListFull, Entries: entries})
+		f.add(crowdedStart, number, Event{Kind: EvTimer, Token: "tick"})
 	}
 	quiet, burst := 0.6, 1.5
 	if got := f.play(quiet, quiet, quiet, quiet, quiet, burst, burst, burst, burst, burst, burst, burst, burst); got < 0.8 {
