A class's best latency begins where it began, once its requests' worth is known

Change: the best begins once the worth of requests is known, as before. The test of answers as reports sends its requests through the front door, so that their worth is known.

--- a/policy/zone.go
+++ b/policy/zone.go
@@ -26,14 +26,14 @@
 // with a mean of l misses its aim with a chance of exp(-aim/l), and a request more adds l/best-1 parts of l to
 // everybody's (M/M/1). Crossing is worth it where that loses less there, by more than the price.
 func (b *Balancer) stays(c *class, dt float64) float64 {
-	if c.near.N < prior {
+	if c.near.N < prior || b.worth <= 0 {
 		return 1
 	}
 	l := min(max(c.near.Sum/c.near.N, 1e-6), 1e6)
 	if c.best *= math.Exp(dt / bestTau); c.best == 0 || l < c.best {
 		c.best = l
 	}
-	if b.set.CrossPrice <= 0 || b.worth <= 0 || math.IsInf(b.aim, 1) || c.Worth <= 0 {
+	if b.set.CrossPrice <= 0 || math.IsInf(b.aim, 1) || c.Worth <= 0 {
 		return 1 // nothing known speaks for another zone
 	}
 	aim := c.Aim.Seconds()
