--- a/policy/state.go
+++ b/policy/state.go
@@ -73,8 +73,7 @@
 	mode          mode
 	own           float64    // this node's attempts in flight
 	flying        []*attempt // out, in the order of the sends; those that have ended are taken off later
-	ownLag        float64    // the same, at about the time of the latest report
-	ownAt         float64    // when that was brought up to date
+	ownLag, ownAt float64    // own at about the time of the latest report, and when that was brought up to date
 	sentAt        float64    // when something was last sent to it
 	ghosts        float64    // attempts that timed out here lately: no report shows their end yet
 	others        float64    // occupancy by reports beyond this node's own and the mean of all, smoothed
@@ -82,19 +81,17 @@
 	turned        float64 // requests that it has turned away since its last answer
 	full, fullAt  float64 // occupancy when it last did, and when that was
 	room          float64 // smallest occupancy that drew 'full', infinite before one did
-	slots         float64 // most requests that it had in work at once, by its reports
-	alike         float64 // and that any of its kind had
-	latency       float64 // decayed sum of latencies,
-	occupancy     float64 // and of the occupancies plus one that they were met at
+	slots, alike  float64 // most requests that it had in work at once, by its reports, and that any of its kind had
 	typical       float64 // service time of its kind
 	lastOK        float64
 	lostAt        float64         // when an attempt that others had overtaken timed out
-	work          float64         // reported time in work, smoothed,
-	base          float64         // and the least that its kind's mean has been
+	work, base    float64         // reported time in work, smoothed, and the least that its kind's mean has been
 	health.Record                 // of the backend as a whole
 	classes       []health.Record // of each class there, as some fail where others work; nil before one failed
 	served        float64         // decayed count of answers; sends would also count what a crowded backend turns away
 	chance        float64         // while cold: part of this node's picks that a warm one of its kind serves
+
+	latency, occupancy float64 // decayed sums of latencies, and of the occupancies plus one that they were met at
 }
 
 // Balancer is the state of one node. It is not safe for concurrent use.
@@ -102,8 +99,6 @@
 	set      Settings
 	tune     Tuning
 	rng      *rand.Rand
-	aim      float64 // shortest told aim, infinite when none was told
-	half     float64 // half the shortest told deadline, infinite when none was told
 	classes  []*class
 	servers  map[uint32]*server
 	order    []*server // sorted by id
@@ -112,11 +107,7 @@
 	tenant   map[string]*tenant
 	part     float64     // this node's part of all traffic
 	sharers  float64     // nodes that work with a backend, by their mean
-	total    float64     // decayed count of requests,
-	lessers  float64     // and of those that are diverted first
 	born     float64     // when the first plan was made
-	picks    float64     // decayed count of draws,
-	span     float64     // and of the seconds that they were counted in
 	worth    float64     // mean worth of a request lately
 	far      decay.Tally // latencies of answers from other zones, as parts of their class's in this one
 	sends    decay.Tally // attempts, and those of them that left the zone at a price
@@ -133,4 +124,8 @@
 	drift    decay.Swing // how that moves,
 	swing    float64     // and so what others hold since their reports
 	out      []Action
+
+	aim, half      float64 // shortest told aim, and half the shortest told deadline; infinite when none was told
+	total, lessers float64 // decayed counts of requests, and of those that are diverted first
+	picks, span    float64 // decayed counts of draws, and of the seconds that they were counted in
 }
