A value of a wrong type in a settings file is told in the file's words

Before: 'cannot decode TOML string into struct field plan.Step.Nodes of type int'. Now what is there and what to write, with file, line and key. TestValuesOfAWrongType.

--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -95,7 +96,7 @@
 		var de *toml.DecodeError
 		if errors.As(err, &de) {
 			row, _ := de.Position()
-			text := strings.TrimPrefix(de.Error(), "toml: ")
+			text := wrongType(strings.TrimPrefix(de.Error(), "toml: "))
 			if key := strings.Join(de.Key(), "."); key != "" {
 				text = key + ": " + text
 			}
@@ -106,6 +107,29 @@
 	return k, nil
 }
 
+// typeMismatch is what the decoder says of a value of another type than its field's.
+var typeMismatch = regexp.MustCompile(`^cannot decode TOML (\w+) into struct field \S+ of type (\S+)$`)
+
+// wrongType words a value of a wrong type for who writes the file, who knows nothing of the program's types. Any other
+// text stays as it is.
+func wrongType(text string) string {
+	m := typeMismatch.FindStringSubmatch(text)
+	if m == nil {
+		return text
+	}
+	want := map[string]string{"string": "text in quotes", "bool": "true or false", "float64": "a number"}[m[2]]
+	switch {
+	case want != "":
+	case strings.HasPrefix(m[2], "int") || strings.HasPrefix(m[2], "uint"):
+		want = "a whole number"
+	case strings.HasPrefix(m[2], "[]"):
+		want = "a list in brackets"
+	default:
+		want = "a table"
+	}
+	return fmt.Sprintf("a TOML %s is no value of it: write %s", m[1], want)
+}
+
 // inIndex tells the runes of an index, as in event[12].at, from the others.
 func inIndex() func(rune) bool {
 	inside := false
