--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -24,26 +24,34 @@
 	return entry
 }
 
-// A whole list that comes after calls that failed may have counted as told for a while, also for what it leaves out: an attempt that waits
-// for its connection to such a backend is not written, though the backend still answers.
-func TestLateWholeListLeavesNoGraceToWhatItLeavesOut(t *testing.T) {
-	t.Parallel()
+// heldAttempt is a node with a grace that never ends, whose only backend is b, and a client whose request's attempt there waits
+// for its connection until let is called.
+func heldAttempt(t *testing.T, g *registry, b *box) (r *rig, c *client, let func()) {
+	t.Helper()
 	dialing, dialed := gate()
 	release, let := gate()
-	defer let()
-	left, other := newBox(t, served), newBox(t, served)
-	g := newRegistry(t)
-	r := newRig(t, g, longGrace, func(cfg *Config) {
+	r = newRig(t, g, longGrace, func(cfg *Config) {
 		cfg.dial = dialThen(func(nth int32) {
 			if nth == 1 {
 				dialed()
 				<-release
 			}
 		})
-	}, left.entry("s-1"))
-	client := r.dial(t)
-	client.send(quote("q").text())
+	}, b.entry("s-1"))
+	t.Cleanup(let)
+	c = r.dial(t)
+	c.send(quote("q").text())
 	<-dialing
+	return r, c, let
+}
+
+// A whole list that comes after calls that failed may have counted as told for a while, also for what it leaves out: an attempt that waits
+// for its connection to such a backend is not written, though the backend still answers.
+func TestLateWholeListLeavesNoGraceToWhatItLeavesOut(t *testing.T) {
+	t.Parallel()
+	left, other := newBox(t, served), newBox(t, served)
+	g := newRegistry(t)
+	r, client, let := heldAttempt(t, g, left)
 	g.next <- registryAnswer{status: 503}
 	g.next <- listAnswer(2, true, other.entry("s-2"))
 	wait(t, "the whole list", func() bool { return r.numbered("s-2") != 0 })
@@ -62,22 +70,9 @@
 // A list of which no call failed leaves what it leaves out its grace: an attempt that was decided before goes out.
 func TestWholeListInTimeLeavesTheGrace(t *testing.T) {
 	t.Parallel()
-	dialing, dialed := gate()
-	release, let := gate()
-	defer let()
 	left, other := newBox(t, served), newBox(t, served)
 	g := newRegistry(t)
-	r := newRig(t, g, longGrace, func(cfg *Config) {
-		cfg.dial = dialThen(func(nth int32) {
-			if nth == 1 {
-				dialed()
-				<-release
-			}
-		})
-	}, left.entry("s-1"))
-	client := r.dial(t)
-	client.send(quote("q").text())
-	<-dialing
+	r, client, let := heldAttempt(t, g, left)
 	g.next <- listAnswer(2, true, other.entry("s-2"))
 	wait(t, "the whole list", func() bool { return r.numbered("s-2") != 0 })
 	let()
@@ -132,22 +127,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			dialing, dialed := gate()
-			release, let := gate()
-			defer let()
 			b, other := newBox(t, served), newBox(t, served)
 			g, h := newRegistry(t), newRegistry(t)
-			r := newRig(t, g, longGrace, func(cfg *Config) {
-				cfg.dial = dialThen(func(nth int32) {
-					if nth == 1 {
-						dialed()
-						<-release
-					}
-				})
-			}, b.entry("s-1"))
-			client := r.dial(t)
-			client.send(quote("q").text())
-			<-dialing
+			r, client, let := heldAttempt(t, g, b)
 			g.next <- registryAnswer{status: 503}
 			wait(t, "the call after the failed one", func() bool { return len(g.calls()) == 2 })
 			cfg := r.cfg
