--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -325,22 +325,7 @@
 
 // status is what the node says of its configuration on its local socket.
 func (n *controlledNode) status() (*node.ControlStatus, error) {
-	conn, err := net.Dial("unix", n.socket)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	for in := json.NewDecoder(conn); ; {
-		var line struct {
-			Control *node.ControlStatus `json:"control"`
-		}
-		if err := in.Decode(&line); err != nil {
-			return nil, err
-		}
-		if line.Control != nil {
-			return line.Control, nil
-		}
-	}
+	return node.ReadControlStatus(n.socket)
 }
 
 func (n *controlledNode) position() string {
@@ -348,7 +333,7 @@
 	if err != nil {
 		return ""
 	}
-	return fmt.Sprintf("%d.%d", s.Epoch, s.Version)
+	return s.Position().String()
 }
 
 var requestIDs atomic.Int64
--- a/internal/kit/scale/hierarchy/network.go
+++ b/internal/kit/scale/hierarchy/network.go
@@ -28,7 +28,6 @@
 	dialTimeout       = 2 * time.Second // of a connection to who can't be reached
 	silentHeartbeats  = 3               // a parent is silent after so many heartbeats that did not come
 	burstSeconds      = 2               // of a publisher's bytes that may go at once, as in internal/controlnet
-	relaySnapshots    = 64              // that a relay or writer sends at a time, as by default
 	checkEvery        = 1 << 14         // events between two looks at the context
 	minStep           = time.Millisecond
 	seedStream        = 0x5ca1e
@@ -189,7 +188,6 @@
 		p.publisher = publisher.New(publisher.Config{
 			BytesPerSecond:    float64(n.plan.Rates.RelayBytes),
 			Burst:             burstSeconds * float64(n.plan.Rates.RelayBytes),
-			MaxSnapshots:      relaySnapshots,
 			HeartbeatInterval: n.plan.Rates.Heartbeat.D(),
 			Seed:              n.random.Uint64(),
 			Age:               p.age,
--- a/internal/kit/scale/processes/daemon.go
+++ b/internal/kit/scale/processes/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -82,22 +81,7 @@
 
 // status is what the daemon says of its configuration.
 func (d *daemon) status() (*node.ControlStatus, error) {
-	conn, err := net.Dial("unix", d.socket)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	for in := json.NewDecoder(conn); ; {
-		var line struct {
-			Control *node.ControlStatus `json:"control"`
-		}
-		if err := in.Decode(&line); err != nil {
-			return nil, err
-		}
-		if line.Control != nil {
-			return line.Control, nil
-		}
-	}
+	return node.ReadControlStatus(d.socket)
 }
 
 // position is what the daemon has in force.
@@ -106,7 +90,7 @@
 	if err != nil {
 		return ""
 	}
-	return fmt.Sprintf("%d.%d", s.Epoch, s.Version)
+	return s.Position().String()
 }
 
 var requests atomic.Int64
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"hash/fnv"
 	"log/slog"
+	"net"
 	"slices"
 	"time"
 
@@ -125,6 +127,32 @@
 	Sessions controlnet.Counts `json:"sessions"`
 }
 
+// Position is where the node's configuration stands in the log of its region.
+func (s *ControlStatus) Position() resource.Position {
+	return resource.Position{Epoch: s.Epoch, Version: s.Version}
+}
+
+// ReadControlStatus asks the node at a local socket where its configuration stands. io.EOF says that it follows no control
+// plane.
+func ReadControlStatus(socket string) (*ControlStatus, error) {
+	conn, err := net.Dial("unix", socket)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	for in := json.NewDecoder(conn); ; {
+		var line struct {
+			Control *ControlStatus `json:"control"`
+		}
+		if err := in.Decode(&line); err != nil {
+			return nil, err
+		}
+		if line.Control != nil {
+			return line.Control, nil
+		}
+	}
+}
+
 // status is where the node's configuration stands now.
 func (c *control) status() ControlStatus {
 	status := c.process.Status()
