The log tells a shutdown's steps, why connections close, and which requests are refused

Need: the incident's evidence could not tell what a node did between SIGTERM and the kill, or how many requests were open. Change: a line for each step of a shutdown with the connections and requests that there are (info); why a client's connection was closed, and the ids of refused and failed requests (debug). The shutdown has a file of its own. Nothing is decided otherwise. Measured: internal/httpfront and internal/node pass with -race.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -374,10 +374,13 @@
 			}
 		case policy.ActRefuse:
 			if e.tells {
-				e.log.LogAttrs(e.ctx, slog.LevelDebug, "refused", slog.Duration("retry_after", a.Wait))
+				e.log.LogAttrs(e.ctx, slog.LevelDebug, "refused", slog.String("request", a.ID), slog.Duration("retry_after", a.Wait))
 			}
 			e.finish(a.ID, Answer{Kind: Refused, RetryAfter: a.Wait})
 		case policy.ActFail:
+			if e.tells {
+				e.log.LogAttrs(e.ctx, slog.LevelDebug, "failed", slog.String("request", a.ID))
+			}
 			e.finish(a.ID, Answer{Kind: Failed})
 		case policy.ActTimer:
 			token := a.Token
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -12,7 +12,21 @@
 	"craneglade/internal/sock"
 )
 
-// clientConn is one of them.
+// closeReason says why a connection of a client ended, for the log.
+type closeReason string
+
+const (
+	clientLeft        closeReason = "its client left before its answer"
+	nothingCame       closeReason = "no request came on it"
+	noRequest         closeReason = "what came on it was no request"
+	dropped           closeReason = "it made room for another, or the node ends"
+	idIsOpen          closeReason = "its request had the id of an open one"
+	answerNotTaken    closeReason = "its client did not take its answer"
+	lastAnswer        closeReason = "its last answer was given"
+	endedBehindAnswer closeReason = "it made room behind its answer, or the node ends"
+)
+
+// clientConn is one connection of a client.
 type clientConn struct {
 	net.Conn
 	start time.Time
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -98,57 +97,6 @@
 	return s
 }
 
-// Serve answers clients on ln until ctx ends and then until all that was taken is answered.
-func (s *Front) Serve(ctx context.Context, ln net.Listener) error {
-	defer s.stop()
-	failed := make(chan error, 1)
-	go func() { failed <- s.accept(ln) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
-	}
-	// Connections go on coming for a while, and clients go on using those that they have. What a node answers until it
-	// is killed is not missing elsewhere: it serves them for as long as their answers can still be in time.
-	begun := time.Now()
-	shutdown := s.engine.Shutdown()
-	s.leaving.Store(true)
-	s.log.Info("leaving: serving the connections that there are, then finishing what was taken", "serves", shutdown.Serves)
-	time.Sleep(acceptFor)
-	err := ln.Close()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		// The loop may wait for one of the connections beyond the room to end before it sees that: the steps below don't.
-		if e := <-failed; !errors.Is(e, net.ErrClosed) {
-			err = errors.Join(err, e)
-		}
-		s.wg.Wait()
-	}()
-	for _, step := range []struct {
-		after time.Duration
-		do    func()
-	}{
-		{max(acceptFor, shutdown.Serves), func() {
-			s.closing.Store(true) // each answer now tells its client to close
-			s.closeAll(false)     // and the clients of connections that carry no request turn to other nodes
-		}},
-		{shutdown.Last, func() { s.closeAll(true) }}, // the last deadline has passed
-	} {
-		select {
-		case <-done:
-			return err
-		case <-time.After(time.Until(begun.Add(step.after))):
-			step.do()
-		}
-	}
-	<-done
-	return err
-}
-
-// Leaving tells whether the front was told to end.
-func (s *Front) Leaving() bool { return s.leaving.Load() }
-
 // accept takes in connections until ln is closed.
 func (s *Front) accept(ln net.Listener) error {
 	for {
@@ -178,8 +126,9 @@
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
-			s.talk(c)
+			reason := s.talk(c)
 			c.Close()
+			s.log.Debug("connection closed", "client", c.RemoteAddr(), "reason", reason, "lasted", time.Since(c.start))
 			s.mu.Lock()
 			s.forget(c)
 			s.release(c)
@@ -274,19 +223,6 @@
 	}
 }
 
-// closeAll closes the connections that carry no request, not even one that is coming; with cut it breaks off the others too.
-func (s *Front) closeAll(cut bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if cut {
-			c.Close()
-		} else if st := c.account.State(); st != admission.Busy && st != admission.Reading && sock.Pending(c.Conn) != sock.Bytes {
-			s.drop(c)
-		}
-	}
-}
-
 // ChangeShares changes the shares of tenants in this node. The lock that it takes is that of all connections: the caller
 // hands in few changes at a time.
 func (s *Front) ChangeShares(changes []admission.ShareChange) {
@@ -343,75 +279,94 @@
 	return !c.closing && !s.closing.Load() // its answer may have been worded just before the node's connections were to end
 }
 
-// talk answers one request after the other.
-func (s *Front) talk(c *clientConn) {
+// talk answers one request after the other, and tells why there is none after the last.
+func (s *Front) talk(c *clientConn) closeReason {
 	for {
 		r, no := s.read(c)
 		if no != nil {
-			if s.dropped(c) { // its client was cut off in the middle of a request, by no fault of its own
-				no = &message.Rejection{Status: http.StatusServiceUnavailable, Text: "this connection ends"}
-			}
-			if no.Status != http.StatusServiceUnavailable { // want of room here is not its client's doing
-				s.rejected(c)
-			}
-			c.reject(no)
-			return
+			return s.turnAway(c, no)
 		}
 		if r == nil {
-			if !c.used {
-				s.rejected(c)
-			}
-			return
+			return s.ended(c)
 		}
 		if !s.begin(c, r) && !s.leaving.Load() {
 			c.over = true
 		}
-		a, ok := s.answer(c, r)
-		last := r.In.Close || c.over || c.extra || s.closing.Load() || !r.Body.IsDrained() || c.flooded != nil || ok && s.leaves(c)
-		if !ok {
-			return
+		a, gone := s.answer(c, r)
+		last := r.In.Close || c.over || c.extra || s.closing.Load() || !r.Body.IsDrained() || c.flooded != nil || gone == "" && s.leaves(c)
+		if gone != "" {
+			return gone
 		}
 		err := c.write(r.In, a, last)
 		a.reply.Release()
-		if err == nil && last {
+		if err != nil {
+			return answerNotTaken
+		}
+		if last {
 			c.linger()
+			return lastAnswer
 		}
-		if err != nil || last || !s.rest(c) {
-			return
+		if !s.rest(c) {
+			return endedBehindAnswer
 		}
 	}
 }
 
-// answer gives a request exactly one answer, unless its client leaves before.
-func (s *Front) answer(c *clientConn, r *message.Request) (answer, bool) {
+// turnAway answers what came on a connection and is no request.
+func (s *Front) turnAway(c *clientConn, no *message.Rejection) closeReason {
+	reason := noRequest
+	if s.dropped(c) { // its client was cut off in the middle of a request, by no fault of its own
+		no = &message.Rejection{Status: http.StatusServiceUnavailable, Text: "this connection ends"}
+		reason = dropped
+	}
+	if no.Status != http.StatusServiceUnavailable { // want of room here is not its client's doing
+		s.rejected(c)
+	}
+	c.reject(no)
+	return reason
+}
+
+// ended notes a connection on which nothing more came.
+func (s *Front) ended(c *clientConn) closeReason {
+	if !c.used {
+		s.rejected(c)
+	}
+	if s.dropped(c) {
+		return dropped
+	}
+	return nothingCame
+}
+
+// answer gives a request exactly one answer, unless its client leaves before: gone tells why its connection ends without.
+func (s *Front) answer(c *clientConn, r *message.Request) (a answer, gone closeReason) {
 	if r.ID == "" {
-		return answer{status: s.readiness()}, true
+		return answer{status: s.readiness()}, ""
 	}
 	if c.over || r.Shed { // nothing was sent: refusing is harmless, whatever the class
 		r.Release()
-		return answer{status: http.StatusServiceUnavailable, body: []byte("too much at once\n"), retryAfter: 250 * time.Millisecond}, true
+		return answer{status: http.StatusServiceUnavailable, body: []byte("too much at once\n"), retryAfter: 250 * time.Millisecond}, ""
 	}
 	if r.Body.IsDrained() {
 		c.cap.N = message.MaxHead
 		if c.left() {
 			r.Release()
-			return answer{}, false
+			return answer{}, clientLeft
 		}
 	}
 	if !s.engine.Begin(&r.Request) {
 		r.Release()
 		c.reject(&message.Rejection{Status: http.StatusConflict, Text: "X-Request-Id: a request with this id is open"})
-		return answer{}, false
+		return answer{}, idIsOpen
 	}
 	select {
 	case a := <-r.Done():
-		return told(a), true
+		return told(a), ""
 	default:
 	}
 	if !r.Body.IsDrained() { // an attempt reads the client's connection
 		select {
 		case a := <-r.Done():
-			return told(a), true
+			return told(a), ""
 		case <-r.Body.Drained:
 		}
 	}
@@ -423,10 +378,10 @@
 	case a := <-r.Done():
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
 		<-left
-		return told(a), true
+		return told(a), ""
 	case gone := <-left:
 		if !gone { // by nobody but the node's end
-			return told(<-r.Done()), true
+			return told(<-r.Done()), ""
 		}
 		s.engine.Cancel(&r.Request)
 		select {
@@ -438,7 +393,7 @@
 			t.reply.Release()
 		default:
 		}
-		return answer{}, false
+		return answer{}, clientLeft
 	}
 }
 
