--- a/cmd/craneglade/main_test.go
+++ b/cmd/craneglade/main_test.go
@@ -192,12 +192,12 @@
 	return startAs(t, exec.Command(built(t)), discovery, config(inFile))
 }
 
-// startAs is start of a command of the caller's, with the text of its file.
+// startAs is start of a command of the caller's, with the text of its file. Where the command has an environment, that is added to.
 func startAs(t *testing.T, cmd *exec.Cmd, discovery, text string) *program {
 	t.Helper()
 	p := &program{addr: freeAddr(t), config: write(t, text), cmd: cmd, exited: make(chan error, 1)}
 	p.cmd.Stderr = &p.log
-	p.cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_LISTEN="+p.addr, "GW_DISCOVERY="+discovery, "GW_CONFIG="+p.config)
+	p.cmd.Env = append(cmd.Environ(), "GW_NAME=n0", "GW_LISTEN="+p.addr, "GW_DISCOVERY="+discovery, "GW_CONFIG="+p.config)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
