The end of a drain's grace is no wall-clock time, and leaves room for a held-up process

Cause: Backend kept it as Unix nanoseconds, so that a clock set back an hour let requests be written to a drained backend for that hour; and 0.9 of a grace of 1 s covered one hold-up of 0.15 s, not one before the news is read and one before the write. The policy's use of an empty list ended at 0.8 of the grace where its other drains end at 0.6. Change: a moment of the monotonic clock, the grace less two hold-ups, one part of the grace for both.

--- a/cmd/craneglade/shutdown_test.go
+++ b/cmd/craneglade/shutdown_test.go
@@ -219,8 +219,11 @@
 }
 
 // ask sends a request and returns its answer's status; 0 where the connection ends without one.
-func (c *shutdownClient) ask(id string) (status int) {
-	_, err := fmt.Fprintf(c.conn, "GET /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: a\r\nX-Deadline: %dm\r\n\r\n", id, longestDeadline.Milliseconds())
+func (c *shutdownClient) ask(id string) (status int) { return c.askFor(id, longestDeadline) }
+
+// askFor is ask by a client that waits for so long.
+func (c *shutdownClient) askFor(id string, wait time.Duration) (status int) {
+	_, err := fmt.Fprintf(c.conn, "GET /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: a\r\nX-Deadline: %dm\r\n\r\n", id, wait.Milliseconds())
 	if err != nil {
 		return 0
 	}
--- a/internal/engine/index.go
+++ b/internal/engine/index.go
@@ -39,7 +39,7 @@
 		x.size++
 		x.changes++
 	}
-	x.count(b, b.stop.Load() == 0)
+	x.count(b, b.stop.Load() == nil)
 }
 
 // remove takes a backend out. One that is not there changes nothing.
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -40,10 +40,10 @@
 	addrs   atomic.Pointer[[]string]
 	started int64
 	key     judgement.Key
-	left    bool         // off the list; guarded by the engine's lock
-	opened  bool         // counted in Engine.listed as one that takes new requests; guarded by the engine's lock
-	drops   int          // times it was dropped from the list; guarded by the engine's lock
-	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
+	left    bool                      // off the list; guarded by the engine's lock
+	opened  bool                      // counted in Engine.listed as one that takes new requests; guarded by the engine's lock
+	drops   int                       // times it was dropped from the list; guarded by the engine's lock
+	stop    atomic.Pointer[time.Time] // from when nothing new may be written to it; nil for none
 }
 
 // Addrs are all addresses of the box where it has several; nil for Addr alone.
@@ -66,17 +66,17 @@
 // Shut tells whether nothing new may be written to the box any more: its drain's grace is over.
 func (b *Backend) Shut() bool {
 	stop := b.stop.Load()
-	return stop != 0 && time.Now().UnixNano() >= stop
+	return stop != nil && !time.Now().Before(*stop)
 }
 
 // ShutFrom has nothing new written to the box from t on, or from an earlier moment that was told before.
 func (b *Backend) ShutFrom(t time.Time) {
-	for old := b.stop.Load(); (old == 0 || t.UnixNano() < old) && !b.stop.CompareAndSwap(old, t.UnixNano()); old = b.stop.Load() {
+	for old := b.stop.Load(); (old == nil || t.Before(*old)) && !b.stop.CompareAndSwap(old, &t); old = b.stop.Load() {
 	}
 }
 
 // Reopen takes a ShutFrom back.
-func (b *Backend) Reopen() { b.stop.Store(0) }
+func (b *Backend) Reopen() { b.stop.Store(nil) }
 
 // Follow sets the source of lists, with the list that is known before it tells one.
 func (e *Engine) Follow(s Source, known *List) {
@@ -233,10 +233,15 @@
 	e.forgetDropped()
 }
 
-// drain lets nothing new be written to a box once its grace is over, less the time that the news took.
+// drain lets nothing new be written to a box once its grace is over.
 func (e *Engine) drain(b *Backend) {
-	grace := e.set.DrainGrace * 9 / 10
-	b.ShutFrom(time.Now().Add(grace))
+	b.ShutFrom(time.Now().Add(writableFor(e.set.DrainGrace)))
+}
+
+// writableFor is for how long new requests may be written to a box from the moment at which news of its drain was read: its grace,
+// less the times for which the process may be held up before it reads the news, and between its last look at the clock and the write.
+func writableFor(grace time.Duration) time.Duration {
+	return max(0, min(grace*9/10, grace-2*heldUp))
 }
 
 // drop takes a box off the list. It stays known until its grace is over: the module may go on with the last of a list
--- a/internal/engine/list_test.go
+++ b/internal/engine/list_test.go
@@ -213,7 +213,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id, b := range e.names {
-		all = append(all, fmt.Sprintf("name %s: %d %s left %v closed %v", id, b.Number, b.Addr, b.left, b.stop.Load() != 0))
+		all = append(all, fmt.Sprintf("name %s: %d %s left %v closed %v", id, b.Number, b.Addr, b.left, b.stop.Load() != nil))
 	}
 	for n, b := range e.boxes {
 		all = append(all, fmt.Sprintf("number %d: %s %s %d", n, b.ID, b.Addr, b.started))
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -65,7 +65,7 @@
 	for i := range stands {
 		s := &stands[i]
 		if b := e.names[s.Box.ID]; b != nil && !s.Use && b.Addr == s.Box.Addr {
-			b.ShutFrom(time.Now().Add(s.Told - e.clock.Now() + e.set.DrainGrace*9/10))
+			b.ShutFrom(time.Now().Add(s.Told - e.clock.Now() + writableFor(e.set.DrainGrace)))
 			if !b.left {
 				e.listed.update(b)
 			}
--- a/internal/engine/shutdown_test.go
+++ b/internal/engine/shutdown_test.go
@@ -125,3 +125,17 @@
 		}
 	})
 }
+
+// A process that is held up before it reads news of a drain, and again between its last look at the clock and the write, has
+// still written within the grace; of a long grace a tenth is left for the news' way.
+func TestGraceLeavesTimeForBeingHeldUp(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ grace, want time.Duration }{
+		{10 * time.Second, 9 * time.Second}, {time.Second, 700 * time.Millisecond}, {500 * time.Millisecond, 200 * time.Millisecond},
+		{200 * time.Millisecond, 0}, {0, 0},
+	} {
+		if got := writableFor(c.grace); got != c.want {
+			t.Errorf("a grace of %v: %v, want %v", c.grace, got, c.want)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -661,7 +661,7 @@
 		grace := 0.0
 		if len(ev.Entries) == 0 && len(b.order) > 0 {
 			// More likely a broken list than an empty fleet: ask again, use the old one as the drain rule lets us.
-			grace = now + b.set.DrainGrace.Seconds()*0.8
+			grace = now + drainPart*b.set.DrainGrace.Seconds()
 			b.do(Action{Kind: ActFetch})
 			b.log("the server list came empty; using the old one for its grace")
 		}
