System calls that fail for a moment lose no request, end no process and blame no backend

Cause: accept took all but three errors for the listener's end, and the process ended with all its requests (ENOBUFS and others); an interrupted look at a socket was taken for its client's close, so that a request that was read got no answer; a socket that the machine refused for a moment was a backend's refusal and the request's; and a start ended at its first refused socket. Change: package sock tells passing errors of accept, socket and connect from others; dials are tried again within the connect timeout, listening for 5 s; an interrupted look is begun again.

--- a/cmd/craneglade/shutdown_test.go
+++ b/cmd/craneglade/shutdown_test.go
@@ -311,13 +311,19 @@
 	t.Helper()
 	folder := t.TempDir()
 	c := &wallClock{library: filepath.Join(folder, "stepclock.so"), file: filepath.Join(folder, "offset")}
-	if out, err := exec.Command("cc", "-shared", "-fPIC", "-O1", "-fno-stack-protector", "-o", c.library, "testdata/stepclock.c", "-ldl").CombinedOutput(); err != nil {
-		t.Fatalf("cc: %v\n%s", err, out)
-	}
+	buildLibrary(t, "testdata/stepclock.c", c.library)
 	c.set(t, 0)
 	return c
 }
 
+// buildLibrary builds a library that is to be preloaded into a process.
+func buildLibrary(t *testing.T, source, library string) {
+	t.Helper()
+	if out, err := exec.Command("cc", "-shared", "-fPIC", "-O1", "-fno-stack-protector", "-o", library, source, "-ldl", "-lpthread").CombinedOutput(); err != nil {
+		t.Fatalf("cc: %v\n%s", err, out)
+	}
+}
+
 // environment is that of a process with this clock.
 func (c *wallClock) environment() []string {
 	return append(os.Environ(), "LD_PRELOAD="+c.library, "STEPCLOCK_FILE="+c.file)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -5,14 +5,12 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"craneglade/internal/admission"
@@ -29,7 +27,8 @@
 	// bodyRate is what a body beyond the usual size has to come at, in bytes a second.
 	bodyRate = 1 << 20
 	// acceptFor is how long after SIGTERM connections are still accepted: whoever deals them out notices only after a while.
-	acceptFor = 500 * time.Millisecond
+	acceptFor   = 500 * time.Millisecond
+	acceptAgain = 5 * time.Millisecond
 	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
 	headTime = 1500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
 	bodyTime = time.Second             // from there to the last byte
@@ -104,11 +103,12 @@
 		conn, err := ln.Accept()
 		if err != nil {
 			<-s.extra
-			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
-				time.Sleep(5 * time.Millisecond)
-				continue
+			if !sock.AcceptGoesOn(err) {
+				return err
 			}
-			return err
+			s.log.Debug("a connection was not accepted", "err", err)
+			time.Sleep(acceptAgain)
+			continue
 		}
 		c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
 		c.cap.R, c.account.Owner, c.account.From = scanned{conn, &c.framing}, c, host(conn.RemoteAddr())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,11 +28,15 @@
 	"craneglade/internal/rpccarrier"
 	"craneglade/internal/rpcfront"
 	"craneglade/internal/settings"
+	"craneglade/internal/sock"
 )
 
 const (
 	minSockets = 64 // with fewer descriptors a node cannot serve
 	ownSockets = 16 // descriptors for anything but clients and boxes
+	// listenPatience is how long a start waits for its addresses where they are refused for a moment, or a process that was killed
+	// still has them: a part of the 10 s within which it is to be ready.
+	listenPatience = 5 * time.Second
 )
 
 type node struct {
@@ -66,7 +70,10 @@
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	}
 	debug.SetGCPercent(400) // the live heap is small; collecting it often would be felt as latency
-	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Listen)
+	listen := func(address string) (net.Listener, error) {
+		return sock.Listen(ctx, address, listenPatience, func(err error) { log.Warn("waiting to listen", "address", address, "err", err) })
+	}
+	ln, err := listen(cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -93,7 +100,7 @@
 	if n.rpcs == nil {
 		return n.front.Serve(ctx, ln)
 	}
-	second, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Own.JSONRPC.Listen)
+	second, err := listen(cfg.Own.JSONRPC.Listen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("jsonrpc.listen: %w", err), ln.Close())
 	}
@@ -133,7 +140,7 @@
 	if cfg.backendQuota != nil {
 		boxes = cfg.backendQuota
 	}
-	dialer := net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
+	dialer := sock.Dialer{Dialer: net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}}
 	dial := cfg.dial
 	if dial == nil {
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -24,6 +23,7 @@
 	"craneglade/internal/jsonrpc"
 	"craneglade/internal/quota"
 	"craneglade/internal/rpccarrier"
+	"craneglade/internal/sock"
 	"craneglade/policy"
 )
 
@@ -34,13 +34,14 @@
 )
 
 const (
-	acceptFor  = 500 * time.Millisecond // after the node is told to end
-	frameTime  = 2500 * time.Millisecond
-	firstTime  = 10 * time.Second // for the first byte on a new connection
-	writeTime  = 2 * time.Second
-	lingerTime = 100 * time.Millisecond
-	lingerSize = 256 << 10
-	refuseWait = 250 * time.Millisecond
+	acceptFor   = 500 * time.Millisecond // after the node is told to end
+	acceptAgain = 5 * time.Millisecond   // after an error of accept that says nothing of the listener
+	frameTime   = 2500 * time.Millisecond
+	firstTime   = 10 * time.Second // for the first byte on a new connection
+	writeTime   = 2 * time.Second
+	lingerTime  = 100 * time.Millisecond
+	lingerSize  = 256 << 10
+	refuseWait  = 250 * time.Millisecond
 )
 
 // Method is what the settings say of a method.
@@ -151,11 +152,12 @@
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
-			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
-				time.Sleep(5 * time.Millisecond)
-				continue
+			if !sock.AcceptGoesOn(err) {
+				return err
 			}
-			return err
+			f.cfg.Log.Debug("a connection was not accepted", "err", err)
+			time.Sleep(acceptAgain)
+			continue
 		}
 		c := &conn{Conn: nc, front: f, slots: make(chan struct{}, f.cfg.Inflight), open: map[string]bool{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/internal/sock/pending.go
+++ b/internal/sock/pending.go
@@ -33,9 +33,12 @@
 	}
 	l.look = func(fd uintptr) {
 		var b byte
-		n, _, err := syscall.Syscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b)), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		n, err := uintptr(0), syscall.EINTR
+		for err == syscall.EINTR { // an interrupted look has seen nothing, and says nothing of the other side
+			n, _, err = syscall.Syscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b)), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		}
 		switch {
-		case err == syscall.EAGAIN:
+		case err == syscall.EAGAIN, err == syscall.ENOMEM, err == syscall.ENOBUFS:
 			l.seen = Nothing
 		case err == 0 && n > 0:
 			l.seen = Bytes
