A listener closes only once its backlog is accepted, where the process was held up

Cause: 0.5 s after SIGTERM the listener closed whatever waited in its backlog; a process held up until then had its timer and the waiting connections at one moment, and the system reset what lost. Change: both fronts close the listener once poll(2) shows nothing waiting, 0.2 s later at the latest.

--- a/cmd/craneglade/shutdown_test.go
+++ b/cmd/craneglade/shutdown_test.go
@@ -29,6 +29,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -67,6 +68,38 @@
 	})
 }
 
+// Requests on connections that come while they may still come, to a process that is held up until it is to take no more, have
+// their answers. Where a listener closes before they are accepted, the system resets them.
+func TestConnectionsInTheBacklogAreAnsweredWhileLeaving(t *testing.T) {
+	const (
+		heldFrom  = 380 * time.Millisecond // PROTOCOL has new connections go on coming for 0.4 s
+		heldUntil = heldFrom + heldUp
+		late      = 200
+	)
+	p := startShutdownPlay(t, builtForDeployment(t))
+	process := p.program.cmd.Process
+	told := time.Now()
+	process.Signal(syscall.SIGTERM)
+	time.Sleep(time.Until(told.Add(heldFrom)))
+	process.Signal(syscall.SIGSTOP)
+	var asking sync.WaitGroup
+	var answered atomic.Int64
+	for i := range late {
+		c := newShutdownClient(t, p.program.addr) // the kernel takes it
+		asking.Go(func() {
+			if c.ask(fmt.Sprint("warm-late-", i)) != 0 {
+				answered.Add(1)
+			}
+		})
+	}
+	time.Sleep(time.Until(told.Add(heldUntil)))
+	process.Signal(syscall.SIGCONT)
+	asking.Wait()
+	if n := answered.Load(); n != late {
+		t.Errorf("%d of %d requests on connections that came in time were answered\n%s", n, late, p.program.log.String())
+	}
+}
+
 // A wall clock that is set during a shutdown moves none of its bounds.
 func TestWallClockIsSetDuringAShutdown(t *testing.T) {
 	bin := builtForDeployment(t)
--- a/internal/httpfront/shutdown.go
+++ b/internal/httpfront/shutdown.go
@@ -15,6 +15,9 @@
 // closeEvery is how often, once all that was taken is to be answered, connections are closed whose request goes on coming.
 const closeEvery = 20 * time.Millisecond
 
+// backlogTime is how long connections that came before the listener is to close are still accepted, where the process is late.
+const backlogTime = 200 * time.Millisecond
+
 // Serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (s *Front) Serve(ctx context.Context, ln net.Listener) error {
 	defer s.stop()
@@ -37,7 +40,7 @@
 	s.log.Info("leaving: serving the connections that there are, then finishing what was taken", "serves", shutdown.Serves,
 		"answered_after", shutdown.Answered, "may_be_killed_after", shutdown.Killed)
 	time.Sleep(time.Until(shutdown.Begun.Add(acceptFor)))
-	err := ln.Close()
+	err := sock.CloseListener(ln, backlogTime)
 	s.tell("listener closed", &shutdown)
 	ended := make(chan struct{})
 	go func() {
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -35,6 +35,7 @@
 
 const (
 	acceptFor   = 500 * time.Millisecond // after the node is told to end
+	backlogTime = 200 * time.Millisecond // and longer, where connections wait to be accepted
 	acceptAgain = 5 * time.Millisecond   // after an error of accept that says nothing of the listener
 	frameTime   = 2500 * time.Millisecond
 	firstTime   = 10 * time.Second // for the first byte on a new connection
@@ -113,7 +114,7 @@
 	shutdown := f.cfg.Engine.Shutdown(time.Now())
 	f.leaving.Store(true)
 	time.Sleep(time.Until(shutdown.Begun.Add(acceptFor)))
-	err := ln.Close()
+	err := sock.CloseListener(ln, backlogTime)
 	if e := <-failed; !errors.Is(e, net.ErrClosed) {
 		err = errors.Join(err, e)
 	}
