An attempt looks at its client's socket right before its first byte

Cause: an attempt went by what the front had read; a process that is held up between an attempt's look at the clock and its write goes on before the front has seen a close of that time. Change: MayBegin asks the socket itself, behind the clock, one peek an attempt. Tests of both halves; internal/engine, httpfront and node pass with -race.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,6 +46,8 @@
 	Arrived  time.Time     // when its first byte came
 	Patience time.Duration // for how long its client waits from then on
 	Payload  any           // what carriers send; told by Release, if it has that, once nothing more can come of it
+	// Left looks, without waiting, whether the client has left; nil where nobody can tell. It may be called by several at once.
+	Left func() bool
 
 	until    time.Duration
 	attempts []*Attempt
@@ -90,10 +92,14 @@
 	cancel context.CancelFunc
 }
 
-// MayBegin tells whether the attempt may still go out: its request waits for an answer, its backend's drain grace is not
-// over, and neither is the time in which repeats are dropped. Carriers ask right before the first byte.
+// MayBegin tells whether the attempt may still go out: its backend's drain grace is not over, neither is the time in which
+// repeats are dropped, and its client waits for an answer. Carriers ask right before the first byte.
 func (a *Attempt) MayBegin() bool {
-	return !a.Request.answered.Load() && !a.Backend.Shut() && (a.By.IsZero() || time.Now().Before(a.By))
+	if a.Backend.Shut() || !a.By.IsZero() && !time.Now().Before(a.By) {
+		return false
+	}
+	// Behind the clock: a process that is held up as it reads that goes on before its front has seen a client's close.
+	return !a.Request.answered.Load() && (a.Request.Left == nil || !a.Request.Left())
 }
 
 // Deliver gives the request an answer that is still coming, unless it has one. The attempt's result, in the end, tells
--- a/internal/engine/shutdown_test.go
+++ b/internal/engine/shutdown_test.go
@@ -139,3 +139,17 @@
 		}
 	}
 }
+
+// An attempt does not begin for a client that has left, also where its front has not said so yet.
+func TestAttemptDoesNotBeginForAClientThatLeft(t *testing.T) {
+	t.Parallel()
+	left := false
+	a := &Attempt{Request: &Request{Left: func() bool { return left }}, Backend: &Backend{}}
+	if !a.MayBegin() {
+		t.Error("it does not begin for a client that waits")
+	}
+	left = true
+	if a.MayBegin() {
+		t.Error("it begins for a client that has left")
+	}
+}
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"craneglade/internal/admission"
@@ -37,9 +38,10 @@
 	over    bool // there were too many already when it came
 	extra   bool // it is one of those beyond the room
 
-	look    *sock.Look
-	used    bool   // a request on it has been answered
-	flooded []byte // where what came behind a request and can't be kept was read to; nil where nothing was dropped
+	look    *sock.Look // for the connection's own goroutine
+	seen    lastLook   // for attempts
+	used    bool       // a request on it has been answered
+	flooded []byte     // where what came behind a request and can't be kept was read to; nil where nothing was dropped
 
 	// Guarded by clients.mu.
 	account admission.Conn
@@ -77,6 +79,19 @@
 	return false
 }
 
+// lastLook is a look at a connection for several goroutines.
+type lastLook struct {
+	mu   sync.Mutex
+	look *sock.Look
+}
+
+// ended tells, without waiting, whether the other side has closed its connection and all that it sent before was read.
+func (l *lastLook) ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.look.Pending() == sock.Ended
+}
+
 // watch reads on while a request is being answered, and tells whether the client has closed its connection; not where a
 // deadline in the past ends it.
 func (c *clientConn) watch() (gone bool) {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -110,7 +110,7 @@
 			time.Sleep(acceptAgain)
 			continue
 		}
-		c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn)}
+		c := &clientConn{Conn: conn, start: time.Now(), look: sock.NewLook(conn), seen: lastLook{look: sock.NewLook(conn)}}
 		c.cap.R, c.account.Owner, c.account.From = scanned{conn, &c.framing}, c, host(conn.RemoteAddr())
 		c.in = bufio.NewReader(&c.cap)
 		c.granted = s.quota.Claim(s.Yield)
@@ -353,6 +353,7 @@
 			return answer{}, clientLeft
 		}
 	}
+	r.Left = c.seen.ended
 	if !s.engine.Begin(&r.Request) {
 		r.Release()
 		c.reject(&message.Rejection{Status: http.StatusConflict, Text: "X-Request-Id: a request with this id is open"})
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -104,6 +104,32 @@
 	return client, server
 }
 
+// An attempt sees a client's close on its socket; what a client sends behind its request is none.
+func TestLastLookSeesAClose(t *testing.T) {
+	t.Parallel()
+	client, server := tcpPair(t)
+	l := lastLook{look: sock.NewLook(server)}
+	if l.ended() {
+		t.Error("a connection that stands has ended")
+	}
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if l.ended() {
+		t.Error("a connection on which something came has ended")
+	}
+	client.Close()
+	if n, err := server.Read(make([]byte, 1)); err != io.EOF { // the close is there, and its front has read it
+		t.Fatalf("read %d, %v", n, err)
+	}
+	if !l.ended() {
+		t.Error("a closed connection stands")
+	}
+}
+
 // A deadline that has passed is no client's close: a request whose connection made room for another while its last bytes came is
 // still answered, also where something lies behind it.
 func TestAPassedDeadlineIsNoClose(t *testing.T) {
