Rehearsals kill as early as the protocol allows, and clients use open connections until then

Cause: the kit killed 3.7 s after SIGTERM whatever the deadlines, and its clients left a node 0.3 s after SIGTERM: it could not have shown the incident. Change: the kill comes the longest deadline (3 s at most) and 0.7 s after SIGTERM, clients go on using the connections that they have; the preloaded libraries of the tests are a package of the kit, processfaults. The drain test waits for the backend's connections to end before it counts: it had failed once as the backend's goroutine had not accepted yet when the answer was there (traced: a race in the test).

--- a/cmd/craneglade/draingrace_test.go
+++ b/cmd/craneglade/draingrace_test.go
@@ -23,9 +23,9 @@
 	const grace = 500 * time.Millisecond
 	backend := newFullBackend(t)
 	list := newNewsList(t, backend.addr)
-	clock := newWallClock(t)
+	faults := newFaults(t)
 	cmd := exec.Command(builtForDeployment(t))
-	cmd.Env = clock.environment()
+	cmd.Env = append(os.Environ(), faults.Environment()...)
 	text := strings.Replace(config(""), `"policy_limits"`, fmt.Sprintf(`"invariants":{"drain_grace_s":%g},"policy_limits"`, grace.Seconds()), 1)
 	p := startAs(t, cmd, list.addr, text)
 
@@ -35,17 +35,16 @@
 	backend.waitForDial(t)
 	list.drain(t)
 	told := time.Now()
-	clock.set(t, -time.Hour)
+	setClock(t, faults, -time.Hour)
 	time.Sleep(time.Until(told.Add(grace)))
 	backend.takeConnections()
 
 	if got := <-status; got == http.StatusOK || got == 0 {
 		t.Errorf("the request is answered %d; want it refused or failed", got)
 	}
-	if n := backend.dialled.Load(); n == 0 {
-		t.Error("no connection of the node came up: the play shows nothing")
-	}
-	if n := backend.received.Load(); n > 0 {
+	backend.waitForConnection(t) // without one the play would show nothing
+	p.leave(t)                   // its connections end, and what came on them is counted
+	if n := backend.receivedInAll(t); n > 0 {
 		t.Errorf("%d bytes were written to a backend whose grace was over", n)
 	}
 }
@@ -55,8 +54,9 @@
 	addr     string
 	listener net.Listener
 	fillers  []net.Conn
-	dialled  atomic.Int64 // connections that came up once it took some, beside its own fillers
-	received atomic.Int64 // bytes on them
+	taken    atomic.Int64 // connections that it took, beside its own fillers
+	ended    atomic.Int64 // those of them that have ended
+	received atomic.Int64 // bytes on those
 	all      sync.WaitGroup
 }
 
@@ -138,17 +138,39 @@
 				c.Close()
 				continue
 			}
-			b.dialled.Add(1)
+			b.taken.Add(1)
 			b.all.Go(func() {
 				defer c.Close()
 				c.SetReadDeadline(time.Now().Add(patience))
 				n, _ := io.Copy(io.Discard, c)
 				b.received.Add(n)
+				b.ended.Add(1)
 			})
 		}
 	})
 }
 
+// waitForConnection waits until it has taken one.
+func (b *fullBackend) waitForConnection(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(patience); b.taken.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no connection of the node came up")
+		}
+	}
+}
+
+// receivedInAll waits until all connections have ended, and returns the bytes that came on them.
+func (b *fullBackend) receivedInAll(t *testing.T) int64 {
+	t.Helper()
+	for end := time.Now().Add(patience); b.ended.Load() < b.taken.Load(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a connection of the node does not end")
+		}
+	}
+	return b.received.Load()
+}
+
 // newsList is a discovery with one backend, which it tells to drain when the test says so.
 type newsList struct {
 	addr string
--- a/cmd/craneglade/shutdown_test.go
+++ b/cmd/craneglade/shutdown_test.go
@@ -16,7 +16,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -33,6 +32,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"craneglade/internal/kit/processfaults"
 )
 
 const (
@@ -110,7 +111,7 @@
 		p := startShutdownPlay(t, bin)
 		p.program.cmd.Process.Signal(syscall.SIGTERM)
 		p.logged(t, "leaving")
-		p.clock.set(t, time.Hour)
+		setClock(t, p.faults, time.Hour)
 		status := p.clients[0].ask("warm-behind")
 		if status != http.StatusOK {
 			t.Errorf("a request that a backend answers at once: %d; want it served", status)
@@ -142,7 +143,7 @@
 // shutdownPlay is a node with clients whose connections are open, and backends that answer requests until they are to hang.
 type shutdownPlay struct {
 	program  *program
-	clock    *wallClock
+	faults   *processfaults.Faults
 	backends *hangingBackends
 	clients  []*shutdownClient
 }
@@ -150,10 +151,10 @@
 func startShutdownPlay(t *testing.T, bin string) *shutdownPlay {
 	t.Helper()
 	const clients = 35
-	p := &shutdownPlay{clock: newWallClock(t), backends: newHangingBackends(t)}
+	p := &shutdownPlay{faults: newFaults(t), backends: newHangingBackends(t)}
 	text := strings.Replace(config(""), `"aim_s":20,"deadline_s":60`, fmt.Sprintf(`"aim_s":0.1,"deadline_s":%g`, longestDeadline.Seconds()), 1)
 	cmd := exec.Command(bin, "serve", "--log-level", "debug")
-	cmd.Env = p.clock.environment()
+	cmd.Env = append(os.Environ(), p.faults.Environment()...)
 	p.program = startAs(t, cmd, p.backends.list, text)
 	for range clients {
 		p.clients = append(p.clients, newShutdownClient(t, p.program.addr))
@@ -197,7 +198,7 @@
 	}
 	if faults.step != 0 {
 		until(200 * time.Millisecond)
-		p.clock.set(t, faults.step)
+		setClock(t, p.faults, faults.step)
 	}
 	if faults.heldBeforeKilled {
 		until(earliestKill - heldUp)
@@ -336,43 +337,20 @@
 	return append([]string(nil), h.ids...)
 }
 
-// wallClock is the wall clock of one process, which a test sets while the process runs.
-type wallClock struct{ library, file string }
-
-// newWallClock builds the library that is preloaded for it (testdata/stepclock.c).
-func newWallClock(t *testing.T) *wallClock {
-	t.Helper()
-	folder := t.TempDir()
-	c := &wallClock{library: filepath.Join(folder, "stepclock.so"), file: filepath.Join(folder, "offset")}
-	buildLibrary(t, "testdata/stepclock.c", c.library)
-	c.set(t, 0)
-	return c
-}
-
-// buildLibrary builds a library that is to be preloaded into a process.
-func buildLibrary(t *testing.T, source, library string) {
+// newFaults are the faults of a process that a test starts.
+func newFaults(t *testing.T) *processfaults.Faults {
 	t.Helper()
-	if out, err := exec.Command("cc", "-shared", "-fPIC", "-O1", "-fno-stack-protector", "-o", library, source, "-ldl", "-lpthread").CombinedOutput(); err != nil {
-		t.Fatalf("cc: %v\n%s", err, out)
+	f, err := processfaults.New(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
+	return f
 }
 
-// environment is that of a process with this clock.
-func (c *wallClock) environment() []string {
-	return append(os.Environ(), "LD_PRELOAD="+c.library, "STEPCLOCK_FILE="+c.file)
-}
-
-// set sets the clock so far from the machine's.
-func (c *wallClock) set(t *testing.T, offset time.Duration) {
+// setClock sets the wall clock of a process with faults.
+func setClock(t *testing.T, f *processfaults.Faults, offset time.Duration) {
 	t.Helper()
-	file, err := os.OpenFile(c.file, os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	var bytes [8]byte
-	binary.NativeEndian.PutUint64(bytes[:], uint64(offset))
-	if _, err := file.WriteAt(bytes[:], 0); err != nil { // in place: the process has the file mapped
+	if err := f.SetClock(offset); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -24,8 +24,10 @@
 const (
 	readyIn  = 15 * time.Second        // a node that is not ready by then does not start
 	readyAsk = 10 * time.Millisecond   // between two questions whether it is
-	termTime = 3700 * time.Millisecond // PROTOCOL: SIGKILL comes no sooner than this after SIGTERM
-	termLate = 300 * time.Millisecond  // the front takes a node out this long after SIGTERM
+	// PROTOCOL: SIGKILL comes no sooner after SIGTERM than the longest deadline, of longestTold at the most, and killSlack.
+	longestTold = 3 * time.Second
+	killSlack   = 700 * time.Millisecond
+	termLate    = 300 * time.Millisecond // new connections go to a node for so long after SIGTERM
 	startTry = 3                       // another process may take a port before the node does
 	tailSize = 4 << 10
 )
@@ -126,7 +128,7 @@
 		case !n.meant:
 			text := n.tail.last()
 			n.note(trace.Crashed, strings.TrimSpace(fmt.Sprintf("%v: %s", exitText(err), text)))
-			n.r.clients.Node(n.index, n.addr, false)
+			n.r.clients.Node(n.index, n.addr, stand.Unreachable)
 		default:
 			n.note(trace.Exited, "")
 		}
@@ -136,7 +138,7 @@
 		return err
 	}
 	n.note(trace.Up, "")
-	n.r.clients.Node(n.index, n.addr, true)
+	n.r.clients.Node(n.index, n.addr, stand.Reachable)
 	return nil
 }
 
@@ -234,26 +236,35 @@
 	if ok {
 		<-ended
 	}
-	n.r.after(n.r.plan.Scenario.Clients.Notice.D(), func() { n.takeOut(ended) })
+	n.r.after(n.r.plan.Scenario.Clients.Notice.D(), func() { n.takeOut(ended, stand.Unreachable) })
 }
 
-// takeOut lets no more clients go to a life that is over.
-func (n *node) takeOut(ended <-chan struct{}) {
+// earliestKill is how long after SIGTERM a process may be killed.
+func (r *Rehearsal) earliestKill() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range r.plan.Scenario.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	return min(longest, longestTold) + killSlack
+}
+
+// takeOut lets no more clients connect to a life that is over or ends.
+func (n *node) takeOut(ended <-chan struct{}, reach stand.Reach) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ended == ended {
-		n.r.clients.Node(n.index, n.addr, false)
+		n.r.clients.Node(n.index, n.addr, reach)
 	}
 }
 
 // term asks the process to end and sees that it does.
 func (n *node) term() {
 	ended, ok := n.signal(syscall.SIGTERM, trace.Term, true)
-	n.r.after(termLate, func() { n.takeOut(ended) })
+	n.r.after(termLate, func() { n.takeOut(ended, stand.Ending) })
 	if !ok {
 		return
 	}
-	timer := time.NewTimer(termTime)
+	timer := time.NewTimer(n.r.earliestKill())
 	defer timer.Stop()
 	select {
 	case <-ended:
--- a/internal/kit/stand/client.go
+++ b/internal/kit/stand/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,12 +59,21 @@
 	Open                                                  atomic.Int64
 }
 
+// Reach tells how clients can reach a node.
+type Reach uint8
+
+const (
+	Unreachable Reach = iota // not at all
+	Reachable                // by connections that they have, and by new ones
+	Ending                   // by those that they have alone, for as long as these stay open
+)
+
 // front is what the front layer knows of a node.
 type front struct {
 	trace.Node
 	addr    string
 	rpcAddr string
-	alive   bool
+	reach   Reach
 	idle    []*clientConn
 	idleRPC []*clientConn
 
@@ -87,11 +97,27 @@
 // Begin says when the plan's time begins, since the start of the rehearsal. It is called before Play.
 func (c *Clients) Begin(at time.Duration) { c.begin = at }
 
-// Node tells the front of a node's address and whether clients are to go there.
-func (c *Clients) Node(i int, addr string, alive bool) {
+// Node tells the front of a node's address and how clients are to go there.
+func (c *Clients) Node(i int, addr string, reach Reach) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nodes[i].addr, c.nodes[i].alive = addr, alive
+	c.nodes[i].addr, c.nodes[i].reach = addr, reach
+}
+
+// takes tells whether a request may go to a node. Clients.mu is held.
+func (f *front) takes() bool {
+	if f.reach != Ending {
+		return f.reach == Reachable
+	}
+	f.idle = slices.DeleteFunc(f.idle, (*clientConn).isDead)
+	return len(f.idle) > 0
+}
+
+// isDead tells whether a connection has ended.
+func (k *clientConn) isDead() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.dead
 }
 
 // Play sends what the plan's needs say, each at its time, until the last or until ctx ends. It returns when the last
@@ -149,9 +175,11 @@
 	defer c.mu.Unlock()
 	var near, far []*front
 	for _, n := range c.nodes {
-		if n.alive && n.Site == site {
+		switch {
+		case !n.takes():
+		case n.Site == site:
 			near = append(near, n)
-		} else if n.alive {
+		default:
 			far = append(far, n)
 		}
 	}
@@ -437,10 +465,7 @@
 	for !fresh && len(*idle) > 0 {
 		k := (*idle)[len(*idle)-1]
 		*idle = (*idle)[:len(*idle)-1]
-		k.mu.Lock()
-		dead := k.dead
-		k.mu.Unlock()
-		if !dead {
+		if !k.isDead() {
 			c.mu.Unlock()
 			return k, true, nil
 		}
@@ -449,7 +474,7 @@
 	if rpc {
 		addr = f.rpcAddr
 	}
-	full := c.most > 0 && len(f.all)+f.dialing >= c.most
+	full := c.most > 0 && len(f.all)+f.dialing >= c.most || f.reach == Ending
 	if !full {
 		f.dialing++
 	}
--- a/internal/kit/stand/stand_test.go
+++ b/internal/kit/stand/stand_test.go
@@ -493,7 +493,7 @@
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}
 	c := NewClients(plan.New(s, 1), []trace.Node{{Name: "n1", Site: "tacoma"}}, dialer, Clock{time.Now()}, b.w, 70*time.Millisecond)
-	c.Node(0, ln.Addr().String(), true)
+	c.Node(0, ln.Addr().String(), Reachable)
 	t.Cleanup(func() {
 		c.Close()
 		ln.Close()
@@ -654,7 +654,7 @@
 	if sent := b.records(t, trace.Sent)[0]; gave[0].T < sent.T+sent.Wait+70_000 {
 		t.Errorf("left %d us after sending, with %d to wait: a late answer would pass for none", gave[0].T-sent.T, sent.Wait)
 	}
-	c.Node(0, "127.0.0.1:1", false)
+	c.Node(0, "127.0.0.1:1", Unreachable)
 	if done := one(t, b, c, 0); done.How != "unreachable" {
 		t.Errorf("with no node: %+v", done)
 	}
