--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -22,14 +22,14 @@
 )
 
 const (
-	readyIn  = 15 * time.Second        // a node that is not ready by then does not start
-	readyAsk = 10 * time.Millisecond   // between two questions whether it is
+	readyIn  = 15 * time.Second      // a node that is not ready by then does not start
+	readyAsk = 10 * time.Millisecond // between two questions whether it is
 	// PROTOCOL: SIGKILL comes no sooner after SIGTERM than the longest deadline, of longestTold at the most, and killSlack.
 	longestTold = 3 * time.Second
 	killSlack   = 700 * time.Millisecond
 	termLate    = 300 * time.Millisecond // new connections go to a node for so long after SIGTERM
-	startTry = 3                       // another process may take a port before the node does
-	tailSize = 4 << 10
+	startTry    = 3                      // another process may take a port before the node does
+	tailSize    = 4 << 10
 )
 
 // node is one node process, through all its lives.
--- a/internal/kit/stand/list.go
+++ b/internal/kit/stand/list.go
@@ -74,7 +74,18 @@
 		return
 	}
 	a.told[e.ID] = state
-	a.out.Add(&trace.Record{Kind: trace.Told, T: trace.US(max(a.clock.Now(), a.settled)), Node: a.node, Box: e.ID, State: e.State})
+	now := a.clock.Now()
+	// A box that takes requests may get them as soon as its node can know. What was told before and counts later does not
+	// outlast that: it is told again behind it.
+	if e.State == trace.Ready && now < a.settled {
+		a.noteTold(now, e)
+	}
+	a.noteTold(max(now, a.settled), e)
+}
+
+// noteTold notes that a box's state counts as told at a time.
+func (a *Agent) noteTold(at time.Duration, e *Entry) {
+	a.out.Add(&trace.Record{Kind: trace.Told, T: trace.US(at), Node: a.node, Box: e.ID, State: e.State})
 }
 
 // Apply takes in a change.
--- a/internal/kit/stand/stand_test.go
+++ b/internal/kit/stand/stand_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -685,3 +686,38 @@
 		}
 	}
 }
+
+// After a reload a drain counts as told only once the node has had time to find its discovery; a box that is ready again counts at
+// once, and a drain that had not counted yet does not outlast it.
+func TestReadyCountsAsToldAtOnce(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	w := trace.NewWriter(&out, trace.Head{})
+	clock := Clock{Start: time.Now()}
+	a := NewAgent("n1", false, clock, w, nil)
+	const settle = time.Hour
+	a.Settle(settle)
+	a.Apply(Entry{ID: "b", State: trace.Terminating})
+	a.Apply(Entry{ID: "b", State: trace.Ready, Started: 1})
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	type told struct {
+		state string
+		late  bool
+	}
+	var got []told
+	for line := range strings.Lines(out.String()) {
+		var r trace.Record
+		if err := json.Unmarshal([]byte(line), &r); err != nil {
+			t.Fatal(err)
+		}
+		if r.Kind == trace.Told {
+			got = append(got, told{r.State, r.T > settle.Microseconds()/2})
+		}
+	}
+	want := []told{{trace.Terminating, true}, {trace.Ready, false}, {trace.Ready, true}}
+	if !slices.Equal(got, want) {
+		t.Errorf("told %v, want %v", got, want)
+	}
+}
