A backend that starts again is cold also where the node's clock is an hour off

The age of a backend's process is the list's Unix time against the wall clock at the node's start; where that was set before, a backend that had just started looked an hour old and was sent all at once (rule 4), or stayed cold for an hour. Change: cold.Starts (pure) holds the clock to be wrong where news of a restart is over 5 min old or a start lies that far ahead, and reads later starts by what it found; no start lies in the future. Clocks that are right read as before. Left: a node that starts with its clock ahead sees backends that were already cold as warm until some restart shows it.

--- /dev/null
+++ b/internal/cold/starts_test.go
@@ -0,0 +1,46 @@
+package cold
+
+import (
+	"testing"
+	"time"
+)
+
+// Where the own clock is right, starts are what the list tells; one that lies a little ahead is now.
+func TestStartsByARightClock(t *testing.T) {
+	t.Parallel()
+	const now = 1000 * time.Hour
+	var s Starts
+	for _, c := range []struct {
+		name       string
+		told, want time.Duration
+		restart    bool
+	}{
+		{"long ago", 0, 0, false},
+		{"a restart that is told 2 s later", now - 2*time.Second, now - 2*time.Second, true},
+		{"a restart that is told late", now - 30*time.Second, now - 30*time.Second, true},
+		{"an old one that is listed anew", now - 10*time.Hour, now - 10*time.Hour, false},
+		{"a little ahead", now + 3*time.Second, now, false},
+	} {
+		if got := s.At(now, c.told, c.restart); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A clock that is an hour ahead or behind is found out by the first start that shows it, and others are read right from then on.
+func TestStartsByAClockThatWasSet(t *testing.T) {
+	t.Parallel()
+	for _, ahead := range []time.Duration{time.Hour, -time.Hour} {
+		const truth = 1000 * time.Hour
+		now := truth + ahead
+		var s Starts
+		if got := s.At(now, truth-time.Second, true); now-got > 2*time.Second {
+			t.Errorf("set by %v: a backend that has just started again is %v old", ahead, now-got)
+		}
+		later := now + 10*time.Second
+		got := s.At(later, truth+4*time.Second, false)
+		if age := later - got; age < 5*time.Second || age > 8*time.Second {
+			t.Errorf("set by %v: a backend of 6 s is %v old", ahead, age)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"craneglade/internal/cold"
 	"craneglade/internal/membership"
 	"craneglade/internal/siting"
 	"craneglade/policy"
@@ -179,6 +180,7 @@
 	version  int64     // of the list
 	listed   index     // those of names that have not left
 	dropped  []dropped // that forgetDropped has not seen
+	starts   cold.Starts
 
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -38,7 +38,8 @@
 	Kept   any // the HTTP carrier's own; only it touches this
 
 	addrs   atomic.Pointer[[]string]
-	started int64
+	started int64         // as the list tells, in Unix milliseconds
+	launch  time.Duration // the same by the engine's clock; 0 for long ago
 	key     judgement.Key
 	left    bool                      // off the list; guarded by the engine's lock
 	opened  bool                      // counted in Engine.listed as one that takes new requests; guarded by the engine's lock
@@ -46,6 +47,14 @@
 	stop    atomic.Pointer[time.Time] // from when nothing new may be written to it; nil for none
 }
 
+// newBackend is a process that a list tells of.
+func newBackend(number uint32, s *Listed) *Backend {
+	return &Backend{Number: number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)}
+}
+
+// startTold is when the list says that it started, since the Unix epoch.
+func (b *Backend) startTold() time.Duration { return time.Duration(b.started) * time.Millisecond }
+
 // Addrs are all addresses of the box where it has several; nil for Addr alone.
 func (b *Backend) Addrs() []string {
 	if p := b.addrs.Load(); p != nil {
@@ -157,7 +166,7 @@
 	}
 	for i := range l.Servers {
 		s := &l.Servers[i]
-		x := policy.Entry{Place: subset.Hash(s.ID), Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
+		x := policy.Entry{Place: subset.Hash(s.ID), Zone: s.Zone, Cell: s.Cell, Kind: s.Kind}
 		if s.RPC != "" {
 			x.Speaks = SpeaksRPC
 		}
@@ -187,10 +196,12 @@
 				}
 			}
 			e.nextNum++
-			b = &Backend{Number: e.nextNum, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)}
+			b = newBackend(e.nextNum, s)
+			b.launch = e.starts.At(now, b.startTold(), false)
 		case b.started != s.StartedMS:
 			old := b
-			b = &Backend{Number: old.Number, ID: s.ID, Addr: s.Addr, Zone: s.Zone, RPC: s.RPC, started: s.StartedMS, key: shared.Key(s.ID, s.StartedMS)} // the module tells the two apart by the start
+			b = newBackend(old.Number, s) // the module tells the two apart by the start
+			b.launch = e.starts.At(now, b.startTold(), kind == policy.ListDelta && !l.Late)
 			e.listed.remove(old)
 			e.carrier.Retire(old)
 		}
@@ -198,7 +209,7 @@
 			b.SetAddrs(s.Addrs)
 		}
 		e.names[s.ID], e.boxes[b.Number] = b, b
-		x.ID = b.Number
+		x.ID, x.Launched = b.Number, b.launch
 		switch x.State {
 		case policy.Active:
 			b.left = false
--- a/internal/engine/list_test.go
+++ b/internal/engine/list_test.go
@@ -318,3 +318,23 @@
 		}
 	}
 }
+
+// On a machine whose clock is an hour ahead a backend that starts again is as cold as it is; by the clock it would have been up for
+// an hour.
+func TestRestartOnAMachineWhoseClockIsAhead(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		e, _ := newEngine(t)
+		defer e.Stop()
+		truth := func() int64 { return time.Now().Add(-time.Hour).UnixMilli() }
+		box := Listed{ID: "s-1", Addr: "10.0.0.1:80", Zone: "north", Kind: "k", State: "Ready"}
+		e.takeList(&List{Version: 1, Full: true, Servers: []Listed{box}}, policy.ListFull)
+		time.Sleep(time.Minute)
+		box.StartedMS = truth()
+		time.Sleep(2 * time.Second)
+		e.takeList(&List{Version: 2, Servers: []Listed{box}}, policy.ListDelta)
+		if age := e.clock.Now() - e.names["s-1"].launch; age > 3*time.Second {
+			t.Errorf("a backend that started 2 s ago is taken for %v old", age)
+		}
+	})
+}
--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"time"
 
 	"craneglade/internal/sites"
 	"craneglade/internal/siting"
@@ -24,7 +23,7 @@
 	all := make([]sites.Box, 0, e.listed.size)
 	for b := range e.listed.all {
 		all = append(all, sites.Box{ID: b.Number, Site: b.Zone, Ready: b.stop.Load() == nil,
-			Launched: (time.Duration(b.started) * time.Millisecond).Seconds()})
+			Launched: b.launch.Seconds()})
 	}
 	e.sites.Listed(e.clock.Now(), all)
 }
