--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-
 	"craneglade/internal/sites"
 	"craneglade/internal/siting"
 )
