A backend is told the time that is left when its request goes out, also behind a rest

Cause: the deadline was worded before a kept connection had rested; only one that was opened anew was worded again. Change: it is worded once, right before the last checks. The timer that fails what is open ends with the engine, and says nothing where nothing is open. Measured: TestDeadlineTellsWhatARestHasLeft was told 49.990 s of 49.7 s before; internal/engine, node, httpcarrier pass with -race.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -168,19 +168,20 @@
 	stop context.CancelFunc
 	wg   sync.WaitGroup // attempts
 
-	mu       sync.Mutex
-	shutdown *Shutdown // nil until the node is told to end
-	source   Source
-	bal      *policy.Balancer
-	actions  []policy.Action
-	requests map[string]*Request // by the clients' ids
-	names    map[string]*Backend // listed boxes by the list's id
-	boxes    map[uint32]*Backend // the same by the module's number, and those that left until their grace is over
-	nextNum  uint32
-	version  int64     // of the list
-	listed   index     // those of names that have not left
-	dropped  []dropped // that forgetDropped has not seen
-	starts   cold.Starts
+	mu        sync.Mutex
+	shutdown  *Shutdown   // nil until the node is told to end
+	failTimer *time.Timer // for failOpen, from then on
+	source    Source
+	bal       *policy.Balancer
+	actions   []policy.Action
+	requests  map[string]*Request // by the clients' ids
+	names     map[string]*Backend // listed boxes by the list's id
+	boxes     map[uint32]*Backend // the same by the module's number, and those that left until their grace is over
+	nextNum   uint32
+	version   int64     // of the list
+	listed    index     // those of names that have not left
+	dropped   []dropped // that forgetDropped has not seen
+	starts    cold.Starts
 
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
@@ -212,6 +213,9 @@
 	if e.memberTimer != nil {
 		e.memberTimer.Stop()
 	}
+	if e.failTimer != nil {
+		e.failTimer.Stop()
+	}
 	e.mu.Unlock()
 	e.wg.Wait()
 }
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -56,7 +56,7 @@
 	if e.shutdown == nil {
 		shutdown := newShutdown(e.set.Classes, begun)
 		e.shutdown = &shutdown
-		time.AfterFunc(time.Until(shutdown.answerBy()), e.failOpen)
+		e.failTimer = time.AfterFunc(time.Until(shutdown.answerBy()), e.failOpen)
 	}
 	return *e.shutdown
 }
@@ -75,6 +75,9 @@
 			e.settle(r, Answer{Kind: Failed})
 		}
 	}
+	if len(failed) == 0 {
+		return
+	}
 	e.log.Info("failed what was open: the node may be killed soon", "requests", len(failed), "after", time.Since(e.shutdown.Begun))
 	if e.tells {
 		e.log.Debug("failed what was open", "ids", failed)
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -131,11 +131,6 @@
 // connection of the same attempt.
 func (n *Carrier) send(ctx context.Context, a *engine.Attempt, r *message.Request, wait time.Duration, b *kept, heard int64, fresh *bool) (res engine.Result, part bool) {
 	begun := time.Now()
-	text, err := encode(r, wait)
-	if err != nil {
-		n.log.Warn("a request can't be written", "err", err)
-		return engine.Result{Outcome: policy.Moot}, false
-	}
 	until := ctx
 	if !a.By.IsZero() {
 		var cancel context.CancelFunc
@@ -152,11 +147,12 @@
 	case err != nil:
 		return engine.Result{Outcome: policy.Canceled}, false
 	}
-	if c.rested == 0 { // opening it took time, and the backend is told what is left
-		if text, err = encode(r, max(wait-time.Since(begun), time.Microsecond)); err != nil {
-			n.pool.put(c)
-			return engine.Result{Outcome: policy.Moot}, false
-		}
+	// Opening it or its rest took time, and the backend is told what is left.
+	text, err := encode(r, max(wait-time.Since(begun), time.Microsecond))
+	if err != nil {
+		n.pool.put(c)
+		n.log.Warn("a request can't be written", "err", err)
+		return engine.Result{Outcome: policy.Moot}, false
 	}
 	// What was decided a while ago may not hold any more: the client has left, the backend's drain grace or the time for repeats is over.
 	if ctx.Err() != nil || !a.MayBegin() {
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -171,6 +171,34 @@
 	}
 }
 
+// What a request waited for a connection's rest is off what the backend is told.
+func TestDeadlineTellsWhatARestHasLeft(t *testing.T) {
+	t.Parallel()
+	const rest = 300 * time.Millisecond
+	b := newBox(t, served)
+	stands := time.Now()
+	r := newRig(t, newRegistry(t), settingsJSON, func(cfg *Config) {
+		cfg.now = func() time.Time { return stands } // no rest is ever over
+		cfg.pause = func(context.Context, time.Duration) bool {
+			<-time.After(rest)
+			return true
+		}
+	}, b.entry("s-1"))
+	c := r.dial(t)
+	for _, id := range []string{"first", "second"} {
+		if resp, _ := c.ask(quote(id)); resp.StatusCode != 200 {
+			t.Fatalf("%s: answered %d", id, resp.StatusCode)
+		}
+	}
+	if n := b.connections(); n != 1 {
+		t.Fatalf("%d connections: the second request did not wait for one to rest", n)
+	}
+	told, err := strconv.Atoi(strings.TrimSuffix(b.requests()[1].Header.Get("X-Deadline"), "u"))
+	if most := 50*time.Second - rest; err != nil || time.Duration(told)*time.Microsecond > most {
+		t.Errorf("the backend was told %d us, %v; want less than %v", told, err, most)
+	}
+}
+
 // An answer without a length ends with its connection, and a reset is no end: what came before it is served to nobody.
 func TestAnswerWithoutLength(t *testing.T) {
 	t.Parallel()
