--- a/cmd/craneglade/main_test.go
+++ b/cmd/craneglade/main_test.go
@@ -274,3 +274,44 @@
 		}
 	}
 }
+
+// A SIGHUP that comes while the program starts does not end it, as the deployment starts it: until the program takes the signal,
+// which the Go runtime leaves to the system's default, it is ignored. One that comes later is taken.
+func TestSIGHUPWhileTheProgramStarts(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, "made for "+r.Header.Get("X-Request-Id"))
+	}))
+	defer backend.Close()
+	first, second := newDiscovery(t, backend.Listener.Addr().String()), newDiscovery(t, backend.Listener.Addr().String())
+	const program, hangups = "exec bin/craneglade", `(i=0; while [ $i -lt 5000 ]; do kill -HUP $$; i=$((i+1)); done) & exec `
+	run := deployed(t, "run")
+	if !strings.Contains(run, program) {
+		t.Fatalf("deploy/balancer.toml starts the node by %q", run)
+	}
+	p := startAs(t, exec.Command("sh", "-c", strings.Replace(run, program, hangups+built(t), 1)), first.Addr, config(""))
+	p.ask(t, "r1")
+	if err := os.WriteFile(p.config, []byte(config(second.Addr)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	second.wait(t)
+	p.leave(t)
+}
+
+// deployed is a command of deploy/balancer.toml.
+func deployed(t *testing.T, key string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, is := strings.CutPrefix(strings.TrimSpace(line), key+" = "); is {
+			return strings.Trim(value, `"`)
+		}
+	}
+	t.Fatalf("deploy/balancer.toml has no %s", key)
+	return ""
+}
--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -298,7 +298,7 @@
 		file := filepath.Join(dir, "trace")
 		args := []string{"rehearse", scenario, "-q", "--seed", strconv.Itoa(seed), "--trace", file, "--logs", dir}
 		for _, a := range node {
-			args = append(args, "--node", a)
+			args = append(args, "--node="+a)
 		}
 		cmd := exec.Command(craneglade, args...)
 		cmd.Env = append(os.Environ(), env...)
--- a/internal/kit/proof/soak_test.go
+++ b/internal/kit/proof/soak_test.go
@@ -76,7 +76,8 @@
 	}
 	stop, stopped := make(chan struct{}), make(chan error, 1)
 	go func() { stopped <- troubleProcesses(faults, uint64(seed), stop) }()
-	node := append(append([]string{"env"}, faults.Environment()...), daemon, "serve")
+	// As deploy/balancer.toml has it: SIGHUP is ignored until the program takes it.
+	node := append([]string{"sh", "-c", `trap "" HUP; exec env "$@"`, "sh"}, append(faults.Environment(), daemon, "serve")...)
 	p := rehearse(t, craneglade, file, seed, nil, node...)
 	close(stop)
 	if err := <-stopped; err != nil {
@@ -210,7 +211,11 @@
 	if crowd {
 		d.line("sockets = 160")
 	}
-	d.line("\n[traffic]\nrate = %d\n\n[list]\nlag = \"200ms\"\nadd = \"200ms\"\n", 30+d.rng.IntN(60))
+	d.line("\n[traffic]\nrate = %d\n\n[list]\nlag = \"200ms\"\nadd = \"200ms\"", 30+d.rng.IntN(60))
+	if d.chance(0.25) {
+		d.line("mode = \"ask\"")
+	}
+	d.line("\n[connections]\nidle = %q\n", d.between(500*time.Millisecond, 5*time.Second))
 	d.line("[clients]\nretries = 1\nimpatient = 0.05\nchunked = 0.1")
 	if crowd {
 		d.line("ask_once = 0.3")
@@ -235,7 +240,12 @@
 func (d *soakDraw) restarts(nodes, boxes int, longest, length time.Duration) {
 	kill := min(longest, 3*time.Second) + killSlack
 	at := d.between(time.Second, 1500*time.Millisecond)
-	d.event("vanish", at-200*time.Millisecond, lasting(length-at-500*time.Millisecond), fmt.Sprint("boxes = ", boxes/4+d.rng.IntN(boxes/4)))
+	trouble := lasting(length - at - 500*time.Millisecond)
+	if d.chance(0.3) {
+		d.event("vanish", at-200*time.Millisecond, trouble, fmt.Sprint("boxes = ", boxes/4+d.rng.IntN(boxes/4)))
+	} else {
+		d.event("lose", at-200*time.Millisecond, trouble, fmt.Sprint("boxes = ", boxes/3+d.rng.IntN(boxes/3)), fmt.Sprintf("part = %.1f", 0.3+0.4*d.rng.Float64()))
+	}
 	for n := 1; n <= nodes; n++ {
 		node := fmt.Sprint("node = ", n)
 		held := lasting(mostHeldUp - 10*time.Millisecond) // the rest is this machine's
@@ -243,7 +253,7 @@
 		case 0:
 			d.event("stall", at-5*time.Millisecond, held, node)
 		case 1:
-			d.event("stall", at+kill-mostHeldUp, held, node)
+			d.event("stall", at+kill-mostHeldUp+10*time.Millisecond, lasting(2*mostHeldUp), node) // it is killed meanwhile
 		case 2:
 			d.event("stall", at+d.between(100*time.Millisecond, kill-300*time.Millisecond), held, node)
 		}
@@ -264,20 +274,27 @@
 // troubles are those of backends, lists and clients.
 func (d *soakDraw) troubles(length time.Duration) {
 	anywhere := func() time.Duration { return d.between(500*time.Millisecond, length-2*time.Second) }
+	for range d.rng.IntN(4) {
+		d.event("stall", anywhere(), lasting(d.between(20*time.Millisecond, mostHeldUp-10*time.Millisecond)), "part = 1.0")
+	}
+	if d.chance(0.4) { // new configurations in a row
+		at := anywhere()
+		for range 3 {
+			d.event("reload", at)
+			at += d.between(20*time.Millisecond, 400*time.Millisecond)
+		}
+	}
 	if d.chance(0.7) {
 		d.event("deploy", d.between(500*time.Millisecond, 2*time.Second), "over = \"1500ms\"", "part = 0.3", "drain = \"2s\"")
 	}
 	if d.chance(0.5) {
 		d.event("reset", anywhere(), lasting(2*time.Second), "part = 0.05")
 	}
-	if d.chance(0.4) {
-		d.event("lose", anywhere(), lasting(2*time.Second), "part = 0.05")
-	}
 	if d.chance(0.4) {
 		d.event("spoil", anywhere(), lasting(2*time.Second), "part = 0.05")
 	}
 	if d.chance(0.4) {
-		d.event("list-outage", anywhere(), lasting(d.between(300*time.Millisecond, 1500*time.Millisecond)))
+		d.event("list-outage", anywhere(), lasting(d.between(300*time.Millisecond, 4*time.Second)))
 	}
 	if d.chance(0.3) {
 		d.event("crash", anywhere(), "boxes = 1", "down = \"500ms\"")
--- a/internal/kit/run/node.go
+++ b/internal/kit/run/node.go
@@ -84,7 +84,7 @@
 			return err
 		}
 	}
-	path, err := n.write()
+	path, err := n.write(n.agent.Known())
 	if err != nil {
 		n.mu.Unlock()
 		return err
@@ -150,9 +150,9 @@
 	return err.Error()
 }
 
-// write writes the configuration.
-func (n *node) write() (string, error) {
-	text, err := config(n.r.plan, n, n.agent.List())
+// write writes the configuration, with the list that is known.
+func (n *node) write(known stand.Whole) (string, error) {
+	text, err := config(n.r.plan, n, known)
 	if err != nil {
 		return "", err
 	}
@@ -283,7 +283,7 @@
 	n.mu.Lock()
 	old := n.agentAt
 	n.agentAt = stand.ServeAgent(n.agent, ln)
-	_, err = n.write()
+	_, err = n.write(n.agent.List())
 	n.mu.Unlock()
 	if err != nil {
 		return err
--- a/internal/kit/stand/list.go
+++ b/internal/kit/stand/list.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -49,6 +51,7 @@
 	held    []Entry       // changes that came while it was silent
 	settled time.Duration // what it is told before this counts as told then
 	told    map[string]string
+	noted   map[string]time.Duration // by box, the latest time at which something counts as told
 }
 
 type versioned struct {
@@ -59,7 +62,7 @@
 // NewAgent returns the list of one node, with what the node has had from the start.
 func NewAgent(node string, ask bool, clock Clock, out *trace.Writer, known []Entry) *Agent {
 	a := &Agent{node: node, ask: ask, clock: clock, out: out, version: 1, entries: map[string]versioned{},
-		changed: make(chan struct{}), told: map[string]string{}}
+		changed: make(chan struct{}), told: map[string]string{}, noted: map[string]time.Duration{}}
 	for _, e := range known {
 		a.entries[e.ID] = versioned{e, 1}
 		a.tell(&e)
@@ -75,16 +78,22 @@
 	}
 	a.told[e.ID] = state
 	now := a.clock.Now()
+	if e.State != trace.Ready {
+		a.noteTold(max(now, a.settled), e)
+		return
+	}
 	// A box that takes requests may get them as soon as its node can know. What was told before and counts later does not
 	// outlast that: it is told again behind it.
-	if e.State == trace.Ready && now < a.settled {
-		a.noteTold(now, e)
+	pending := a.noted[e.ID]
+	a.noteTold(now, e)
+	if pending > now {
+		a.noteTold(pending, e)
 	}
-	a.noteTold(max(now, a.settled), e)
 }
 
 // noteTold notes that a box's state counts as told at a time.
 func (a *Agent) noteTold(at time.Duration, e *Entry) {
+	a.noted[e.ID] = max(a.noted[e.ID], at)
 	a.out.Add(&trace.Record{Kind: trace.Told, T: trace.US(at), Node: a.node, Box: e.ID, State: e.State})
 }
 
@@ -141,6 +150,20 @@
 	a.settled = a.clock.Now() + d
 }
 
+// Known is the list that a new process of the node is started with. All of it counts as told then: what an earlier process had
+// still to find after a reload is over.
+func (a *Agent) Known() Whole {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settled = 0
+	for _, id := range slices.Sorted(maps.Keys(a.entries)) {
+		e := a.entries[id].Entry
+		delete(a.told, id)
+		a.tell(&e)
+	}
+	return a.since(0, true)
+}
+
 // List is the whole list.
 func (a *Agent) List() Whole {
 	a.mu.Lock()
--- a/internal/kit/stand/stand_test.go
+++ b/internal/kit/stand/stand_test.go
@@ -688,7 +688,7 @@
 }
 
 // After a reload a drain counts as told only once the node has had time to find its discovery; a box that is ready again counts at
-// once, and a drain that had not counted yet does not outlast it.
+// once, and a drain that had not counted yet does not outlast it. A new process is told all at its start.
 func TestReadyCountsAsToldAtOnce(t *testing.T) {
 	t.Parallel()
 	var out bytes.Buffer
@@ -699,12 +699,14 @@
 	a.Settle(settle)
 	a.Apply(Entry{ID: "b", State: trace.Terminating})
 	a.Apply(Entry{ID: "b", State: trace.Ready, Started: 1})
+	a.Apply(Entry{ID: "c", State: trace.Terminating})
+	a.Known() // a new process has it at once
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
 	type told struct {
-		state string
-		late  bool
+		box, state string
+		late       bool
 	}
 	var got []told
 	for line := range strings.Lines(out.String()) {
@@ -713,10 +715,11 @@
 			t.Fatal(err)
 		}
 		if r.Kind == trace.Told {
-			got = append(got, told{r.State, r.T > settle.Microseconds()/2})
+			got = append(got, told{r.Box, r.State, r.T > settle.Microseconds()/2})
 		}
 	}
-	want := []told{{trace.Terminating, true}, {trace.Ready, false}, {trace.Ready, true}}
+	want := []told{{"b", trace.Terminating, true}, {"b", trace.Ready, false}, {"b", trace.Ready, true}, {"c", trace.Terminating, true},
+		{"b", trace.Ready, false}, {"b", trace.Ready, true}, {"c", trace.Terminating, false}}
 	if !slices.Equal(got, want) {
 		t.Errorf("told %v, want %v", got, want)
 	}
