review: case 2 runs on the default settings of JSON-RPC

Cause: the first form of the case set jsonrpc.inflight to 16. Change: 17 backends, a usual rate before each burst, bursts of 990 calls in less than 64 KiB, and the default settings.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -11,31 +12,41 @@
 )
 
 const (
-	calls    = 600
-	work     = 85 * time.Millisecond
+	rounds   = 4
+	usual    = 900                    // saves of a round that come at the usual rate
+	burst    = 990                    // saves of a round that come at once after that, or at the usual rate too
+	usualGap = time.Second / 300      // between two saves at the usual rate of about 300 a second
+	fast     = 9                      // backends of 17 that take
+	fastWork = 115 * time.Millisecond // for a save; the others take
+	slowWork = 185 * time.Millisecond
 	patience = time.Second // how long a client waits for a save
 	// An answer up to half a second after its time only earns nothing; later it is lost. Each limit is 50 ms longer on sockets,
 	// and 100 ms are for this machine.
 	lostAfter = patience + 500*time.Millisecond + 50*time.Millisecond + 100*time.Millisecond
-	usualGap  = 10 * time.Millisecond
+	timeLimit = 20 * time.Second // of a round
 )
 
+// The settings have the defaults of [jsonrpc] but for beside, with which backends report their load.
 const own = `
 [jsonrpc]
 listen = "{rpc}"
-inflight = 16
 beside = true
 [[jsonrpc.method]]
-name = "saveConfig"
+name = "save"
 class = "save-config"
-key = "/key"
+key = "/0"
 patience = "1s"
 `
 
 func main() { rig.Main(run) }
 
 func run(e *rig.Env) (broken bool, err error) {
-	boxes, d, err := e.StartBoxes(12, 4, func(rig.Call) (time.Duration, json.RawMessage) { return work, json.RawMessage(`"saved"`) })
+	boxes, d, err := e.StartBoxes(17, 4, func(at int, _ rig.Call) (time.Duration, json.RawMessage) {
+		if at < fast {
+			return fastWork, json.RawMessage(`"saved"`)
+		}
+		return slowWork, json.RawMessage(`"saved"`)
+	})
 	if err != nil {
 		return false, err
 	}
@@ -48,16 +59,24 @@
 		return false, err
 	}
 	defer c.Close()
-	sent := make([]time.Time, calls) // when the last byte of each call had been written
-	written := make(chan error, 1)
-	go func() { written <- send(e, c, sent) }()
+	for round := 0; round < rounds && !broken; round++ {
+		if broken, err = play(e, c, round, boxes); err != nil {
+			return false, err
+		}
+	}
+	return broken, nil
+}
 
-	limit := 12 * time.Second
-	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+// play sends the saves of a round and judges their answers.
+func play(e *rig.Env, c *rig.Client, round int, boxes []*rig.Backend) (broken bool, err error) {
+	if err := c.SetReadDeadline(time.Now().Add(timeLimit)); err != nil {
 		return false, err
 	}
-	answers := make([]*rig.Answer, calls)
-	for got := 0; got < calls; {
+	sent := make([]time.Time, usual+burst) // when the last byte of each call had been written
+	written := make(chan error, 1)
+	go func() { written <- send(e, c, round, sent) }()
+	answers := make([]*rig.Answer, len(sent))
+	for got := 0; got < len(answers); {
 		all, err := c.Next()
 		if err != nil {
 			e.Log("the client's connection: %v", err)
@@ -68,52 +87,58 @@
 			if err := json.Unmarshal(all[i].ID, &id); err != nil {
 				return false, err
 			}
-			answers[id] = &all[i]
+			answers[id-round*len(sent)] = &all[i]
 			got++
 		}
 	}
 	if err := <-written; err != nil {
 		return false, err
 	}
-	return judge(e, sent, answers, boxes), nil
+	return judge(e, round, sent, answers, boxes), nil
 }
 
-// send writes all calls: at once, or one after the other.
-func send(e *rig.Env, c *rig.Client, sent []time.Time) error {
+// send writes the calls of a round: the first ones at the usual rate, and the others at once, or at that rate too.
+func send(e *rig.Env, c *rig.Client, round int, sent []time.Time) error {
 	call := func(i int) string {
-		return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"saveConfig","params":{"key":"key-%d"}}`+"\n", i, i)
+		i += round * len(sent)
+		return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"save","params":["%d"]}`+"\n", i, i)
 	}
-	if e.Trouble {
-		var text strings.Builder
-		for i := range calls {
-			text.WriteString(call(i))
-		}
-		_, err := c.Write([]byte(text.String()))
-		for i, now := 0, time.Now(); i < calls; i++ {
-			sent[i] = now
+	start := time.Now()
+	for i := range sent {
+		if i == usual && e.Trouble {
+			break
 		}
-		e.Log("sent %d saves at once, %d bytes", calls, text.Len())
-		return err
-	}
-	for i := range calls {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * usualGap)))
 		if _, err := c.Write([]byte(call(i))); err != nil {
 			return err
 		}
 		sent[i] = time.Now()
-		time.Sleep(usualGap)
 	}
-	e.Log("sent %d saves, one each %v", calls, usualGap)
-	return nil
+	e.Log("round %d: sent saves one after the other for %v", round, time.Since(start).Round(time.Millisecond))
+	if !e.Trouble {
+		return nil
+	}
+	var text strings.Builder
+	for i := usual; i < len(sent); i++ {
+		text.WriteString(call(i))
+	}
+	_, err := c.Write([]byte(text.String()))
+	for i, now := usual, time.Now(); i < len(sent); i++ {
+		sent[i] = now
+	}
+	e.Log("round %d: sent %d saves at once, %d bytes", round, burst, text.Len())
+	return err
 }
 
 // judge reports whether a call has no answer in time, and records what came of all of them.
-func judge(e *rig.Env, sent []time.Time, answers []*rig.Answer, boxes []*rig.Backend) (broken bool) {
-	kinds, lost, latest := map[string]int{}, 0, time.Duration(0)
+func judge(e *rig.Env, round int, sent []time.Time, answers []*rig.Answer, boxes []*rig.Backend) (broken bool) {
+	kinds, lost, latest := [2]map[string]int{{}, {}}, 0, time.Duration(0)
 	for i, a := range answers {
+		id, kinds := round*len(sent)+i, kinds[min(1, i/usual)]
 		if a == nil {
 			kinds["no answer"]++
 			lost++
-			e.Log("save %d: no answer", i)
+			e.Log("save %d: no answer", id)
 			continue
 		}
 		after := a.At.Sub(sent[i])
@@ -129,21 +154,27 @@
 			kind += " in time"
 		}
 		kinds[kind]++
-		e.Log("save %d: %s after %v", i, kind, after.Round(time.Millisecond))
+		e.Log("save %d: %s after %v", id, kind, after.Round(time.Millisecond))
 	}
 	startedLate := 0
 	for _, b := range boxes {
 		for _, call := range b.Calls() {
-			var params struct{ Key string }
-			var id int
-			if json.Unmarshal(call.Params, &params) != nil {
+			var keys []string
+			if json.Unmarshal(call.Params, &keys) != nil || len(keys) != 1 {
+				continue
+			}
+			id, err := strconv.Atoi(keys[0])
+			if err != nil {
 				continue
 			}
-			if _, err := fmt.Sscanf(params.Key, "key-%d", &id); err == nil && call.At.Sub(sent[id]) > patience+150*time.Millisecond {
+			if i := id - round*len(sent); i >= 0 && i < len(sent) && call.At.Sub(sent[i]) > patience+150*time.Millisecond {
 				startedLate++
 			}
 		}
 	}
-	e.Log("%d saves: %v; the latest answer came after %v; %d reached a box after their clients' time of %v", len(sent), kinds, latest.Round(time.Millisecond), startedLate, patience)
+	e.Log("round %d: the first %d saves: %v", round, usual, kinds[0])
+	e.Log("round %d: the other %d saves: %v", round, burst, kinds[1])
+	e.Log("round %d: %d lost; the latest answer came after %v; %d saves reached a box after their clients' time of %v", round, lost,
+		latest.Round(time.Millisecond), startedLate, patience)
 	return lost > 0
 }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -30,7 +30,7 @@
 func main() { rig.Main(run) }
 
 func run(e *rig.Env) (broken bool, err error) {
-	boxes, d, err := e.StartBoxes(4, 4, func(rig.Call) (time.Duration, json.RawMessage) { return work, json.RawMessage(`"sent"`) })
+	boxes, d, err := e.StartBoxes(4, 4, func(int, rig.Call) (time.Duration, json.RawMessage) { return work, json.RawMessage(`"sent"`) })
 	if err != nil {
 		return false, err
 	}
--- a/review/rig/rpc.go
+++ b/review/rig/rpc.go
@@ -115,11 +115,11 @@
 	return result, fmt.Sprintf(`{"inflight":%d,"queue":%d}`, b.inFlight, max(0, b.inFlight-b.running))
 }
 
-// StartBoxes starts backends that are all alike, and a discovery that lists them.
-func (e *Env) StartBoxes(count, cores int, work func(Call) (time.Duration, json.RawMessage)) (boxes []*Backend, d *Discovery, err error) {
+// StartBoxes starts backends, and a discovery that lists them. work is called with the place of a backend among them.
+func (e *Env) StartBoxes(count, cores int, work func(at int, call Call) (time.Duration, json.RawMessage)) (boxes []*Backend, d *Discovery, err error) {
 	var servers []Server
 	for i := range count {
-		b, err := e.StartBackend(fmt.Sprintf("box-%02d", i+1), cores, work)
+		b, err := e.StartBackend(fmt.Sprintf("box-%02d", i+1), cores, func(call Call) (time.Duration, json.RawMessage) { return work(i, call) })
 		if err != nil {
 			return nil, nil, err
 		}
