--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,180 +1,185 @@
-// Command case2 shows that JSON-RPC calls that wait in a connection are answered long after their clients' time.
+// Command case2 shows that a single JSON-RPC batch of hundreds of calls takes a node over its memory limit.
 package main
 
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"craneglade/review/rig"
 )
 
 const (
-	rounds   = 4
-	usual    = 900                    // saves of a round that come at the usual rate
-	burst    = 990                    // saves of a round that come at once after that, or at the usual rate too
-	usualGap = time.Second / 300      // between two saves at the usual rate of about 300 a second
-	fast     = 9                      // backends of 17 that take
-	fastWork = 115 * time.Millisecond // for a save; the others take
-	slowWork = 185 * time.Millisecond
-	patience = time.Second // how long a client waits for a save
-	// An answer up to half a second after its time only earns nothing; later it is lost. Each limit is 50 ms longer on sockets,
-	// and 100 ms are for this machine.
-	lostAfter = patience + 500*time.Millisecond + 50*time.Millisecond + 100*time.Millisecond
-	timeLimit = 20 * time.Second // of a round
+	memoryMB    = 128   // limits.memory_mb
+	calls       = 900   // of the tool that asks for hundreds at once
+	usual       = 10    // members of a usual batch
+	answerBytes = 60000 // a body holds at most 64 KiB
+	work        = 60 * time.Millisecond
+	rounds      = 6
 )
 
-// The settings have the defaults of [jsonrpc] but for beside, with which backends report their load.
 const own = `
 [jsonrpc]
 listen = "{rpc}"
 beside = true
 [[jsonrpc.method]]
-name = "save"
-class = "save-config"
-key = "/0"
-patience = "1s"
+name = "sendQuote"
+class = "send-quote"
 `
 
 func main() { rig.Main(run) }
 
 func run(e *rig.Env) (broken bool, err error) {
-	boxes, d, err := e.StartBoxes(17, 4, func(at int, _ rig.Call) (time.Duration, json.RawMessage) {
-		if at < fast {
-			return fastWork, json.RawMessage(`"saved"`)
-		}
-		return slowWork, json.RawMessage(`"saved"`)
-	})
+	answer := json.RawMessage(`"` + strings.Repeat("q", answerBytes) + `"`)
+	_, d, err := e.StartBoxes(12, 4, func(int, rig.Call) (time.Duration, json.RawMessage) { return work, answer })
 	if err != nil {
 		return false, err
 	}
-	n, err := e.StartNode(rig.NodeConfig{Name: "n1", Discovery: d, MemoryMB: 128, Own: own, Classes: []rig.Class{rig.SaveConfig, rig.SendQuote}})
+	n, err := e.StartNode(rig.NodeConfig{Name: "n1", Discovery: d, MemoryMB: memoryMB, Own: own, Classes: []rig.Class{rig.SaveConfig, rig.SendQuote}})
 	if err != nil {
 		return false, err
 	}
+	platform := watchMemory(e, n)
+	stop := make(chan struct{})
+	var usualClient sync.WaitGroup
+	usualClient.Go(func() { askSteadily(e, n, stop) })
+	time.Sleep(2 * time.Second)
+
 	c, err := rig.Dial(n.RPC)
 	if err != nil {
 		return false, err
 	}
 	defer c.Close()
-	for round := 0; round < rounds && !broken; round++ {
-		if broken, err = play(e, c, round, boxes); err != nil {
-			return false, err
-		}
+	size := usual
+	if e.Trouble {
+		size = calls
 	}
-	return broken, nil
-}
-
-// play sends the saves of a round and judges their answers.
-func play(e *rig.Env, c *rig.Client, round int, boxes []*rig.Backend) (broken bool, err error) {
-	if err := c.SetReadDeadline(time.Now().Add(timeLimit)); err != nil {
-		return false, err
-	}
-	sent := make([]time.Time, usual+burst) // when the last byte of each call had been written
-	written := make(chan error, 1)
-	go func() { written <- send(e, c, round, sent) }()
-	answers := make([]*rig.Answer, len(sent))
-	for got := 0; got < len(answers); {
-		all, err := c.Next()
-		if err != nil {
-			e.Log("the client's connection: %v", err)
-			break
-		}
-		for i := range all {
-			var id int
-			if err := json.Unmarshal(all[i].ID, &id); err != nil {
-				return false, err
+	for round := 0; round < rounds && !platform.hasKilled(); round++ {
+		for at := 0; at < calls && !platform.hasKilled(); at += size {
+			if err := askBatch(e, c, round*calls+at, size); err != nil {
+				e.Log("the tool's connection: %v", err)
+				break
 			}
-			answers[id-round*len(sent)] = &all[i]
-			got++
 		}
 	}
-	if err := <-written; err != nil {
-		return false, err
-	}
-	return judge(e, round, sent, answers, boxes), nil
+	close(stop)
+	usualClient.Wait()
+	e.Log("most memory of the node: %d MB of %d MB", platform.peakKB()>>10, memoryMB)
+	return platform.hasKilled(), nil
 }
 
-// send writes the calls of a round: the first ones at the usual rate, and the others at once, or at that rate too.
-func send(e *rig.Env, c *rig.Client, round int, sent []time.Time) error {
-	call := func(i int) string {
-		i += round * len(sent)
-		return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"save","params":["%d"]}`+"\n", i, i)
+// askBatch sends one batch and waits for the answers to it.
+func askBatch(e *rig.Env, c *rig.Client, first, size int) error {
+	members := make([]string, size)
+	for i := range members {
+		members[i] = fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sendQuote","params":[%d]}`, i, first+i)
 	}
-	start := time.Now()
-	for i := range sent {
-		if i == usual && e.Trouble {
-			break
-		}
-		time.Sleep(time.Until(start.Add(time.Duration(i) * usualGap)))
-		if _, err := c.Write([]byte(call(i))); err != nil {
-			return err
-		}
-		sent[i] = time.Now()
+	sent := time.Now()
+	if _, err := fmt.Fprintf(c, "[%s]\n", strings.Join(members, ",")); err != nil {
+		return err
 	}
-	e.Log("round %d: sent saves one after the other for %v", round, time.Since(start).Round(time.Millisecond))
-	if !e.Trouble {
-		return nil
+	if err := c.SetReadDeadline(sent.Add(10 * time.Second)); err != nil {
+		return err
 	}
-	var text strings.Builder
-	for i := usual; i < len(sent); i++ {
-		text.WriteString(call(i))
+	all, err := c.Next()
+	if err != nil {
+		return fmt.Errorf("a batch of %d has no answer after %v: %w", size, time.Since(sent).Round(time.Millisecond), err)
 	}
-	_, err := c.Write([]byte(text.String()))
-	for i, now := usual, time.Now(); i < len(sent); i++ {
-		sent[i] = now
+	kinds := map[string]int{}
+	for i := range all {
+		kinds[all[i].Kind()]++
 	}
-	e.Log("round %d: sent %d saves at once, %d bytes", round, burst, text.Len())
-	return err
+	e.Log("a batch of %d was answered after %v: %v", size, time.Since(sent).Round(time.Millisecond), kinds)
+	return nil
 }
 
-// judge reports whether a call has no answer in time, and records what came of all of them.
-func judge(e *rig.Env, round int, sent []time.Time, answers []*rig.Answer, boxes []*rig.Backend) (broken bool) {
-	kinds, lost, latest := [2]map[string]int{{}, {}}, 0, time.Duration(0)
-	for i, a := range answers {
-		id, kinds := round*len(sent)+i, kinds[min(1, i/usual)]
-		if a == nil {
-			kinds["no answer"]++
-			lost++
-			e.Log("save %d: no answer", id)
-			continue
+// askSteadily is another client, which asks for one quote after the other on a connection of its own.
+func askSteadily(e *rig.Env, n *rig.Node, stop <-chan struct{}) {
+	c, err := rig.Dial(n.RPC)
+	if err != nil {
+		e.Log("the other client: %v", err)
+		return
+	}
+	defer c.Close()
+	served := 0
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			e.Log("the other client: %d quotes served, each call answered", served)
+			return
+		case <-time.After(20 * time.Millisecond):
 		}
-		after := a.At.Sub(sent[i])
-		latest = max(latest, after)
-		kind := a.Kind()
-		switch {
-		case after > lostAfter:
-			kind += ", lost"
-			lost++
-		case after > patience:
-			kind += ", late"
-		default:
-			kind += " in time"
+		fmt.Fprintf(c, `{"jsonrpc":"2.0","id":"other-%d","method":"sendQuote","params":{"quote":"other-%d"}}`+"\n", i, i)
+		all, err := c.Next()
+		if err != nil {
+			e.Log("the other client: %d quotes served; call %d got no answer: %v", served, i, err)
+			return
+		}
+		if all[0].Kind() == "served" {
+			served++
 		}
-		kinds[kind]++
-		e.Log("save %d: %s after %v", id, kind, after.Round(time.Millisecond))
 	}
-	startedLate := 0
-	for _, b := range boxes {
-		for _, call := range b.Calls() {
-			var keys []string
-			if json.Unmarshal(call.Params, &keys) != nil || len(keys) != 1 {
-				continue
-			}
-			id, err := strconv.Atoi(keys[0])
+}
+
+// platform is the stand-in for what the platform does: it kills a node that is over its memory limit.
+type platform struct {
+	mu     sync.Mutex
+	peak   int
+	killed bool
+}
+
+func (p *platform) hasKilled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed
+}
+
+func (p *platform) peakKB() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peak
+}
+
+// watchMemory reads the node's memory until the node ends. It counts its own pages alone (RssAnon), not those of the
+// program's file.
+func watchMemory(e *rig.Env, n *rig.Node) *platform {
+	p := &platform{}
+	go func() {
+		for ; ; time.Sleep(5 * time.Millisecond) {
+			kb, err := anonymousKB(n.PID())
 			if err != nil {
-				continue
+				return
 			}
-			if i := id - round*len(sent); i >= 0 && i < len(sent) && call.At.Sub(sent[i]) > patience+150*time.Millisecond {
-				startedLate++
+			p.mu.Lock()
+			p.peak = max(p.peak, kb)
+			over := kb > memoryMB<<10
+			p.killed = p.killed || over
+			p.mu.Unlock()
+			if over {
+				e.Log("the node has %d kB of memory, and memory_mb is %d: the platform kills it", kb, memoryMB)
+				n.Signal(syscall.SIGKILL)
+				return
 			}
 		}
+	}()
+	return p
+}
+
+// anonymousKB returns the memory of a process without the pages of files.
+func anonymousKB(pid int) (int, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			return strconv.Atoi(strings.Fields(value)[0])
+		}
 	}
-	e.Log("round %d: the first %d saves: %v", round, usual, kinds[0])
-	e.Log("round %d: the other %d saves: %v", round, burst, kinds[1])
-	e.Log("round %d: %d lost; the latest answer came after %v; %d saves reached a box after their clients' time of %v", round, lost,
-		latest.Round(time.Millisecond), startedLate, patience)
-	return lost > 0
+	return 0, fmt.Errorf("process %d has ended", pid)
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -183,7 +183,7 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": cfg.MemoryMB, "sockets": 1024},
 		"known":  List{Version: 1, Full: true, Servers: cfg.Discovery.servers},
 		"settings": map[string]any{
-			"balancers": 1, "ordinal": 0, "zone": "tacoma", "zones": []string{"tacoma"}, "discovery": "push", "weights": "silent",
+			"balancers": 1, "ordinal": 0, "zone": "tacoma", "zones": []string{"tacoma", "everett", "olympia"}, "discovery": "push", "weights": "silent",
 			"worth_by": "request", "over_share_worth": 0.2, "clients": map[string]any{"marks_retry": false}, "grades": grades,
 			"invariants": map[string]any{"answer_slack_s": 0.02, "cold_s": 7.8, "cold_share": 0.32, "drain_grace_s": 2, "fall_s": 1.5,
 				"must_ask_in_s": 10, "overload_factor": 4},
