--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -16,8 +16,8 @@
 	}
 }
 
-func TestReviewOpenCallsAtShutdown(t *testing.T) { run(t, "1/run.sh") }
+func TestReviewLateSecondAnswer(t *testing.T) { run(t, "1/run.sh") }
 
 func TestReviewLongBatchAnswers(t *testing.T) { run(t, "2/run.sh") }
 
-func TestReviewClientLeavesDuringBatch(t *testing.T) { run(t, "3/run.sh") }
+func TestReviewCallsThatWait(t *testing.T) { run(t, "3/run.sh") }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -66,9 +67,13 @@
 		broken, err := run(e)
 		done <- result{broken, err}
 	}()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
 	var r result
 	select {
 	case r = <-done:
+	case s := <-ended:
+		r.err = fmt.Errorf("the case was ended by %v", s)
 	case <-time.After(timeLimit):
 		r.err = errors.New("the case took too long")
 	}
