rpcfront: one file each for the front, connections, calls, batches and answers

Declarations moved whole into conn.go, call.go, batch.go and answer.go, constants to the file that uses them. The sorted lines of the declarations are the same before and after; the JSON-RPC tests of internal/node pass.

--- /dev/null
+++ b/internal/rpcfront/conn.go
@@ -0,0 +1,151 @@
+package rpcfront
+
+import (
+	"bufio"
+	"container/list"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+
+	"craneglade/internal/jsonrpc"
+)
+
+const (
+	frameTimeout     = 2500 * time.Millisecond // for a frame, from its first byte
+	firstByteTimeout = 10 * time.Second        // for the first byte on a new connection
+	lingerTimeout    = 100 * time.Millisecond  // for the client to read its last answer
+	lingerBytes      = 256 << 10               // read from the client meanwhile
+)
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	front   *Front
+	slots   chan struct{} // one element for each open call
+	writing sync.Mutex
+	ctx     context.Context // ends with the connection
+	cancel  context.CancelFunc
+	calls   sync.WaitGroup
+
+	// Guarded by Front.mu.
+	idleElement   *list.Element // in Front.idleConns; nil if busy
+	hasDescriptor bool          // it counts against the descriptor quota
+
+	mu        sync.Mutex
+	openIDs   map[string]bool // ids of open calls, in the client's notation
+	openCalls int
+	closing   bool // it ends once no call is open
+	framing   jsonrpc.Framing
+}
+
+// closeWhenIdle makes a connection end once no call on it is open.
+func (c *conn) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	if c.openCalls == 0 {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// callStarted counts an open call; callDone ends it.
+func (c *conn) callStarted() {
+	c.mu.Lock()
+	c.openCalls++
+	first := c.openCalls == 1
+	c.mu.Unlock()
+	if first {
+		c.front.mu.Lock()
+		c.front.markBusy(c)
+		c.front.mu.Unlock()
+	}
+}
+
+func (c *conn) callDone() {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.openCalls--; c.openCalls > 0 {
+		return
+	}
+	if c.hasDescriptor && c.idleElement == nil {
+		c.idleElement = f.idleConns.PushBack(c)
+	}
+	if c.closing {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// setReadDeadline sets the read deadline, unless the connection is to end now.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing || c.openCalls > 0 {
+		c.SetReadDeadline(t)
+	}
+}
+
+// serve reads calls until the connection ends or a frame is malformed.
+func (c *conn) serve() {
+	in := bufio.NewReader(c.Conn)
+	r := jsonrpc.NewReader(in)
+	for first := true; ; first = false {
+		wait := c.front.cfg.IdleTimeout
+		if first {
+			wait = firstByteTimeout
+		}
+		c.setReadDeadline(time.Now().Add(wait))
+		if err := r.Wait(); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.mu.Lock()
+				busy := c.openCalls > 0 && !c.closing
+				c.mu.Unlock()
+				if busy { // it waits for answers and is not idle
+					continue
+				}
+			}
+			return
+		}
+		arrived := time.Now()
+		c.setReadDeadline(arrived.Add(frameTimeout))
+		frame, err := r.Next()
+		c.mu.Lock()
+		c.framing = r.Framing()
+		c.mu.Unlock()
+		var members []jsontext.Value
+		batch := false
+		if err == nil {
+			members, batch, err = jsonrpc.Split(frame)
+		}
+		if err != nil {
+			// The start of the next frame is unknown: the connection ends once the open calls are answered.
+			c.write(jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "Parse error", quote(err.Error())))
+			c.calls.Wait()
+			c.linger()
+			return
+		}
+		if !batch {
+			c.single(members[0], arrived)
+			continue
+		}
+		c.batch(members, arrived)
+	}
+}
+
+// linger gives the client time to read its last answer. If unread data remains, closing resets the connection, and the client
+// loses what it has not read yet.
+func (c *conn) linger() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
