JSON-RPC reserves memory for messages, calls and answers from the node's budget

Seen by callers: a batch of 900 JSON-RPC calls with answers of 60 kB takes a node of 128 MB over its memory.

Cause: the node's memory budget (bodies.Budget) was used by HTTP alone. rpcfront kept each encoded answer of a batch until the last was there (batchAnswer.parts), joined them (set) and copied the array into a frame (write): three copies of 54 MB that nothing counted or bounded. inflight bounds open calls, not finished ones.

Evidence: the collector's trace shows live memory rising with the answers to 55 MB, and by 29 MB more in 0.15 s when the last ones are there. A heap profile at 81 MB has 56 MB from AppendResult and 24 MB from batchAnswer.set. Ruled out by it: garbage of growing read buffers, backends' messages.

Change: memory is reserved before it is used, and what gets none is refused with -32001 before it runs: a message while it is received, its calls before they are parsed, 72 KiB for an open call before it is sent, of which the result's size stays reserved until it is written. A call without memory waits while others of its connection are open. HTTP keeps half of the heads' reserve, one connection gets at most half of the calls' part. Messages are written from their parts. A result is copied out of the backend's message, so that a short one does not keep a long message.

Why it works: what JSON-RPC holds is at most 5/16 of memory_mb (40 of 128 MB) at any moment, whatever the clients send or leave unread; the collector's limit is 3/4.

--- /dev/null
+++ b/cmd/craneglade/rpc_memory_test.go
@@ -0,0 +1,483 @@
+package main
+
+// These tests guard against a node that JSON-RPC takes over its memory limit, so that the platform kills it. A node of 128 MB once
+// kept all answers to the members of a batch until the last one was there, then copied them twice into the message to the client:
+// three copies that no budget counted. A batch of 900 calls with answers of 60 kB needed over 160 MB.
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"craneglade/internal/jsonrpc"
+	"craneglade/internal/kit/stand"
+	"craneglade/internal/kit/trace"
+)
+
+const (
+	rpcMemoryMB    = 128    // limits.memory_mb of the node
+	rpcAnswerBytes = 60_000 // DEPLOY: a body holds at most 64 KiB
+	rpcBackends    = 12
+	refusedCode    = -32001
+	failedCode     = -32002
+)
+
+// rpcMemorySettings has one class, whose requests are never sent twice.
+const rpcMemorySettings = `{"balancers":1,"zone":"n","discovery":"push","grades":[{"name":"quote","aim_s":1,"deadline_s":60,` +
+	`"gain":1,"effect":"single_shot","group":"all"}],"policy_limits":{"max_attempts":1,"connect_timeout_s":5}}`
+
+// longAnswers is a set of JSON-RPC backends with answers of rpcAnswerBytes. They record the first parameter of each call.
+type longAnswers struct {
+	delay  time.Duration // until a call is answered
+	answer string
+	mu     sync.Mutex
+	calls  map[int]int // number of calls by parameter
+}
+
+// serve answers the calls on a node's connection.
+func (b *longAnswers) serve(c net.Conn) {
+	defer c.Close()
+	var writing sync.Mutex
+	for in := jsonrpc.NewReader(bufio.NewReader(c)); ; {
+		frame, err := in.Next()
+		if err != nil {
+			return
+		}
+		m, err := jsonrpc.Parse(frame, "")
+		var params []any
+		if err != nil || json.Unmarshal(m.Params, &params) != nil {
+			return
+		}
+		b.mu.Lock()
+		b.calls[int(params[0].(float64))]++
+		b.mu.Unlock()
+		time.AfterFunc(b.delay, func() {
+			writing.Lock()
+			defer writing.Unlock()
+			fmt.Fprintf(c, `{"jsonrpc":"2.0","id":%s,"result":"%s"}`+"\n", m.ID, b.answer)
+		})
+	}
+}
+
+// received returns how often a call with the given parameter was received.
+func (b *longAnswers) received(parameter int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls[parameter]
+}
+
+// rpcNode is a node with a JSON-RPC front, and a reader of its memory.
+type rpcNode struct {
+	*program
+	addr     string
+	backends *longAnswers
+	peakKB   atomic.Int64
+}
+
+// startRPCNode starts a node of rpcMemoryMB in front of backends that answer after delay. Clients wait for clientTimeout.
+func startRPCNode(t *testing.T, delay, clientTimeout time.Duration) *rpcNode {
+	t.Helper()
+	b := &longAnswers{delay: delay, answer: strings.Repeat("q", rpcAnswerBytes), calls: map[int]int{}}
+	var listed []stand.Entry
+	for i := range rpcBackends {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go b.serve(c)
+			}
+		}()
+		listed = append(listed, stand.Entry{ID: fmt.Sprint("s-", i), Addr: ln.Addr().String(), RPC: ln.Addr().String(), Zone: "n", Kind: "k", State: trace.Ready, Weight: 1})
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := stand.NewAgent("n0", false, stand.Clock{Start: time.Now()}, trace.NewWriter(io.Discard, trace.Head{}), listed)
+	agent.Apply(listed[0]) // newer than the list in the node's file
+	discovery := stand.ServeAgent(agent, ln)
+	t.Cleanup(discovery.Close)
+	own := filepath.Join(t.TempDir(), "own.toml")
+	n := &rpcNode{addr: freeAddr(t), backends: b}
+	settings := fmt.Sprintf("[jsonrpc]\nlisten = %q\n[[jsonrpc.method]]\nname = \"sendQuote\"\nclass = \"quote\"\npatience = %q\n", n.addr, clientTimeout.String())
+	if err := os.WriteFile(own, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(config(""), platformSettings, rpcMemorySettings, 1)
+	text = strings.Replace(text, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, rpcMemoryMB), 1)
+	n.program = startCommand(t, exec.Command(buildForDeployment(t), "serve", "--config", own), discovery.Addr, text)
+	n.watchMemory(t)
+	return n
+}
+
+// watchMemory records the most memory that the process has, without pages of its file, until it ends.
+func (n *rpcNode) watchMemory(t *testing.T) {
+	t.Helper()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		close(stop)
+		wg.Wait()
+	})
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			kb, err := anonymousMemoryKB(n.cmd.Process.Pid)
+			if err != nil {
+				return
+			}
+			n.peakKB.Store(max(n.peakKB.Load(), kb))
+		}
+	})
+}
+
+// anonymousMemoryKB returns RssAnon of a process, as in proc(5).
+func anonymousMemoryKB(pid int) (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if size, is := strings.CutPrefix(line, "RssAnon:"); is {
+			return strconv.ParseInt(strings.Fields(size)[0], 10, 64)
+		}
+	}
+	return 0, errors.New("no RssAnon in the status file")
+}
+
+// checkMemory fails the test if the node has ever been over its limit.
+func (n *rpcNode) checkMemory(t *testing.T) {
+	t.Helper()
+	peak := n.peakKB.Load()
+	t.Logf("at most %d MB of %d MB", peak>>10, rpcMemoryMB)
+	if peak > rpcMemoryMB<<10 {
+		t.Errorf("the node had %d kB of memory, and its limit is %d MB", peak, rpcMemoryMB)
+	}
+}
+
+// rpcAnswer is an answer as a client gets it.
+type rpcAnswer struct {
+	ID     *int
+	Result *string
+	Error  *struct{ Code int }
+}
+
+// rpcClient is a connection of a client.
+type rpcClient struct {
+	net.Conn
+	in      *bufio.Reader
+	framing jsonrpc.Framing
+}
+
+func (n *rpcNode) dial(t *testing.T, framing jsonrpc.Framing) *rpcClient {
+	t.Helper()
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &rpcClient{c, bufio.NewReader(c), framing}
+}
+
+// quoteCall returns a call whose first parameter is its id.
+func quoteCall(id int) string {
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sendQuote","params":[%d]}`, id, id)
+}
+
+// send sends a message in the client's framing, after which answers have testTimeout to arrive.
+func (c *rpcClient) send(message string) error {
+	if err := c.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		return err
+	}
+	_, err := c.Write(jsonrpc.AppendFrame(nil, c.framing, []byte(message)))
+	return err
+}
+
+// receive reads a message into v. Unlike jsonrpc.Reader it has no limit.
+func (c *rpcClient) receive(v any) error {
+	message, err := c.in.ReadBytes('\n')
+	if length, headed := strings.CutPrefix(string(message), "Content-Length: "); headed && err == nil {
+		var size int
+		if size, err = strconv.Atoi(strings.TrimSpace(length)); err != nil {
+			return err
+		}
+		message = make([]byte, len("\r\n")+size)
+		_, err = io.ReadFull(c.in, message)
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(message, v)
+}
+
+// batch sends a batch and returns its answers by id.
+func (c *rpcClient) batch(first, size int) (map[int]rpcAnswer, error) {
+	members := make([]string, size)
+	for i := range members {
+		members[i] = quoteCall(first + i)
+	}
+	if err := c.send("[" + strings.Join(members, ",") + "]"); err != nil {
+		return nil, err
+	}
+	var all []rpcAnswer
+	if err := c.receive(&all); err != nil {
+		return nil, fmt.Errorf("no answer to a batch: %w", err)
+	}
+	return answersByID(all)
+}
+
+func answersByID(all []rpcAnswer) (map[int]rpcAnswer, error) {
+	byID := map[int]rpcAnswer{}
+	for _, a := range all {
+		if a.ID == nil {
+			return nil, fmt.Errorf("an answer without an id: %+v", a)
+		}
+		if _, twice := byID[*a.ID]; twice {
+			return nil, fmt.Errorf("call %d has two answers", *a.ID)
+		}
+		byID[*a.ID] = a
+	}
+	return byID, nil
+}
+
+// checkAnswers checks that each call has one answer and ran at most once, and that refused ones have not run. A call that was
+// sent may fail on a busy machine. It returns the number of served calls.
+func (n *rpcNode) checkAnswers(t *testing.T, answers map[int]rpcAnswer, first, size int) (served int) {
+	t.Helper()
+	failed := 0
+	for id := first; id < first+size; id++ {
+		a, ok := answers[id]
+		received := n.backends.received(id)
+		switch {
+		case !ok:
+			t.Errorf("call %d has no answer", id)
+		case received > 1:
+			t.Errorf("call %d was received %d times", id, received)
+		case a.Result != nil:
+			served++
+			if len(*a.Result) != rpcAnswerBytes || received == 0 {
+				t.Errorf("call %d is answered with %d bytes and was received %d times", id, len(*a.Result), received)
+			}
+		case a.Error == nil:
+			t.Errorf("call %d is answered with neither a result nor an error", id)
+		case a.Error.Code == refusedCode && received == 0:
+		case a.Error.Code == failedCode && received == 1:
+			failed++
+		default:
+			t.Errorf("call %d is answered with error %d and was received %d times", id, a.Error.Code, received)
+		}
+	}
+	if failed > 0 {
+		t.Logf("%d calls failed", failed)
+	}
+	return served
+}
+
+// A batch whose answers together are larger than the node's memory: what does not fit is refused before it runs.
+func TestBatchWithLongAnswersStaysWithinMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		batches  = 3
+		members  = 900
+		perBatch = 10_000 // distance of the first ids
+	)
+	for name, framing := range map[string]jsonrpc.Framing{"lines": jsonrpc.Lines, "headers": jsonrpc.HeaderDelimited} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := startRPCNode(t, 20*time.Millisecond, testTimeout)
+			c := n.dial(t, framing)
+			served := 0
+			for i := range batches {
+				answers, err := c.batch(i*perBatch, members)
+				if err != nil {
+					t.Fatal(err)
+				}
+				served += n.checkAnswers(t, answers, i*perBatch, members)
+			}
+			t.Logf("%d of %d calls were served", served, batches*members)
+			if served == 0 {
+				t.Error("no call was served")
+			}
+			n.checkMemory(t)
+		})
+	}
+}
+
+// Ten clients send such batches at the same time. Each gets an answer to each call.
+func TestConcurrentBatchesWithLongAnswersStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		clients  = 10
+		batches  = 2
+		members  = 900
+		perBatch = 10_000
+	)
+	n := startRPCNode(t, 20*time.Millisecond, testTimeout)
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for k := range clients {
+		c := n.dial(t, jsonrpc.Lines)
+		wg.Go(func() {
+			for i := range batches {
+				first := (k*batches + i) * perBatch
+				answers, err := c.batch(first, members)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				served.Add(int64(n.checkAnswers(t, answers, first, members)))
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d of %d calls were served", served.Load(), clients*batches*members)
+	if served.Load() == 0 {
+		t.Error("no call was served")
+	}
+	n.checkMemory(t)
+}
+
+// Many clients have many calls open, none of them in a batch, and read their answers late. The node may end the connection of one that
+// reads nothing for 2 s.
+func TestLateReadersOfLongAnswersStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		clients       = 100
+		calls         = 64 // the default of jsonrpc.inflight
+		readDelay     = 1500 * time.Millisecond
+		perConnection = 10_000
+	)
+	n := startRPCNode(t, 20*time.Millisecond, testTimeout)
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for k := range clients {
+		c := n.dial(t, jsonrpc.Lines)
+		wg.Go(func() {
+			for i := range calls {
+				if c.send(quoteCall(k*perConnection+i)) != nil {
+					return
+				}
+			}
+			time.Sleep(readDelay)
+			var all []rpcAnswer
+			for range calls {
+				var a rpcAnswer
+				if c.receive(&a) != nil {
+					return
+				}
+				all = append(all, a)
+			}
+			answers, err := answersByID(all)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			served.Add(int64(n.checkAnswers(t, answers, k*perConnection, calls)))
+		})
+	}
+	wg.Wait()
+	t.Logf("%d of %d calls were served", served.Load(), clients*calls)
+	if served.Load() == 0 {
+		t.Error("no call was served")
+	}
+	n.checkMemory(t)
+}
+
+// Many clients send most of a long message and stop. Calls are served again once the node has closed their connections.
+func TestUnfinishedRPCMessagesStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const clients = 550
+	n := startRPCNode(t, 20*time.Millisecond, testTimeout)
+	unfinished := `{"jsonrpc":"2.0","id":1,"method":"sendQuote","params":["` + strings.Repeat("x", 60<<10)
+	for range clients {
+		if _, err := io.WriteString(n.dial(t, jsonrpc.Lines), unfinished); err != nil {
+			t.Logf("a client: %v", err)
+		}
+	}
+	served := func() bool {
+		c := n.dial(t, jsonrpc.Lines)
+		defer c.Close()
+		var a rpcAnswer
+		return c.send(quoteCall(1)) == nil && c.receive(&a) == nil && a.Result != nil
+	}
+	for end := time.Now().Add(testTimeout); !served(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no call is served after the unfinished messages")
+		}
+	}
+	n.checkMemory(t)
+}
+
+// Many clients have calls with long parameters open at backends that do not answer. Each call gets an answer, or its connection ends with one.
+func TestOpenCallsWithLongParametersStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		clients       = 100
+		calls         = 40
+		perConnection = 10_000
+	)
+	n := startRPCNode(t, time.Hour, 3*time.Second)
+	padding := strings.Repeat("x", 60<<10)
+	var wg sync.WaitGroup
+	var refused, failed, ended atomic.Int64
+	for k := range clients {
+		c := n.dial(t, jsonrpc.Lines)
+		wg.Go(func() {
+			for i := range calls {
+				id := k*perConnection + i
+				if c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"sendQuote","params":[%d,%q]}`, id, id, padding)) != nil {
+					return // its connection has ended
+				}
+			}
+		})
+		wg.Go(func() {
+			for range calls {
+				var a rpcAnswer
+				switch err := c.receive(&a); {
+				case err != nil:
+					t.Errorf("client %d: a call without an answer: %v", k, err)
+					return
+				case a.Error == nil:
+					t.Errorf("client %d: answered with %+v", k, a)
+				case a.Error.Code == refusedCode && a.ID == nil:
+					ended.Add(1)
+					return
+				case a.Error.Code == refusedCode && n.backends.received(*a.ID) > 0:
+					t.Errorf("call %d was refused and has run", *a.ID)
+				case a.Error.Code == refusedCode:
+					refused.Add(1)
+				case a.Error.Code == failedCode:
+					failed.Add(1)
+				default:
+					t.Errorf("client %d: error %d", k, a.Error.Code)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d calls were refused, %d failed, %d connections ended for lack of memory", refused.Load(), failed.Load(), ended.Load())
+	n.checkMemory(t)
+}
--- a/internal/bodies/budget.go
+++ b/internal/bodies/budget.go
@@ -33,7 +33,8 @@
 }
 
 // Limits are the totals of the tiers, in bytes; 0 disables a tier. Heads is memory reserved for message heads and
-// responses. These may also use what bodies leave of Memory, but bodies never use Heads.
+// responses. These may also use what bodies leave of Memory, but bodies never use Heads. JSON-RPC uses the same memory as
+// heads, but leaves half of Heads to them.
 type Limits struct {
 	Memory int64
 	Heads  int64
@@ -45,6 +46,8 @@
 	limits       Limits
 	used         [tiers]int64
 	heads        int64        // memory reserved for heads and responses
+	messages     int64        // memory reserved for JSON-RPC messages from clients
+	calls        int64        // memory reserved for JSON-RPC calls and their answers
 	count        [tiers]int64 // bodies placed so far
 	diskDisabled bool         // Place and Extend do not use the disk
 }
@@ -85,7 +88,7 @@
 
 // fitsMemory reports whether bodies may use size more bytes of memory.
 func (b *Budget) fitsMemory(size int64) bool {
-	return b.used[Memory]+size+max(0, b.heads-b.limits.Heads) <= b.limits.Memory
+	return b.used[Memory]+size+max(0, b.heads+b.RPCBytes()-b.limits.Heads) <= b.limits.Memory
 }
 
 // Extend reserves more space for a body of unknown size, of which reserved bytes are in memory already, and returns its
@@ -115,7 +118,7 @@
 // ReserveHead reserves memory for a message head or a response, and reports whether there is enough. ReleaseHead
 // releases it.
 func (b *Budget) ReserveHead(size int64) bool {
-	if b.used[Memory]+b.heads+size > b.limits.Memory+b.limits.Heads {
+	if b.used[Memory]+b.heads+b.RPCBytes()+size > b.limits.Memory+b.limits.Heads {
 		return false
 	}
 	b.heads += size
@@ -128,6 +131,47 @@
 // HeadBytes returns the bytes of memory that are reserved for heads and responses.
 func (b *Budget) HeadBytes() int64 { return b.heads }
 
+// ReserveMessage reserves memory for a JSON-RPC message from a client, and reports whether there is enough. Messages get
+// at most half of the memory for JSON-RPC, so that clients with many unfinished messages leave room for calls.
+// ReleaseMessage releases it.
+func (b *Budget) ReserveMessage(size int64) bool {
+	if b.messages+size > b.RPCLimit()/2 || !b.fitsRPC(size) {
+		return false
+	}
+	b.messages += size
+	return true
+}
+
+// ReleaseMessage releases what ReserveMessage reserved.
+func (b *Budget) ReleaseMessage(size int64) { b.messages -= size }
+
+// ReserveCall reserves memory for an open JSON-RPC call or its answer, and reports whether there is enough. Calls get at
+// most three quarters of the memory for JSON-RPC, so that further messages can be read and refused, and one connection
+// gets at most half of that, so that a client with many long answers leaves room for others. held is what the connection
+// has reserved already. ReleaseCall releases it.
+func (b *Budget) ReserveCall(held, size int64) bool {
+	limit := b.RPCLimit() / 4 * 3
+	if held+size > limit/2 || b.calls+size > limit || !b.fitsRPC(size) {
+		return false
+	}
+	b.calls += size
+	return true
+}
+
+// ReleaseCall releases what ReserveCall reserved.
+func (b *Budget) ReleaseCall(size int64) { b.calls -= size }
+
+// RPCBytes returns the bytes of memory that are reserved for JSON-RPC.
+func (b *Budget) RPCBytes() int64 { return b.messages + b.calls }
+
+// RPCLimit returns the memory for JSON-RPC, in bytes, if nothing else is reserved. It leaves half of Heads to heads.
+func (b *Budget) RPCLimit() int64 { return b.limits.Memory + b.limits.Heads/2 }
+
+// fitsRPC reports whether JSON-RPC may use size more bytes of memory.
+func (b *Budget) fitsRPC(size int64) bool {
+	return b.used[Memory]+max(0, b.heads-b.limits.Heads/2)+b.RPCBytes()+size <= b.RPCLimit()
+}
+
 // FallBack moves a body that could not be written to disk to the next tier, and releases its space on disk.
 func (b *Budget) FallBack(c Class, size int64) (Tier, error) {
 	b.Free(Disk, size)
--- a/internal/jsonrpc/frame.go
+++ b/internal/jsonrpc/frame.go
@@ -15,6 +15,9 @@
 // MaxFrameBytes is the maximum size of a message or batch.
 const MaxFrameBytes = 64 << 10
 
+// initialFrameBytes is the first size of the buffer of a frame of unknown length. Most calls fit.
+const initialFrameBytes = 512
+
 // maxHeadBytes is the maximum size of the head of a HeaderDelimited frame.
 const maxHeadBytes = 1 << 10
 
@@ -29,9 +32,16 @@
 // ErrFrame reports a malformed frame. Its end is unknown, so nothing more can be read from the stream.
 var ErrFrame = errors.New("no JSON-RPC message")
 
+// ErrNoMemory reports that Reader.Grow refused the memory for a frame. Its end is unknown, as with ErrFrame.
+var ErrNoMemory = errors.New("no memory for a JSON-RPC message")
+
 // Reader reads frames from a stream. It detects the framing of each by its first byte: a JSON text can't start with the first
 // letter of "Content-Length" or "Content-Type".
 type Reader struct {
+	// Grow is called before the buffer of the current frame grows to size bytes, unless it is nil. If it returns false, Next
+	// fails with ErrNoMemory.
+	Grow func(size int) bool
+
 	in          *bufio.Reader
 	lastFraming Framing
 }
@@ -106,7 +116,11 @@
 	if length < 0 || length > MaxFrameBytes {
 		return nil, fmt.Errorf("%w: Content-Length is missing or over %d", ErrFrame, MaxFrameBytes)
 	}
-	frame := make([]byte, length)
+	frame, err := r.grow(nil, length)
+	if err != nil {
+		return nil, err
+	}
+	frame = frame[:length]
 	if _, err := io.ReadFull(r.in, frame); err != nil {
 		return nil, wrapReadError(err)
 	}
@@ -115,7 +129,10 @@
 
 // readText reads up to the end of a JSON text. To find it, it checks only that brackets match and strings end.
 func (r *Reader) readText() ([]byte, error) {
-	var frame []byte
+	frame, err := r.grow(nil, initialFrameBytes)
+	if err != nil {
+		return nil, err
+	}
 	var open []byte // expected closing brackets, innermost last
 	inString, escaped := false, false
 	for {
@@ -129,9 +146,15 @@
 		if len(open) == 0 && !inString && len(frame) > 0 && isSpace(b) {
 			return frame, nil // a number, string or literal before white space
 		}
-		if frame = append(frame, b); len(frame) > MaxFrameBytes {
+		if len(frame) == MaxFrameBytes {
 			return nil, fmt.Errorf("%w: over %d bytes", ErrFrame, MaxFrameBytes)
 		}
+		if len(frame) == cap(frame) {
+			if frame, err = r.grow(frame, min(2*cap(frame), MaxFrameBytes)); err != nil {
+				return nil, err
+			}
+		}
+		frame = append(frame, b)
 		switch {
 		case inString:
 			switch {
@@ -161,6 +184,14 @@
 	}
 }
 
+// grow returns a copy of frame with a capacity of size bytes.
+func (r *Reader) grow(frame []byte, size int) ([]byte, error) {
+	if r.Grow != nil && !r.Grow(size) {
+		return nil, ErrNoMemory
+	}
+	return append(make([]byte, 0, size), frame...), nil
+}
+
 func isSpace(b byte) bool { return b == ' ' || b == '\t' || b == '\r' || b == '\n' }
 
 // wrapReadError wraps the error of a read within a frame, where io.EOF is unexpected.
@@ -171,6 +202,18 @@
 	return fmt.Errorf("%w: %w", ErrFrame, err)
 }
 
+// AppendFrameParts appends a message in framing f to out. The message consists of parts, which are not copied.
+func AppendFrameParts(out [][]byte, f Framing, parts [][]byte) [][]byte {
+	if f != HeaderDelimited {
+		return append(append(out, parts...), []byte{'\n'})
+	}
+	length := 0
+	for _, p := range parts {
+		length += len(p)
+	}
+	return append(append(out, fmt.Appendf(nil, "Content-Length: %d\r\n\r\n", length)), parts...)
+}
+
 // AppendFrame appends a message to out in framing f.
 func AppendFrame(out []byte, f Framing, message []byte) []byte {
 	if f == HeaderDelimited {
--- a/internal/jsonrpc/jsonrpc_test.go
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -51,6 +52,43 @@
 	return n, nil
 }
 
+// A reader asks for the memory of a frame before its buffer grows, up to the largest frame, and reads nothing of a frame that gets none.
+func TestReaderAsksForMemory(t *testing.T) {
+	text := `["` + strings.Repeat("x", MaxFrameBytes-len(`[""]`)) + `"]`
+	for _, framing := range []Framing{Lines, HeaderDelimited} {
+		r := reader(string(AppendFrame(nil, framing, []byte(text))))
+		var sizes []int
+		r.Grow = func(size int) bool {
+			sizes = append(sizes, size)
+			return true
+		}
+		frame, err := r.Next()
+		if err != nil || string(frame) != text {
+			t.Fatalf("framing %v: %d bytes, %v; want %d", framing, len(frame), err, len(text))
+		}
+		if len(sizes) == 0 || !slices.IsSorted(sizes) || sizes[len(sizes)-1] != MaxFrameBytes || cap(frame) != MaxFrameBytes {
+			t.Errorf("framing %v: asked for %v, and the buffer has %d", framing, sizes, cap(frame))
+		}
+		r = reader(string(AppendFrame(nil, framing, []byte(text))))
+		r.Grow = func(size int) bool { return size < MaxFrameBytes }
+		if _, err := r.Next(); !errors.Is(err, ErrNoMemory) {
+			t.Errorf("framing %v, without memory: %v", framing, err)
+		}
+	}
+}
+
+// A message in parts is framed like the same message in one piece.
+func TestAppendFrameParts(t *testing.T) {
+	id, result := jsontext.Value(`"a"`), jsontext.Value(`{"b":[1]}`)
+	const message = `{"jsonrpc":"2.0","id":"a","result":{"b":[1]}}`
+	for _, framing := range []Framing{Lines, HeaderDelimited} {
+		got := bytes.Join(AppendFrameParts(nil, framing, ResultParts(id, result)), nil)
+		if want := AppendFrame(nil, framing, []byte(message)); !bytes.Equal(got, want) {
+			t.Errorf("framing %v: %q, want %q", framing, got, want)
+		}
+	}
+}
+
 // The error text of a malformed frame has no line break: it is sent to the client.
 func TestMalformedFramesAreRejected(t *testing.T) {
 	for _, text := range []string{"{]", "]", "{\"a\n\":1}", "{", `"`, strings.Repeat("[", MaxFrameBytes+1), "Content-Length: x\r\n\r\n{}",
--- a/internal/jsonrpc/message.go
+++ b/internal/jsonrpc/message.go
@@ -142,11 +142,12 @@
 	return m, nil
 }
 
-// AppendResult appends a response with a result.
-func AppendResult(out []byte, id, result jsontext.Value) []byte {
-	out = append(append(out, `{"jsonrpc":"2.0","id":`...), id...)
-	out = append(append(out, `,"result":`...), result...)
-	return append(out, '}')
+// ResultParts returns a response with a result in parts that follow one another. The result is not copied.
+func ResultParts(id, result jsontext.Value) [][]byte {
+	const start, middle = `{"jsonrpc":"2.0","id":`, `,"result":`
+	head := make([]byte, 0, len(start)+len(id)+len(middle))
+	head = append(append(append(head, start...), id...), middle...)
+	return [][]byte{head, result, {'}'}}
 }
 
 // AppendErrorObject appends a response with an encoded error object.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,7 +163,7 @@
 	quotas.SetReclaim(admission.ClientSide, func() bool { return n.front.EvictIdleForBackend() || n.rpcFront != nil && n.rpcFront.EvictIdle() })
 	quotas.SetReclaim(admission.BackendSide, n.carrier.EvictIdle)
 	if n.rpcCarrier != nil {
-		n.rpcFront = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: quotas.Side(admission.ClientSide),
+		n.rpcFront = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: quotas.Side(admission.ClientSide), Memory: n.bodies,
 			Methods: cfg.rpcMethods(), MaxInflight: file.JSONRPC.MaxInflight, MaxBatch: file.JSONRPC.MaxBatch, IdleTimeout: file.JSONRPC.IdleTimeout.D(), Log: log})
 	}
 	var ctx context.Context
--- a/internal/rpccarrier/call.go
+++ b/internal/rpccarrier/call.go
@@ -2,6 +2,7 @@
 package rpccarrier
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 
@@ -19,9 +20,22 @@
 	Method string
 	Params jsontext.Value
 	Key    string // idempotency key; "" for none
+	Memory Memory // of the client's message, which Params is a part of; nil if it is not counted
 }
 
-// Reply is a backend's answer. Exactly one of its fields is set.
+// Memory is memory that is reserved for a call.
+type Memory interface {
+	Release() // returns it
+}
+
+// Release returns the memory of the client's message. The engine calls it when the call is closed.
+func (c *Call) Release() {
+	if c.Memory != nil {
+		c.Memory.Release()
+	}
+}
+
+// Reply is a backend's answer. Exactly one of its fields is set. It shares no memory with the rest of the backend's message.
 type Reply struct {
 	Result jsontext.Value
 	Error  jsontext.Value // an error object of the application
@@ -61,7 +75,7 @@
 		res.Load, reportErr = wire.DecodeLoad(string(metadata.Load))
 	}
 	if m.Result != nil {
-		res.Outcome, res.Reply = policy.OK, &Reply{Result: m.Result}
+		res.Outcome, res.Reply = policy.OK, &Reply{Result: bytes.Clone(m.Result)}
 		return res, reportErr
 	}
 	var object struct {
@@ -77,7 +91,7 @@
 		res.Outcome = policy.Full
 	case code == jsonrpc.InternalError || code <= -32000 && code >= -32099:
 	default:
-		res.Outcome, res.Reply = policy.OK, &Reply{Error: m.Error}
+		res.Outcome, res.Reply = policy.OK, &Reply{Error: bytes.Clone(m.Error)}
 	}
 	return res, reportErr
 }
--- a/internal/rpcfront/answer.go
+++ b/internal/rpcfront/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strconv"
 	"time"
 
@@ -31,21 +32,30 @@
 	return id
 }
 
-// encodeAnswer encodes an answer of the engine for the client.
-func encodeAnswer(id jsontext.Value, a engine.Answer) []byte {
+// message is an encoded message in parts that follow one another; nil for none.
+type message [][]byte
+
+// encodeAnswer encodes an answer of the engine for the client. size is the part of openCallBytes that it needs until it is
+// written.
+func encodeAnswer(id jsontext.Value, a engine.Answer) (m message, size int64) {
 	if id == nil {
-		return nil
+		return nil, 0
 	}
 	if r, ok := a.Payload.(*rpccarrier.Reply); ok {
 		if r.Error != nil {
-			return jsonrpc.AppendErrorObject(nil, id, r.Error)
+			return message{jsonrpc.AppendErrorObject(nil, id, r.Error)}, int64(len(r.Error))
 		}
-		return jsonrpc.AppendResult(nil, id, r.Result)
+		return jsonrpc.ResultParts(id, r.Result), int64(len(r.Result))
 	}
 	if a.Kind == engine.Refused {
-		return jsonrpc.AppendError(nil, id, Refused, "refused", refusalData(a.RetryAfter))
+		return refusal(id, "refused", a.RetryAfter), 0
 	}
-	return jsonrpc.AppendError(nil, id, Failed, "failed", jsontext.Value(`{"repeat":"unknown"}`))
+	return message{jsonrpc.AppendError(nil, id, Failed, "failed", jsontext.Value(`{"repeat":"unknown"}`))}, 0
+}
+
+// refusal returns the answer to a call that has not run. The id may be nil.
+func refusal(id jsontext.Value, text string, retryAfter time.Duration) message {
+	return message{jsonrpc.AppendError(nil, idOrNull(id), Refused, text, refusalData(retryAfter))}
 }
 
 // refusalData returns the data member of an error with code Refused.
@@ -62,17 +72,18 @@
 }
 
 // write writes a message. It closes the connection if the client does not read it within writeTimeout.
-func (c *conn) write(message []byte) {
-	if len(message) == 0 {
+func (c *conn) write(m message) {
+	if len(m) == 0 {
 		return
 	}
 	c.mu.Lock()
 	f := c.framing
 	c.mu.Unlock()
+	frame := net.Buffers(jsonrpc.AppendFrameParts(make([][]byte, 0, len(m)+1), f, m))
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.Write(jsonrpc.AppendFrame(nil, f, message)); err != nil {
+	if _, err := frame.WriteTo(c.Conn); err != nil {
 		c.Close() // part of the message may be written: nothing can follow it
 	}
 }
--- a/internal/rpcfront/call.go
+++ b/internal/rpcfront/call.go
@@ -12,28 +12,31 @@
 	"craneglade/policy"
 )
 
+// noMemoryForCall is the text of the error of a call that is refused for lack of memory.
+const noMemoryForCall = "no memory for a call"
+
 // single answers a message that is not part of a batch.
-func (c *conn) single(v jsontext.Value, arrived time.Time) {
+func (c *conn) single(v jsontext.Value, arrived time.Time, memory *messageMemory) {
 	call, id, errAnswer := c.parse(v, arrived)
-	if errAnswer != nil {
+	if call == nil {
 		c.write(errAnswer)
 		return
 	}
-	c.start(call, id, func(answer []byte) {
-		if answer != nil {
-			c.write(answer)
-		}
+	memory.reserveCalls(1)
+	c.start(call, id, memory, func(answer message, size int64) {
+		c.write(answer)
+		c.releaseCall(size)
 	})
 }
 
-// parse parses a message. For an invalid one it returns the error answer, which is empty for a notification.
-func (c *conn) parse(v jsontext.Value, arrived time.Time) (call *rpccarrier.Call, id jsontext.Value, errAnswer []byte) {
+// parse parses a message. For an invalid one call is nil, and errAnswer is the answer, nil for a notification.
+func (c *conn) parse(v jsontext.Value, arrived time.Time) (call *rpccarrier.Call, id jsontext.Value, errAnswer message) {
 	m, err := jsonrpc.Parse(v, "")
-	refuse := func(code int, text, reason string) []byte {
+	refuse := func(code int, text, reason string) message {
 		if m.IsNotification() {
-			return []byte{} // a notification gets no answer
+			return nil // a notification gets no answer
 		}
-		return jsonrpc.AppendError(nil, m.ID, code, text, quote(reason))
+		return message{jsonrpc.AppendError(nil, m.ID, code, text, quote(reason))}
 	}
 	if err != nil {
 		m.ID = idOrNull(m.ID) // an invalid request is not a notification, even without an id
@@ -91,61 +94,84 @@
 	return call, m.ID, nil
 }
 
-// start passes a call to the engine once fewer than MaxInflight are open. Until then it blocks and nothing more is read, which
-// slows the client down. answer is called once, with nil for a notification or a client that has disconnected.
-func (c *conn) start(call *rpccarrier.Call, id jsontext.Value, answer func([]byte)) {
+// start passes a call to the engine once admit allows it. Until then it blocks and nothing more is read, which slows the client
+// down. answer is called once, with nil for a notification or a client that has disconnected; size bytes are reserved for the
+// answer, which the callee has to return.
+func (c *conn) start(call *rpccarrier.Call, id jsontext.Value, memory *messageMemory, answer func(m message, size int64)) {
 	f := c.front
-	if !c.acquireSlot(call.Arrived.Add(call.ClientTimeout)) {
-		c.finish(id, answer, jsonrpc.AppendError(nil, idOrNull(id), Refused, "too many calls are open", refusalData(refuseRetryAfter)))
+	refuse := func(text string) {
+		c.finish(id, refusal(id, text, refuseRetryAfter), 0, answer)
+	}
+	if !memory.hasCalls {
+		refuse(noMemoryForCall)
+		return
+	}
+	if reason := c.admit(call.Arrived.Add(call.ClientTimeout)); reason != "" {
+		refuse(reason)
 		return
 	}
 	if f.shuttingDown.Load() {
-		<-c.slots
-		c.finish(id, answer, jsonrpc.AppendError(nil, idOrNull(id), Refused, "the node is leaving", refusalData(refuseRetryAfter)))
+		c.releaseCall(openCallBytes)
+		refuse("the node is leaving")
 		return
 	}
+	memory.retain(2) // by the engine and by the goroutine below
+	call.Memory = memory
 	c.callStarted()
 	c.calls.Add(1)
 	f.cfg.Engine.Submit(&call.Request) // the id is new, so this can't fail
 	go func() {
 		defer c.calls.Done()
 		defer c.callDone()
-		defer func() { <-c.slots }()
+		defer memory.Release()
 		select {
 		case a := <-call.Done():
-			c.finish(id, answer, encodeAnswer(id, a))
+			m, size := encodeAnswer(id, a)
+			c.releaseCall(openCallBytes - size)
+			c.finish(id, m, size, answer)
 		case <-c.ctx.Done():
 			f.cfg.Engine.Cancel(&call.Request)
-			c.finish(id, answer, nil)
+			c.releaseCall(openCallBytes)
+			c.finish(id, nil, 0, answer)
 		}
 	}()
 }
 
-// acquireSlot waits for a free slot for an open call and reports whether there was one before the deadline.
-func (c *conn) acquireSlot(deadline time.Time) bool {
-	select {
-	case c.slots <- struct{}{}:
-		return true
-	default:
-	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case c.slots <- struct{}{}:
-		return true
-	case <-timer.C:
-		return false
+// admit waits until the connection may have another open call: fewer than MaxInflight are open and memory for it is reserved. It
+// returns the reason if neither is so before the deadline, or if memory is used up that no open call of this connection will
+// return.
+func (c *conn) admit(deadline time.Time) (refused string) {
+	var timer *time.Timer
+	for {
+		open := c.openCallCount()
+		if open < c.front.cfg.MaxInflight {
+			if c.reserveOpenCall() {
+				return ""
+			}
+			if open == 0 {
+				return noMemoryForCall
+			}
+		}
+		if timer == nil {
+			timer = time.NewTimer(time.Until(deadline))
+			defer timer.Stop()
+		}
+		select {
+		case <-c.released:
+		case <-timer.C:
+			return "too many calls are open"
+		}
 	}
 }
 
 // finish frees the id of a call and delivers its answer, unless it is a notification.
-func (c *conn) finish(id jsontext.Value, answer func([]byte), text []byte) {
+func (c *conn) finish(id jsontext.Value, m message, size int64, answer func(m message, size int64)) {
 	if id == nil {
-		text = nil
+		m = nil
 	} else {
 		c.mu.Lock()
 		delete(c.openIDs, string(id))
 		c.mu.Unlock()
 	}
-	answer(text)
+	answer(m, size)
 }
--- a/internal/rpcfront/conn.go
+++ b/internal/rpcfront/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -26,12 +27,13 @@
 // conn is a connection of a client.
 type conn struct {
 	net.Conn
-	front   *Front
-	slots   chan struct{} // one element for each open call
-	writing sync.Mutex
-	ctx     context.Context // ends with the connection
-	cancel  context.CancelFunc
-	calls   sync.WaitGroup
+	front    *Front
+	released chan struct{} // capacity 1: a call has ended or memory was returned
+	reserved atomic.Int64  // memory, in bytes
+	writing  sync.Mutex
+	ctx      context.Context // ends with the connection
+	cancel   context.CancelFunc
+	calls    sync.WaitGroup
 
 	// Guarded by Front.mu.
 	idleElement   *list.Element // in Front.idleConns; nil if busy
@@ -73,7 +75,9 @@
 	defer f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.openCalls--; c.openCalls > 0 {
+	c.openCalls--
+	c.signalReleased()
+	if c.openCalls > 0 {
 		return
 	}
 	if c.hasDescriptor && c.idleElement == nil {
@@ -84,6 +88,13 @@
 	}
 }
 
+// openCallCount returns the number of open calls.
+func (c *conn) openCallCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.openCalls
+}
+
 // setReadDeadline sets the read deadline, unless the connection is to end now.
 func (c *conn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
@@ -114,32 +125,52 @@
 			}
 			return
 		}
-		arrived := time.Now()
-		c.setReadDeadline(arrived.Add(frameTimeout))
-		frame, err := r.Next()
-		c.mu.Lock()
-		c.framing = r.Framing()
-		c.mu.Unlock()
-		var members []jsontext.Value
-		batch := false
-		if err == nil {
-			members, batch, err = jsonrpc.Split(frame)
-		}
-		if err != nil {
-			// The start of the next frame is unknown: the connection ends once the open calls are answered.
-			c.write(jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "Parse error", quote(err.Error())))
-			c.calls.Wait()
-			c.linger()
+		if !c.serveMessage(r) {
 			return
 		}
-		if !batch {
-			c.single(members[0], arrived)
-			continue
-		}
-		c.batch(members, arrived)
 	}
 }
 
+// serveMessage reads a message whose first byte is available, and starts its calls. It reports whether another message can
+// follow.
+func (c *conn) serveMessage(r *jsonrpc.Reader) bool {
+	arrived := time.Now()
+	c.setReadDeadline(arrived.Add(frameTimeout))
+	memory := newMessageMemory(c)
+	defer memory.Release()
+	r.Grow = memory.growBuffer
+	frame, err := r.Next()
+	c.mu.Lock()
+	c.framing = r.Framing()
+	c.mu.Unlock()
+	var members []jsontext.Value
+	batch := false
+	if err == nil {
+		members, batch, err = jsonrpc.Split(frame)
+	}
+	switch {
+	case errors.Is(err, jsonrpc.ErrNoMemory):
+		c.endAfter(refusal(jsonrpc.Null, "no memory for a message", refuseRetryAfter))
+		return false
+	case err != nil:
+		c.endAfter(message{jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "Parse error", quote(err.Error()))})
+		return false
+	case batch:
+		c.batch(members, arrived, memory)
+	default:
+		c.single(members[0], arrived, memory)
+	}
+	return true
+}
+
+// endAfter answers a message whose end is unknown, so that no other can be read. The connection ends once the open calls are
+// answered.
+func (c *conn) endAfter(m message) {
+	c.write(m)
+	c.calls.Wait()
+	c.linger()
+}
+
 // linger gives the client time to read its last answer. If unread data remains, closing resets the connection, and the client
 // loses what it has not read yet.
 func (c *conn) linger() {
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -40,6 +40,7 @@
 type Config struct {
 	Engine      *engine.Engine
 	Quota       *quota.Quota
+	Memory      Memory
 	Methods     map[string]Method
 	MaxInflight int           // open calls on one connection; at this limit, nothing is read from it
 	MaxBatch    int           // members of a batch
@@ -121,10 +122,10 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := &conn{Conn: nc, front: f, slots: make(chan struct{}, f.cfg.MaxInflight), openIDs: map[string]bool{}}
+		c := &conn{Conn: nc, front: f, released: make(chan struct{}, 1), openIDs: map[string]bool{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		if !f.cfg.Quota.AcquireOrReclaim(f.EvictIdle) {
-			c.write(jsonrpc.AppendError(nil, jsonrpc.Null, Refused, "no room for a connection", refusalData(refuseRetryAfter)))
+			c.write(refusal(jsonrpc.Null, "no room for a connection", refuseRetryAfter))
 			c.Close()
 			continue
 		}
--- /dev/null
+++ b/internal/rpcfront/memory.go
@@ -0,0 +1,106 @@
+package rpcfront
+
+import (
+	"sync/atomic"
+
+	"craneglade/internal/jsonrpc"
+)
+
+// Memory is reserved before it is used: for a message while it is received, for its calls before they are parsed, for a call
+// before it is passed to the engine, and for its answer, which keeps what it needs of the call's reservation until it is written.
+
+const (
+	// openCallBytes is the memory reserved for an open call: the longest answer of a backend, and the call's state.
+	openCallBytes = jsonrpc.MaxFrameBytes + callStateBytes
+	// callStateBytes is the memory for the stacks and objects of a call that is waiting for its answer.
+	callStateBytes = 8 << 10
+	// parsedCopies is the memory for what is made of a message, as a multiple of its size: the ids that are open, the ids in the
+	// answers, and the calls as sent to backends.
+	parsedCopies = 3
+	// memberBytes is the memory for a parsed call and an answer without a backend's result, in addition to parsedCopies.
+	memberBytes = 1 << 10
+)
+
+// Memory is the node's budget for the memory of requests and answers. Its methods are safe for concurrent use.
+type Memory interface {
+	// ReserveMessage reserves size bytes for a message, and reports whether they were available.
+	ReserveMessage(size int64) bool
+	// ReleaseMessage returns size bytes that ReserveMessage took.
+	ReleaseMessage(size int64)
+	// ReserveCall reserves size bytes for a call on a connection that has reserved held bytes already, and reports whether
+	// they were available.
+	ReserveCall(held, size int64) bool
+	// ReleaseCall returns size bytes that ReserveCall took.
+	ReleaseCall(size int64)
+}
+
+// reserveOpenCall reserves the memory for another open call, and reports whether it was available. Only the connection's
+// reader reserves memory, so that reserved can't grow between the check and the addition.
+func (c *conn) reserveOpenCall() bool {
+	if !c.front.cfg.Memory.ReserveCall(c.reserved.Load(), openCallBytes) {
+		return false
+	}
+	c.reserved.Add(openCallBytes)
+	return true
+}
+
+// releaseCall returns memory that reserveOpenCall took.
+func (c *conn) releaseCall(size int64) {
+	c.front.cfg.Memory.ReleaseCall(size)
+	c.reserved.Add(-size)
+	c.signalReleased()
+}
+
+// signalReleased wakes the reader if it waits in admit.
+func (c *conn) signalReleased() {
+	select {
+	case c.released <- struct{}{}:
+	default: // it has been signaled already
+	}
+}
+
+// messageMemory is the memory reserved for a message of a client. It has several holders and is returned when the last one
+// has released it: the reader, the answer to a batch, and for each call the front and the engine.
+type messageMemory struct {
+	conn        *conn
+	size        int64 // written only by the reader, which is a holder
+	hasCalls    bool  // memory for its calls is reserved too; like size
+	holderCount atomic.Int32
+}
+
+// newMessageMemory returns an empty reservation with the reader as its holder.
+func newMessageMemory(c *conn) *messageMemory {
+	m := &messageMemory{conn: c}
+	m.holderCount.Store(1)
+	return m
+}
+
+// growBuffer reserves the memory for a message whose buffer grows to size bytes, and reports whether it was available.
+func (m *messageMemory) growBuffer(size int) bool { return m.add(int64(size) - m.size) }
+
+// reserveCalls reserves the memory for the calls of a complete message. If it is not available, the calls are refused.
+func (m *messageMemory) reserveCalls(count int) {
+	m.hasCalls = m.add(parsedCopies*m.size + int64(count)*memberBytes)
+}
+
+func (m *messageMemory) add(size int64) bool {
+	if !m.conn.front.cfg.Memory.ReserveMessage(size) {
+		return false
+	}
+	m.size += size
+	m.conn.reserved.Add(size)
+	return true
+}
+
+// retain adds holders.
+func (m *messageMemory) retain(count int32) { m.holderCount.Add(count) }
+
+// Release removes a holder. The last one returns the memory.
+func (m *messageMemory) Release() {
+	if m.holderCount.Add(-1) > 0 {
+		return
+	}
+	m.conn.front.cfg.Memory.ReleaseMessage(m.size)
+	m.conn.reserved.Add(-m.size)
+	m.conn.signalReleased()
+}
