Low-priority requests pass overloaded backends at maxQ: no node refuses all it gets

Of 282 nodes 46 refused 15 or more requests in 4 s without an attempt, up to all of 231 in 7 s, and on to the end of the log. These nodes got five times their usual requests, most of them over their tenants' quotas. Their estimates of all 190 backends were stale (last report 5 to 14 s before), in overload with q = maxQ: without a send no report comes.

Cause: diverts spreads q over the classes of priority, low ones first, by their fraction among the requests of the last 10 s. When a node's requests turn to low priority, that fraction lags behind, and as long as it is below q all low-priority requests are diverted, not a fraction q. The comment of divertFraction has what has to hold: some requests always pass.

Ruled out: pace (it admits a fifth of the demand at least), ejections (none), late requests (all refused with time left), shedding in the front (the refusals are the policy's).

Change: at maxQ a fraction of 1-maxQ of the low-priority requests passes too. Below maxQ nothing changes (TestOverloadDivertsLowPriorityFirst).

TestLowPriorityRequestsPassOverloadedBackends failed before: 0 of 4000 passed where half of the requests before were of low priority.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -297,10 +297,14 @@
 
 // diverts draws whether a backend in overload diverts a request. A fraction q of all requests is diverted, low-priority
 // ones first. It grows from Tuning.Divert at H to maxQ near 1 + Tuning.Ramp times H: a fixed fraction lets too many
-// requests pass, or none.
+// requests pass, or none. At maxQ a fraction of 1-maxQ passes of the low-priority ones too: a node that has hardly any
+// others would learn nothing more of its backends.
 func (b *Balancer) diverts(now float64, s *backend, lowPriority bool) bool {
 	q := b.divertFraction(b.occupancy(s, now), b.thresholdH(s, b.thresholdR(s)))
 	lowFraction := b.lowPriorityCount / max(b.requestCount, 1)
+	if lowPriority && q == maxQ {
+		return b.rng.Float64() < maxQ
+	}
 	if lowPriority {
 		return b.rng.Float64()*lowFraction < q
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1202,6 +1202,26 @@
 	}
 }
 
+// A node whose requests turn to low priority, as those of a tenant over its quota, must not refuse all of them for as long as its estimates
+// say overload: without a send no report would show that the overload is over.
+func TestLowPriorityRequestsPassOverloadedBackends(t *testing.T) {
+	const requests = 4000
+	for _, lowFraction := range []float64{0.1, 0.5, 0.9, 1} { // of the requests before
+		b := newTestBalancer(t, settings(), Entry{ID: 1, Zone: "a"})
+		b.requestCount, b.lowPriorityCount = 100, 100*lowFraction
+		passed := 0.0
+		for range requests {
+			setEstimate(b.backends[1], t0, 18) // q is maxQ
+			if !b.diverts(t0.Seconds(), b.backends[1], true) {
+				passed++
+			}
+		}
+		if want := requests * (1 - maxQ); math.Abs(passed-want) > 5*math.Sqrt(want) {
+			t.Errorf("with %v of low priority before, %v of %d pass; want about %.0f", lowFraction, passed, requests, want)
+		}
+	}
+}
+
 // A backend that looks slow by an old estimate is tried again, with one request at a time and rarely.
 func TestUnusedBackendIsProbed(t *testing.T) {
 	b := newTestBalancer(t, settings(), Entry{ID: 1, Zone: "a"}, Entry{ID: 2, Zone: "a"})
