A node that refuses all it gets sends one request for a report; maxQ as before

Change: diverts is as it was before. A node that has found no backend for ten first attempts in a row and has sent nothing for the age of a report (1.1 s, reportMaxAgeSeconds) sends the next one that only an overload diverts. Ten in a row, so that a node with few requests goes on diverting.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,6 +65,7 @@
 	coldTrafficFraction = 0.45
 
 	maxQ               = 0.95 // upper bound of the diverted fraction
+	maxUnsentInRow     = 10   // first attempts, before one is sent for a report
 	retriesPerRequest  = 0.2  // retry tokens that each first attempt adds
 	maxRetryTokens     = 10.0
 	resubscribeSeconds = 1.0 // mean wait before subscribing to a lost list again
@@ -199,7 +200,7 @@
 // diverts the request with probability q; a diverted request draws a backend in normal mode.
 func (b *Balancer) trySend(now float64, r *request) bool {
 	s := b.pick(now, r, overload)
-	if s != nil && s.mode == overload && b.diverts(now, s, r.lowPriority) {
+	if s != nil && s.mode == overload && b.diverts(now, s, r.lowPriority) && !b.needsReport(now) {
 		s = b.pick(now, r, normal)
 	}
 	if len(r.attempts) == 0 {
@@ -207,6 +208,7 @@
 			s = nil
 		}
 		b.pace.CountRequest(s != nil)
+		b.unsentInRow++
 	}
 	if s != nil {
 		b.send(now, r, s)
@@ -233,7 +235,7 @@
 	if b.mayHedge(r.class) && r.open == 0 {
 		r.class.hedgeable = append(r.class.hedgeable, a)
 	}
-	s.sentAt = now
+	s.sentAt, b.sentAt, b.unsentInRow = now, now, 0
 	b.gates.CountSend(s.Zone)
 	if s.classHealth != nil && s.classRecord(b, r.class).Trial {
 		s.classRecord(b, r.class).Ejected = now + health.FirstEjectionSeconds // one trial at a time
@@ -297,20 +299,22 @@
 
 // diverts draws whether a backend in overload diverts a request. A fraction q of all requests is diverted, low-priority
 // ones first. It grows from Tuning.Divert at H to maxQ near 1 + Tuning.Ramp times H: a fixed fraction lets too many
-// requests pass, or none. At maxQ a fraction of 1-maxQ passes of the low-priority ones too: a node that has hardly any
-// others would learn nothing more of its backends.
+// requests pass, or none.
 func (b *Balancer) diverts(now float64, s *backend, lowPriority bool) bool {
 	q := b.divertFraction(b.occupancy(s, now), b.thresholdH(s, b.thresholdR(s)))
 	lowFraction := b.lowPriorityCount / max(b.requestCount, 1)
-	if lowPriority && q == maxQ {
-		return b.rng.Float64() < maxQ
-	}
 	if lowPriority {
 		return b.rng.Float64()*lowFraction < q
 	}
 	return b.rng.Float64()*(1-lowFraction) < q-lowFraction
 }
 
+// needsReport reports whether this node has refused all that it got since its last report, so that a request has to be
+// sent to bring another. Low-priority ones may all be diverted, as their fraction is known with a delay.
+func (b *Balancer) needsReport(now float64) bool {
+	return b.unsentInRow >= maxUnsentInRow && now-b.sentAt >= reportMaxAgeSeconds
+}
+
 // divertFraction is q, the fraction of all requests that a backend in overload diverts at an occupancy of n. Some
 // requests always pass: without them no report would show that its queue has emptied. A node sees its own load on a
 // backend at once and the other nodes' load a report later. If many nodes share a backend, a steep q makes all of them
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1203,22 +1203,57 @@
 }
 
 // A node whose requests turn to low priority, as those of a tenant over its quota, must not refuse all of them for as long as its estimates
-// say overload: without a send no report would show that the overload is over.
-func TestLowPriorityRequestsPassOverloadedBackends(t *testing.T) {
-	const requests = 4000
-	for _, lowFraction := range []float64{0.1, 0.5, 0.9, 1} { // of the requests before
-		b := newTestBalancer(t, settings(), Entry{ID: 1, Zone: "a"})
-		b.requestCount, b.lowPriorityCount = 100, 100*lowFraction
-		passed := 0.0
-		for range requests {
-			setEstimate(b.backends[1], t0, 18) // q is maxQ
-			if !b.diverts(t0.Seconds(), b.backends[1], true) {
-				passed++
-			}
-		}
-		if want := requests * (1 - maxQ); math.Abs(passed-want) > 5*math.Sqrt(want) {
-			t.Errorf("with %v of low priority before, %v of %d pass; want about %.0f", lowFraction, passed, requests, want)
+// say overload: without a send no report would show that the overload is over. It sends one from time to time, and no more.
+func TestNodeThatRefusesAllSendsOneForAReport(t *testing.T) {
+	const (
+		seconds = 20
+		rate    = 50 // requests a second
+	)
+	b := newTestBalancer(t, settings(), Entry{ID: 1, Zone: "a"})
+	sent, longest, last := 0, time.Duration(0), t0
+	for i := range seconds * rate {
+		now := t0 + time.Duration(i)*time.Second/rate
+		setLowPriority(b, "low", 0.5)
+		setEstimate(b.backends[1], now, 18) // q is maxQ
+		a := sendRequest(b, now, fmt.Sprint("r", i), "low")
+		if a.Kind != ActSend {
+			continue
 		}
+		sent++
+		longest, last = max(longest, now-last), now
+		endAttempt(b, now, a, OK, Load{})
+	}
+	most := int(math.Ceil(seconds / reportMaxAgeSeconds))
+	if sent < most/2 || sent > most || longest > 2*time.Second {
+		t.Errorf("%d of %d requests were sent, want one for each %.1f s; none for %v", sent, seconds*rate, reportMaxAgeSeconds, longest)
+	}
+}
+
+// setLowPriority makes the requests of a class low-priority ones, and fraction that of low-priority requests before.
+func setLowPriority(b *Balancer, name string, fraction float64) {
+	for _, c := range b.classes {
+		c.lowPriority = c.Name == name
+	}
+	b.requestCount, b.lowPriorityCount = 100, 100*fraction
+}
+
+// A node with few requests does not send each of them because its last report is old.
+func TestFewRequestsAreDivertedInOverload(t *testing.T) {
+	const requests = 200
+	b := newTestBalancer(t, settings(), Entry{ID: 1, Zone: "a"})
+	sent := 0
+	for i := range requests {
+		now := t0 + time.Duration(i)*5*time.Second
+		setLowPriority(b, "low", 0.5)
+		setEstimate(b.backends[1], now, 18)
+		a := sendRequest(b, now, fmt.Sprint("r", i), "low")
+		if a.Kind == ActSend {
+			sent++
+			endAttempt(b, now, a, OK, Load{})
+		}
+	}
+	if most := requests/maxUnsentInRow + 1; sent > most {
+		t.Errorf("%d of %d requests were sent, want at most %d", sent, requests, most)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -125,6 +125,8 @@
 	remoteLatency   decay.Mean // latencies of answers from other zones as multiples of their class's local mean
 	sends           decay.Mean // count of attempts; the sum counts those that left the zone at a price
 	othersLoad      decay.EWMA // mean occupancy of a backend by the other nodes' requests
+	sentAt          float64    // time of the latest send to any backend
+	unsentInRow     int        // first attempts since then that no backend took
 	retryTokens     float64    // further attempts that the retry budget allows now
 	now             float64    // latest time seen
 	refreshedAt     float64
