A single node takes no answer that was held up for other nodes' load

What callers saw: with settings without load reports and one node, a node answered 503 to every request for a second or longer after one answer that took a second or two, though nothing else was in flight. It showed as a failure of TestControlPlaneQuorumWriterFailover ("status 503, body \"\"") on a busy machine.

Cause: without reports the policy takes an answer's latency, as a multiple of the lowest, for the number of requests that the other nodes have there. A single node has no others: one answer of 2 s where 1 ms is usual counted as 2,000 waiting requests, over R.

Change: the latency is used so only where the settings name more than one node. A single node's own count is exact.

The comment of needsReport says what its code does.

--- a/policy/noreports_test.go
+++ b/policy/noreports_test.go
@@ -51,6 +51,42 @@
 	}
 }
 
+// A single node has all load on its backends in its own count. It must not take one answer that was held up for the load
+// of other nodes: it refused every request for a second after it.
+func TestSingleNodeServesAfterSlowAnswer(t *testing.T) {
+	const quick, slow, pause = time.Millisecond, 4 * time.Second, 5 * time.Millisecond
+	b := newTestBalancer(t, settings(func(s *Settings) {
+		s.NoReports, s.Nodes = true, 1
+		s.Classes = []Class{{Name: "top", Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: Safe, Group: GroupAll, Worth: 1}}
+	}), Entry{ID: 1, Zone: "a"})
+	now := t0
+	wait := func(d time.Duration) {
+		now += d
+		b.Handle(now, &Event{Kind: EvTimer, Token: "tick"}, nil)
+	}
+	refused := 0
+	ask := func(took time.Duration) {
+		wait(pause)
+		send := lastAction(b.Handle(now, &Event{Kind: EvRequest, ID: now.String(), Class: "top", Remaining: 50 * time.Second}, nil))
+		if send.Kind != ActSend {
+			refused++
+			return
+		}
+		wait(took)
+		b.Handle(now, &Event{Kind: EvOutcome, ID: send.ID, Backend: send.Backend, Took: took, Outcome: OK, Finished: true}, nil)
+	}
+	for range 100 {
+		ask(quick)
+	}
+	ask(slow)
+	for range 200 {
+		ask(quick)
+	}
+	if refused > 0 {
+		t.Errorf("refused %d requests while no other was in flight", refused)
+	}
+}
+
 // overloadedFleet simulates nodes that share backends without load reports. Each backend serves in order of arrival.
 type overloadedFleet struct {
 	nodes     []*Balancer
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -309,8 +309,9 @@
 	return b.rng.Float64()*(1-lowFraction) < q-lowFraction
 }
 
-// needsReport reports whether this node has refused all that it got since its last report, so that a request has to be
-// sent to bring another. Low-priority ones may all be diverted, as their fraction is known with a delay.
+// needsReport reports whether this node has refused a row of first attempts for as long as a report stays current, so
+// that a request has to be sent to bring another. Low-priority ones may all be diverted, as their fraction is known
+// with a delay.
 func (b *Balancer) needsReport(now float64) bool {
 	return b.unsentInRow >= maxUnsentInRow && now-b.sentAt >= reportMaxAgeSeconds
 }
@@ -342,7 +343,8 @@
 	s.attempts = slices.Delete(s.attempts, 0, leadingEnded(s.attempts))
 	took := max(0, ev.Took.Seconds())
 	n, known := max(ev.Load.Queue, ev.Load.Occupancy, 0), ev.Load.Known
-	if best := r.class.bestLocalLatency; b.cfg.NoReports && !known && ev.Outcome == OK && best > 0 {
+	best := r.class.bestLocalLatency
+	if b.cfg.NoReports && b.cfg.Nodes > 1 && !known && ev.Outcome == OK && best > 0 {
 		n, known = max(0, took/best-1), true // without reports only the latency shows the other nodes' requests
 	}
 	if w := ev.Load.ServiceSeconds; ev.Load.Occupancy < 0 && w > 0 && w < math.MaxInt32 &&
