A rehearsal restarts the process that ran when the restart was ordered

TestConcurrentRestartsStartOneProcess could run into its time limit: a revive that began only after another had restarted the node waited for the end of the new process, which nothing ends.

Cause: revive looked up the process to wait for when its goroutine ran, not when it was ordered. Now the caller passes it, in the rehearsal and in the test.

--- a/internal/kit/run/run.go
+++ b/internal/kit/run/run.go
@@ -446,7 +446,8 @@
 	case plan.Term:
 		r.background(ctx, func(context.Context) { n.term() })
 	case plan.Revive:
-		r.background(ctx, func(ctx context.Context) { r.revive(ctx, n) })
+		ended := n.processEnded()
+		r.background(ctx, func(ctx context.Context) { r.revive(ctx, n, ended) })
 	case plan.Reload:
 		return n.reload()
 	case plan.Stall:
@@ -478,12 +479,17 @@
 	return nil
 }
 
-// revive starts a node again once its process has ended. Of several callers that wait for the same process, only one starts
-// the node: a second process would find the port taken, or would replace the first one in n.cmd, which nobody would then stop.
-func (r *Rehearsal) revive(ctx context.Context, n *node) {
+// processEnded returns a channel that is closed when the node's present process ends.
+func (n *node) processEnded() <-chan struct{} {
 	n.mu.Lock()
-	ended := n.ended
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	return n.ended
+}
+
+// revive starts a node again once the process that closes ended has ended. Of several callers that wait for the same process,
+// only one starts the node: a second process would find the port taken, or would replace the first one in n.cmd, which nobody
+// would then stop.
+func (r *Rehearsal) revive(ctx context.Context, n *node, ended <-chan struct{}) {
 	select {
 	case <-ended:
 	case <-ctx.Done():
--- a/internal/kit/run/run_test.go
+++ b/internal/kit/run/run_test.go
@@ -50,8 +50,9 @@
 		t.Fatal(err)
 	}
 	var wg sync.WaitGroup
+	ended := n.processEnded() // before the restart, which is another process that does not end
 	for range 2 {
-		wg.Go(func() { r.revive(ctx, n) })
+		wg.Go(func() { r.revive(ctx, n, ended) })
 	}
 	n.signal(9, trace.Kill, true)
 	wg.Wait()
