TestControlPlaneFaults waits for one position, not for the first one shown

A restarted writer reports older positions while it replays its log. The test took the first one for the last, and could wait for nodes to have a position that they were past. It now waits until writer, relays and nodes report the same position, from that of the last acknowledged change on, and checks the quotas as before.

--- a/cmd/craneglade/control_test.go
+++ b/cmd/craneglade/control_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"craneglade/internal/controlnet"
+	"craneglade/internal/controlplane/resource"
 	"craneglade/internal/node"
 )
 
@@ -558,43 +559,78 @@
 // killWriterDuringChanges kills the writer during a series of transactions of two resources each, and restarts it.
 func (p *controlPlane) killWriterDuringChanges() {
 	p.t.Helper()
-	lastApplied, stopped := make(chan int, 1), make(chan struct{})
+	type change struct {
+		value    int
+		position string
+	}
+	lastApplied, stopped := make(chan change, 1), make(chan struct{})
 	started := make(chan struct{})
 	go func() {
 		defer close(stopped)
+		last := change{value: -1}
 		for i := 0; ; i++ {
 			if i == 20 {
 				close(started)
 			}
-			if _, err := p.writer.apply(tenant("left", float64(i)) + tenant("right", float64(i))); err != nil {
-				lastApplied <- i - 1
+			position, err := p.writer.apply(tenant("left", float64(i)) + tenant("right", float64(i)))
+			if err != nil {
+				lastApplied <- last
 				return
 			}
+			last = change{i, position}
 		}
 	}()
 	<-started
 	p.writer.kill(p.t)
 	<-stopped
-	minValue := <-lastApplied
+	acknowledged := <-lastApplied
 	p.writer.start()
-	// A restarted writer responds before it is elected; until then it reports no position.
-	var last string
-	p.eventually("position of the restarted writer", func() bool {
-		last = p.writer.position()
-		return last != "" && last != "-"
-	})
-	p.waitForPosition(last)
+	p.waitForRestartedWriter(acknowledged.position)
+	minValue := float64(acknowledged.value)
 	for _, c := range append([]*controlProcess{p.writer}, p.relays...) {
-		p.eventually(c.name+" at "+last, func() bool { return c.position() == last })
 		left, right := c.quota("left"), c.quota("right")
-		if left != right || left < float64(minValue) || left > float64(minValue)+1 {
-			p.t.Errorf("%s: quotas %v and %v after a kill behind change %d", c.name, left, right, minValue)
+		if left != right || left < minValue || left > minValue+1 {
+			p.t.Errorf("%s: quotas %v and %v after a kill behind change %v", c.name, left, right, minValue)
 		}
 	}
 	// Changes are accepted in the new epoch.
 	p.waitForPosition(p.writer.mustApply(tenant("left", 1)))
 }
 
+// waitForRestartedWriter waits until the writer, the relays and the nodes have the same position, which is at least that of the
+// last acknowledged change. A writer that replays its log reports older positions.
+func (p *controlPlane) waitForRestartedWriter(acknowledged string) {
+	p.t.Helper()
+	least, err := parsePosition(acknowledged)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.eventually("one position at all processes, from "+acknowledged+" on", func() bool {
+		text := p.writer.position()
+		position, err := parsePosition(text)
+		if err != nil || position.Compare(least) < 0 {
+			return false
+		}
+		for _, r := range p.relays {
+			if r.position() != text {
+				return false
+			}
+		}
+		for _, n := range p.nodes {
+			if n.position() != text {
+				return false
+			}
+		}
+		return p.writer.position() == text
+	})
+}
+
+// parsePosition parses what Position.String returns.
+func parsePosition(text string) (position resource.Position, err error) {
+	_, err = fmt.Sscanf(text, "%d.%d", &position.Epoch, &position.Version)
+	return position, err
+}
+
 // quota returns a tenant's quota in the process's log.
 func (c *controlProcess) quota(name string) float64 {
 	c.plane.t.Helper()
