JSON-RPC: what messages cost to parse is bounded, as a few took a node over its memory

What callers saw: a node of 128 MB that gets messages of 64 KiB which take many times their size to parse goes over its memory limit, and the platform kills it: batches of 32,000 members, refused for their number, or objects nested 9,000 deep.

Cause: a batch was split into its members before they were counted; the parser keeps over 200 bytes for each level of nesting; answers that refuse the members of a batch were reserved for nowhere; and as many messages were parsed at once as there are connections.

Change: members are counted before a batch is split. A client's message may be nested to 128 levels (10,000 before), a backend's to 1,000. What answers that refuse a message's calls need is reserved, and without it the connection ends with -32001, as for a message without memory. As many messages are parsed at once as there are processors.

--- a/cmd/craneglade/rpc_memory_test.go
+++ b/cmd/craneglade/rpc_memory_test.go
@@ -390,6 +390,22 @@
 	})
 }
 
+// waitServed waits until a call is served.
+func (n *rpcNode) waitServed(t *testing.T) {
+	t.Helper()
+	served := func() bool {
+		c := n.dial(t, jsonrpc.Lines)
+		defer c.Close()
+		var a rpcAnswer
+		return c.send(quoteCall(1)) == nil && c.receive(&a) == nil && a.Result != nil
+	}
+	for end := time.Now().Add(testTimeout); !served(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no call is served")
+		}
+	}
+}
+
 // Many clients send most of a long message and stop. Calls are served again once the node has closed their connections.
 func TestUnfinishedRPCMessagesStayWithinMemory(t *testing.T) {
 	t.Parallel()
@@ -401,18 +417,66 @@
 			t.Logf("a client: %v", err)
 		}
 	}
-	served := func() bool {
-		c := n.dial(t, jsonrpc.Lines)
-		defer c.Close()
-		var a rpcAnswer
-		return c.send(quoteCall(1)) == nil && c.receive(&a) == nil && a.Result != nil
+	n.waitServed(t)
+	n.checkMemory(t)
+}
+
+// Many clients send messages of 64 KiB that take many times their size to parse. A batch was split into its members before they were
+// counted, and package jsontext keeps over 200 bytes for each level of nesting.
+func TestMessagesThatAreCostlyToParseStayWithinMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		clients  = 500
+		messages = 4 // of each client
+		levels   = 9000
+	)
+	nested := func(opening, closing string) string {
+		return `{"jsonrpc":"2.0","id":1,"method":"sendQuote","params":[1,` + strings.Repeat(opening, levels) + "1" + strings.Repeat(closing, levels) + "]}"
 	}
-	for end := time.Now().Add(testTimeout); !served(); time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no call is served after the unfinished messages")
-		}
+	var names strings.Builder
+	for i := range 6000 {
+		fmt.Fprintf(&names, `"%x":1,`, i)
+	}
+	for name, text := range map[string]string{
+		"many names":               `{"jsonrpc":"2.0","id":1,"method":"unknown","params":{` + names.String() + `"z":1}}`,
+		"a batch of small members": "[" + strings.Repeat("1,", 32_000) + "1]",
+		"nested arrays":            nested("[", "]"),
+		"nested objects":           nested(`{"a":`, "}"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := startRPCNode(t, 20*time.Millisecond, rpcTimeout)
+			var wg sync.WaitGroup
+			var rejected atomic.Int64
+			for range clients {
+				c := n.dial(t, jsonrpc.Lines)
+				wg.Go(func() {
+					for range messages {
+						if c.send(text) != nil {
+							return // its connection has ended
+						}
+					}
+				})
+				wg.Go(func() {
+					for range messages {
+						var a rpcAnswer
+						if c.receive(&a) != nil {
+							return
+						}
+						if a.Error == nil {
+							t.Errorf("answered with %+v", a)
+							return
+						}
+						rejected.Add(1)
+					}
+				})
+			}
+			wg.Wait()
+			t.Logf("%d messages were rejected", rejected.Load())
+			n.checkMemory(t)
+			n.waitServed(t)
+		})
 	}
-	n.checkMemory(t)
 }
 
 // Many clients have calls with long parameters open at backends that do not answer. Each call gets an answer, or its connection ends with one.
--- a/internal/jsonrpc/frame.go
+++ b/internal/jsonrpc/frame.go
@@ -1,6 +1,6 @@
 // Package jsonrpc parses and encodes JSON-RPC 2.0 messages (https://www.jsonrpc.org/specification). It does no I/O of its own
 // and is independent of nodes and backends. JSON is parsed by package jsontext, which rejects duplicate members, invalid
-// UTF-8, lone surrogates and a nesting of over 10,000.
+// UTF-8, lone surrogates and a nesting of over 10,000; Reader.MaxNesting sets a lower limit.
 package jsonrpc
 
 import (
@@ -41,6 +41,9 @@
 	// Grow is called before the buffer of the current frame grows to size bytes, unless it is nil. If it returns false, Next
 	// fails with ErrNoMemory.
 	Grow func(size int) bool
+	// MaxNesting is the number of levels to which arrays and objects may be nested. Package jsontext needs memory for each
+	// level. 0 sets no limit beyond that of jsontext.
+	MaxNesting int
 
 	in          *bufio.Reader
 	lastFraming Framing
@@ -124,6 +127,12 @@
 	if _, err := io.ReadFull(r.in, frame); err != nil {
 		return nil, wrapReadError(err)
 	}
+	text := textScanner{maxNesting: r.MaxNesting}
+	for _, b := range frame {
+		if err := text.next(b); err != nil {
+			return nil, err
+		}
+	}
 	return frame, nil
 }
 
@@ -133,17 +142,16 @@
 	if err != nil {
 		return nil, err
 	}
-	var open []byte // expected closing brackets, innermost last
-	inString, escaped := false, false
+	text := textScanner{maxNesting: r.MaxNesting}
 	for {
 		b, err := r.in.ReadByte()
 		if err != nil {
-			if err == io.EOF && len(open) == 0 && !inString && len(frame) > 0 {
+			if err == io.EOF && text.outside() && len(frame) > 0 {
 				return frame, nil // a number, string or literal at the end of the stream
 			}
 			return nil, wrapReadError(err)
 		}
-		if len(open) == 0 && !inString && len(frame) > 0 && isSpace(b) {
+		if text.outside() && len(frame) > 0 && isSpace(b) {
 			return frame, nil // a number, string or literal before white space
 		}
 		if len(frame) == MaxFrameBytes {
@@ -155,35 +163,62 @@
 			}
 		}
 		frame = append(frame, b)
-		switch {
-		case inString:
-			switch {
-			case b < 0x20:
-				return nil, fmt.Errorf("%w: a string with a control character", ErrFrame)
-			case escaped:
-				escaped = false
-			case b == '\\':
-				escaped = true
-			case b == '"':
-				inString = false
-			}
-		case b == '"':
-			inString = true
-		case b == '{':
-			open = append(open, '}')
-		case b == '[':
-			open = append(open, ']')
-		case b == '}' || b == ']':
-			if len(open) == 0 || open[len(open)-1] != b {
-				return nil, fmt.Errorf("%w: %q where another bracket is due", ErrFrame, b)
-			}
-			if open = open[:len(open)-1]; len(open) == 0 {
-				return frame, nil
-			}
+		if err := text.next(b); err != nil {
+			return nil, err
+		}
+		if (b == '}' || b == ']') && text.outside() {
+			return frame, nil
 		}
 	}
 }
 
+// textScanner follows the brackets and strings of a JSON text.
+type textScanner struct {
+	maxNesting        int    // 0 for no limit
+	open              []byte // expected closing brackets, innermost last
+	inString, escaped bool
+}
+
+// outside reports whether the scanned text ends outside of all brackets and strings.
+func (s *textScanner) outside() bool { return len(s.open) == 0 && !s.inString }
+
+// next scans a byte. An error, which wraps ErrFrame, means that no valid JSON text continues so, or that it is nested too deep.
+func (s *textScanner) next(b byte) error {
+	if s.inString {
+		return s.nextInString(b)
+	}
+	switch b {
+	case '"':
+		s.inString = true
+	case '{', '[':
+		if len(s.open) == s.maxNesting && s.maxNesting > 0 {
+			return fmt.Errorf("%w: nested deeper than %d levels", ErrFrame, s.maxNesting)
+		}
+		s.open = append(s.open, b+2) // '}' or ']', two after the opening one in ASCII
+	case '}', ']':
+		if len(s.open) == 0 || s.open[len(s.open)-1] != b {
+			return fmt.Errorf("%w: %q where another bracket is due", ErrFrame, b)
+		}
+		s.open = s.open[:len(s.open)-1]
+	}
+	return nil
+}
+
+// nextInString scans a byte of a string.
+func (s *textScanner) nextInString(b byte) error {
+	switch {
+	case b < ' ':
+		return fmt.Errorf("%w: a string with a control character", ErrFrame)
+	case s.escaped:
+		s.escaped = false
+	case b == '\\':
+		s.escaped = true
+	case b == '"':
+		s.inString = false
+	}
+	return nil
+}
+
 // grow returns a copy of frame with a capacity of size bytes.
 func (r *Reader) grow(frame []byte, size int) ([]byte, error) {
 	if r.Grow != nil && !r.Grow(size) {
--- a/internal/jsonrpc/jsonrpc_test.go
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -77,6 +77,49 @@
 	}
 }
 
+// Package jsontext keeps over 200 bytes for each level of nesting: a frame of 64 KiB could take over 1 MB of memory to parse.
+func TestReaderLimitsNesting(t *testing.T) {
+	const limit = 20
+	nested := func(levels int) string {
+		return strings.Repeat(`[{"a":`, levels/2) + "1" + strings.Repeat("}]", levels/2)
+	}
+	for _, framing := range []Framing{Lines, HeaderDelimited} {
+		for _, x := range []struct {
+			text string
+			ok   bool
+		}{
+			{nested(limit), true},
+			{nested(limit + 2), false},
+			{"[" + nested(limit) + "]", false},
+			{"[" + strings.Repeat("[],{},", 2*limit) + "1]", true},
+			{`["` + strings.Repeat(`[\"`, 2*limit) + `"]`, true},
+		} {
+			r := reader(string(AppendFrame(nil, framing, []byte(x.text))))
+			r.MaxNesting = limit
+			frame, err := r.Next()
+			if x.ok && (err != nil || string(frame) != x.text) || !x.ok && !errors.Is(err, ErrFrame) {
+				t.Errorf("framing %v: %s: %q, %v", framing, x.text, frame, err)
+			}
+		}
+	}
+}
+
+// A batch is counted before it is split, as one of 64 KiB can have over 30,000 members.
+func TestMembersOfBatch(t *testing.T) {
+	for text, want := range map[string]int{`[]`: 0, ` [ 1 ] `: 1, `[{"a":[1,2]},[3,4],"]"]`: 3, "[" + strings.Repeat("1,", 30_000) + "1]": 30_001} {
+		batch, err := Value([]byte(text))
+		if err != nil || !IsBatch(batch) {
+			t.Fatalf("%.20s: batch %v, %v", text, IsBatch(batch), err)
+		}
+		if got, err := CountMembers(batch); got != want || err != nil {
+			t.Errorf("%.20s has %d members, %v; want %d", text, got, err, want)
+		}
+		if members, err := Members(batch); len(members) != want || err != nil {
+			t.Errorf("%.20s is split into %d members, %v; want %d", text, len(members), err, want)
+		}
+	}
+}
+
 // A message in parts is framed like the same message in one piece.
 func TestAppendFrameParts(t *testing.T) {
 	id, result := jsontext.Value(`"a"`), jsontext.Value(`{"b":[1]}`)
--- a/internal/jsonrpc/message.go
+++ b/internal/jsonrpc/message.go
@@ -46,33 +46,70 @@
 	return d
 }
 
-// Split returns the members of a batch, or the frame itself if it is not a batch. An error means that the frame is not valid
-// JSON, and nothing in it may be used.
-func Split(frame []byte) (members []jsontext.Value, batch bool, err error) {
+// Value returns the JSON value that a frame consists of. An error means that the frame is not one valid JSON value, and nothing in
+// it may be used.
+func Value(frame []byte) (jsontext.Value, error) {
 	d := newDecoder(frame)
-	defer func() { decoders.Put(d) }()
-	whole, err := d.ReadValue()
+	defer decoders.Put(d)
+	text, err := d.ReadValue()
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: %w", ErrFrame, err)
+		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
 	}
 	if _, err := d.ReadToken(); err != io.EOF {
-		return nil, false, fmt.Errorf("%w: something stands behind it", ErrFrame)
-	}
-	if whole.Kind() != '[' {
-		return []jsontext.Value{whole}, false, nil
+		return nil, fmt.Errorf("%w: something stands behind it", ErrFrame)
 	}
-	d.Reset(bytes.NewBuffer(whole))
+	return text, nil
+}
+
+// IsBatch reports whether a valid JSON value is a batch.
+func IsBatch(text jsontext.Value) bool { return text.Kind() == '[' }
+
+// CountMembers returns the number of members of a batch. Unlike Members it allocates no memory for them.
+func CountMembers(batch jsontext.Value) (count int, err error) {
+	err = eachMember(batch, func(d *jsontext.Decoder) error {
+		count++
+		return d.SkipValue()
+	})
+	return count, err
+}
+
+// Members returns the members of a batch.
+func Members(batch jsontext.Value) (members []jsontext.Value, err error) {
+	err = eachMember(batch, func(d *jsontext.Decoder) error {
+		v, err := d.ReadValue()
+		members = append(members, v)
+		return err
+	})
+	return members, err
+}
+
+// eachMember calls read for each member of a batch, which must be an array. read has to read one value.
+func eachMember(batch jsontext.Value, read func(d *jsontext.Decoder) error) error {
+	d := newDecoder(batch)
+	defer decoders.Put(d)
 	if _, err := d.ReadToken(); err != nil {
-		return nil, true, fmt.Errorf("%w: %w", ErrFrame, err)
+		return fmt.Errorf("%w: %w", ErrFrame, err)
 	}
 	for d.PeekKind() != ']' {
-		v, err := d.ReadValue()
-		if err != nil {
-			return nil, true, fmt.Errorf("%w: %w", ErrFrame, err)
+		if err := read(d); err != nil {
+			return fmt.Errorf("%w: %w", ErrFrame, err)
 		}
-		members = append(members, v)
 	}
-	return members, true, nil
+	return nil
+}
+
+// Split returns the members of a batch, or the text itself if it is not a batch. An error means that the frame is not valid JSON,
+// and nothing in it may be used.
+func Split(frame []byte) (members []jsontext.Value, batch bool, err error) {
+	text, err := Value(frame)
+	if err != nil {
+		return nil, false, err
+	}
+	if !IsBatch(text) {
+		return []jsontext.Value{text}, false, nil
+	}
+	members, err = Members(text)
+	return members, true, err
 }
 
 // Parse parses one message. extra names an additional member to return; other unknown members are ignored. If valid JSON is not
--- a/internal/node/rpc_test.go
+++ b/internal/node/rpc_test.go
@@ -469,6 +469,7 @@
 	}{
 		{"over 64 KiB", `{"jsonrpc":"2.0","id":1,"method":"sum","params":["` + strings.Repeat("x", 64<<10) + `"]}`, -32700, true},
 		{"nested 10,000 deep", deep, -32700, true},
+		{"nested 129 deep", strings.Repeat("[", 129) + strings.Repeat("]", 129), -32700, true},
 		{"a batch of too many", many, -32600, false},
 		{"a member twice", `{"jsonrpc":"2.0","id":1,"id":2,"method":"sum","params":[1]}`, -32700, true},
 		{"a param twice", `{"jsonrpc":"2.0","id":1,"method":"saveConfig","params":{"key":"a","key":"b"}}`, -32700, true},
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -21,6 +21,9 @@
 // writeTimeout is how long writing one call may take.
 const writeTimeout = 2 * time.Second
 
+// maxNesting is the number of levels to which a backend's answer may be nested. A deeper one ends its connection.
+const maxNesting = 1000
+
 var (
 	errTimeout      = errors.New("attempt timed out")
 	errConnClosed   = errors.New("connection closed")
@@ -322,6 +325,7 @@
 // read delivers answers to their calls until the connection ends. The calls still open then may have run.
 func (l *link) read() {
 	in := jsonrpc.NewReader(bufio.NewReader(l.Conn))
+	in.MaxNesting = maxNesting
 	for {
 		frame, err := in.Next()
 		if err != nil {
--- a/internal/rpcfront/batch.go
+++ b/internal/rpcfront/batch.go
@@ -11,42 +11,77 @@
 	"craneglade/internal/rpccarrier"
 )
 
+// memberCall is a call that is a member of a batch.
+type memberCall struct {
+	call  *rpccarrier.Call
+	id    jsontext.Value
+	index int // in the batch
+}
+
 // batch answers the members of a batch with one array, in time for the shortest deadline among them. Members that miss it fail
-// individually.
-func (c *conn) batch(members []jsontext.Value, arrived time.Time, memory *messageMemory) {
-	f := c.front
-	if len(members) == 0 || len(members) > f.cfg.MaxBatch {
+// individually. An error means that the batch is malformed, or that there is no memory to answer it.
+func (c *conn) batch(text jsontext.Value, arrived time.Time, memory *messageMemory) (err error) {
+	f, count := c.front, 0
+	f.limitParsing(func() { count, err = jsonrpc.CountMembers(text) })
+	if err != nil {
+		return err
+	}
+	if count == 0 || count > f.cfg.MaxBatch {
 		c.write(message{jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.InvalidRequest, "Invalid Request",
 			quote(fmt.Sprintf("a batch has 1 to %d members", f.cfg.MaxBatch)))})
-		return
+		return nil
 	}
-	memory.reserveCalls(len(members))
-	memory.retain(1) // by the answer to the batch
-	b := &batchAnswer{conn: c, memory: memory, pending: 1, parts: make([]message, len(members))}
-	type memberCall struct {
-		call *rpccarrier.Call
-		id   jsontext.Value
-		at   int
+	if err := memory.reserveCalls(count); err != nil {
+		return err
 	}
+	b := &batchAnswer{conn: c, memory: memory, pending: 1, parts: make([]message, count)}
 	var calls []memberCall
-	shortest := time.Duration(0)
+	f.limitParsing(func() { calls, err = c.parseBatch(text, arrived, b) })
+	if err != nil {
+		return err
+	}
+	memory.retain(1) // by the answer to the batch
+	shortest := shortestTimeout(calls)
+	for _, m := range calls {
+		m.call.ClientTimeout = shortest
+		b.addPending()
+		c.start(m.call, m.id, memory, func(answer message, size int64) { b.set(m.index, answer, size) })
+	}
+	b.set(-1, nil, 0)
+	return nil
+}
+
+// parseBatch returns the calls of a batch, in order. It answers members that are invalid, and all calls if there is no memory for
+// them: those are not kept until the others are parsed.
+func (c *conn) parseBatch(text jsontext.Value, arrived time.Time, b *batchAnswer) (calls []memberCall, err error) {
+	members, err := jsonrpc.Members(text)
+	if err != nil {
+		return nil, err
+	}
 	for i, v := range members {
 		call, id, errAnswer := c.parse(v, arrived)
-		if call == nil {
+		switch {
+		case call == nil:
 			b.parts[i] = errAnswer
-			continue
-		}
-		if shortest == 0 || call.ClientTimeout < shortest {
-			shortest = call.ClientTimeout
+		case !b.memory.hasCalls:
+			b.addPending()
+			c.start(call, id, b.memory, func(answer message, size int64) { b.set(i, answer, size) })
+		default:
+			calls = append(calls, memberCall{call, id, i})
 		}
-		calls = append(calls, memberCall{call, id, i})
 	}
-	for _, x := range calls {
-		x.call.ClientTimeout = shortest
-		b.addPending()
-		c.start(x.call, x.id, memory, func(answer message, size int64) { b.set(x.at, answer, size) })
+	return calls, nil
+}
+
+// shortestTimeout returns the shortest client timeout of calls, or 0 if there are none.
+func shortestTimeout(calls []memberCall) time.Duration {
+	shortest := time.Duration(0)
+	for i, m := range calls {
+		if i == 0 || m.call.ClientTimeout < shortest {
+			shortest = m.call.ClientTimeout
+		}
 	}
-	b.set(-1, nil, 0)
+	return shortest
 }
 
 // batchAnswer collects the answers to the members of a batch.
--- a/internal/rpcfront/call.go
+++ b/internal/rpcfront/call.go
@@ -15,18 +15,24 @@
 // noMemoryForCall is the text of the error of a call that is refused for lack of memory.
 const noMemoryForCall = "no memory for a call"
 
-// single answers a message that is not part of a batch.
-func (c *conn) single(v jsontext.Value, arrived time.Time, memory *messageMemory) {
-	call, id, errAnswer := c.parse(v, arrived)
+// single answers a message that is not part of a batch. An error means that there is no memory to answer it.
+func (c *conn) single(v jsontext.Value, arrived time.Time, memory *messageMemory) error {
+	if err := memory.reserveCalls(1); err != nil {
+		return err
+	}
+	var call *rpccarrier.Call
+	var id jsontext.Value
+	var errAnswer message
+	c.front.limitParsing(func() { call, id, errAnswer = c.parse(v, arrived) })
 	if call == nil {
 		c.write(errAnswer)
-		return
+		return nil
 	}
-	memory.reserveCalls(1)
 	c.start(call, id, memory, func(answer message, size int64) {
 		c.write(answer)
 		c.releaseCall(size)
 	})
+	return nil
 }
 
 // parse parses a message. For an invalid one call is nil, and errAnswer is the answer, nil for a notification.
--- a/internal/rpcfront/conn.go
+++ b/internal/rpcfront/conn.go
@@ -22,6 +22,7 @@
 	firstByteTimeout = 10 * time.Second        // for the first byte on a new connection
 	lingerTimeout    = 100 * time.Millisecond  // for the client to read its last answer
 	lingerBytes      = 256 << 10               // read from the client meanwhile
+	maxNesting       = 128                     // levels of arrays and objects in a message
 )
 
 // conn is a connection of a client.
@@ -108,6 +109,7 @@
 func (c *conn) serve() {
 	in := bufio.NewReader(c.Conn)
 	r := jsonrpc.NewReader(in)
+	r.MaxNesting = maxNesting
 	for first := true; ; first = false {
 		wait := c.front.cfg.IdleTimeout
 		if first {
@@ -143,10 +145,14 @@
 	c.mu.Lock()
 	c.framing = r.Framing()
 	c.mu.Unlock()
-	var members []jsontext.Value
-	batch := false
+	var text jsontext.Value
 	if err == nil {
-		members, batch, err = jsonrpc.Split(frame)
+		c.front.limitParsing(func() { text, err = jsonrpc.Value(frame) })
+	}
+	if err == nil && jsonrpc.IsBatch(text) {
+		err = c.batch(text, arrived, memory)
+	} else if err == nil {
+		err = c.single(text, arrived, memory)
 	}
 	switch {
 	case errors.Is(err, jsonrpc.ErrNoMemory):
@@ -155,10 +161,6 @@
 	case err != nil:
 		c.endAfter(message{jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "Parse error", quote(err.Error()))})
 		return false
-	case batch:
-		c.batch(members, arrived, memory)
-	default:
-		c.single(members[0], arrived, memory)
 	}
 	return true
 }
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,7 @@
 	cfg          Config
 	shuttingDown atomic.Bool
 	lastCall     atomic.Uint64 // number of the latest call
+	parsers      chan struct{} // a token for each message that is being parsed
 	wg           sync.WaitGroup
 
 	mu        sync.Mutex
@@ -61,7 +63,9 @@
 }
 
 // New returns a front. It serves nobody until Serve is called.
-func New(cfg Config) *Front { return &Front{cfg: cfg, conns: map[*conn]struct{}{}} }
+func New(cfg Config) *Front {
+	return &Front{cfg: cfg, conns: map[*conn]struct{}{}, parsers: make(chan struct{}, runtime.GOMAXPROCS(0))}
+}
 
 // Serve serves clients on ln until ctx ends, and then until all accepted calls are answered, at the latest by the end of the
 // engine's shutdown schedule. Calls that arrive after ctx has ended are refused; clients may safely retry them.
@@ -96,6 +100,14 @@
 	return err
 }
 
+// limitParsing runs parse, which must not block, while fewer others run than there are processors. Parsing needs memory for the names
+// of members and the levels of nesting, many times the size of the message, which is not reserved.
+func (f *Front) limitParsing(parse func()) {
+	f.parsers <- struct{}{}
+	defer func() { <-f.parsers }()
+	parse()
+}
+
 // ShuttingDown reports whether the shutdown has started.
 func (f *Front) ShuttingDown() bool { return f.shuttingDown.Load() }
 
--- a/internal/rpcfront/memory.go
+++ b/internal/rpcfront/memory.go
@@ -19,6 +19,11 @@
 	parsedCopies = 3
 	// memberBytes is the memory for a parsed call and an answer without a backend's result, in addition to parsedCopies.
 	memberBytes = 1 << 10
+	// refusedCopies is the memory for the answers that refuse all calls of a message, as a multiple of its size: ids, and
+	// names that are quoted in errors.
+	refusedCopies = 2
+	// refusedMemberBytes is the memory for one of these answers, in addition to refusedCopies.
+	refusedMemberBytes = 512
 )
 
 // Memory is the node's budget for the memory of requests and answers. Its methods are safe for concurrent use.
@@ -66,7 +71,7 @@
 	holderCount atomic.Int32
 
 	// Written only by the reader, which is a holder.
-	text     int64 // reserved for the message
+	text     int64 // reserved for the message, and for answers that refuse its calls
 	calls    int64 // reserved for what is made of it
 	hasCalls bool  // calls is reserved; otherwise the calls are refused
 }
@@ -79,22 +84,27 @@
 }
 
 // growBuffer reserves the memory for a message whose buffer grows to size bytes, and reports whether it was available.
-func (m *messageMemory) growBuffer(size int) bool {
-	more := int64(size) - m.text
+func (m *messageMemory) growBuffer(size int) bool { return m.reserveText(int64(size)-m.text) == nil }
+
+// reserveText reserves more memory for a message or for answers that refuse it. It returns jsonrpc.ErrNoMemory if there is none.
+func (m *messageMemory) reserveText(more int64) error {
 	if !m.conn.front.cfg.Memory.ReserveMessage(more) {
-		return false
+		return jsonrpc.ErrNoMemory
 	}
 	m.text += more
 	m.conn.reserved.Add(more)
-	return true
+	return nil
 }
 
-// reserveCalls reserves the memory for the calls of a complete message. If it is not available, the calls are refused.
-func (m *messageMemory) reserveCalls(count int) {
+// reserveCalls reserves the memory for the calls of a complete message. If it is not available, the calls are refused, for which
+// less is reserved. It returns jsonrpc.ErrNoMemory if there is not even that.
+func (m *messageMemory) reserveCalls(count int) error {
 	size := parsedCopies*m.text + int64(count)*memberBytes
 	if m.hasCalls = m.conn.reserveCall(size); m.hasCalls {
 		m.calls = size
+		return nil
 	}
+	return m.reserveText(refusedCopies*m.text + int64(count)*refusedMemberBytes)
 }
 
 // retain adds holders.
