Test: requests of others are not lost beside floods on several connections

The test runs a real node, held to its part of a processor as DEPLOY describes it (a stand-in for the platform stops a process that has used its part of 100 ms), six clients that flood it, and twenty others with keyed and unsafe requests of 155 and 388 ms to backends of 60 to 100 ms. A request is lost half a second after its time, by the users' terms; for how long the test itself could not run is deducted. Fourteen kinds of floods on 32 MB, 256 descriptors and a quarter of a core, four on the largest limits, and all kinds at once while the node is told to end.

--- /dev/null
+++ b/cmd/craneglade/floods_test.go
@@ -0,0 +1,326 @@
+package main
+
+// These tests guard against answers that come late or never while several clients send small or unsound requests at full speed. Each
+// such connection once took up to a third of the processor for itself, so that a few of them left nothing to others: every step of
+// another request then waited until all of them had run.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"craneglade/internal/kit/stand"
+	"craneglade/internal/kit/trace"
+	"craneglade/internal/timing"
+)
+
+const (
+	floodingClients = 6
+	otherClients    = 20
+	floodsFor       = 1200 * time.Millisecond
+	otherPause      = 150 * time.Millisecond // longest pause of the other clients between two requests
+	floodBackends   = 12
+	minBackendTime  = 60 * time.Millisecond
+	backendVariance = 40 * time.Millisecond
+	// lostAfter is how long after its time an answer counts as lost (the users' terms).
+	lostAfter = 500 * time.Millisecond
+	heartbeat = 5 * time.Millisecond // at which the test measures how late it runs itself
+	// minFreePart is the part of the processor that floods leave to other clients: they get a quarter of it, to which the collector and
+	// the kernel's work for their connections are added.
+	minFreePart = 0.25
+)
+
+// floodSettings has a keyed and an unsafe class of short deadlines.
+const floodSettings = `{"balancers":3,"zone":"n","discovery":"push","grades":[` +
+	`{"name":"save-config","aim_s":0.4,"deadline_s":1,"gain":10,"effect":"guarded","group":"zone","repeat_window_s":0.6},` +
+	`{"name":"send-quote","aim_s":0.5,"deadline_s":2.5,"gain":2,"effect":"single_shot","group":"all"},` +
+	`{"name":"a","aim_s":20,"deadline_s":60,"gain":1,"effect":"free","group":"all"}],` +
+	`"report":{"how":"piggyback","names":["concurrent","depth"]},` +
+	`"policy_limits":{"max_attempts":3,"connect_timeout_s":0.2,"conn_idle_s":60,"cancel":true,"parallel_tries":true}}`
+
+// costlyFloods are requests that cost the node much for their size, or that end their connection.
+var costlyFloods = []flood{
+	{name: "no requests", next: func(int) string { return "x\r\n" }},
+	{name: "unknown classes", next: func(n int) string {
+		return fmt.Sprintf("GET /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: f%d\r\nX-Class: b%d\r\nX-Deadline: 100m\r\n\r\n", n, n)
+	}},
+	{name: "bodies in small chunks", next: func(n int) string {
+		return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: f%d\r\nX-Class: save-config\r\nIdempotency-Key: k%d\r\nX-Deadline: 1u\r\n", n, n) +
+			"Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 60000) + "0\r\n\r\n"
+	}},
+	{name: "requests before much else", next: func(n int) string {
+		return fmt.Sprintf("GET /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: f%d\r\nX-Class: a\r\nX-Deadline: 5000m\r\n\r\n", n) + strings.Repeat("x", 4<<20)
+	}},
+	{name: "white space", rpc: true, next: func(int) string { return strings.Repeat(" ", 60000) + "1\n" }},
+	{name: "batches", rpc: true, next: func(int) string {
+		return "[" + strings.Repeat(`{"jsonrpc":"2.0","id":1,"method":"m"},`, 800) + "1]\n"
+	}},
+}
+
+// allFloods are the floods of both tests.
+func allFloods() []flood { return append(slices.Clone(floods), costlyFloods...) }
+
+// startFloodedNode starts a node with limits, of which cores is enforced, in front of backends of both protocols that take some time. It
+// returns the node, and the address of its JSON-RPC front.
+func startFloodedNode(t *testing.T, l limits, cores float64) (p *program, rpcAddr string) {
+	t.Helper()
+	rpcBackend := &longAnswers{delay: minBackendTime, answer: "q", calls: map[int]int{}}
+	var listed []stand.Entry
+	for i := range floodBackends {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go rpcBackend.accept(ln)
+		listed = append(listed, stand.Entry{ID: fmt.Sprint("s-", i+1), Addr: serveBackend(t, answerWithLoad()), RPC: ln.Addr().String(), Zone: "n", Kind: "k", State: trace.Ready, Weight: 1})
+	}
+	discovery := serveDiscovery(t, "127.0.0.1:0", 2, listed)
+	rpcAddr = freeAddr(t)
+	own := filepath.Join(t.TempDir(), "own.toml")
+	settings := fmt.Sprintf("[jsonrpc]\nlisten = %q\ninflight = %d\n[[jsonrpc.method]]\nname = \"sendQuote\"\nclass = \"send-quote\"\npatience = \"1s\"\n", rpcAddr, defaultInflight)
+	if err := os.WriteFile(own, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(l.inConfig(config("")), platformSettings, floodSettings, 1)
+	text = strings.Replace(text, `"cores":1.0`, fmt.Sprintf(`"cores":%v`, cores), 1)
+	p = startCommand(t, exec.Command(buildForDeployment(t), "serve", "--config", own), discovery.Addr, text)
+	limitProcessor(t, p.cmd.Process.Pid, cores)
+	return p, rpcAddr
+}
+
+// accept serves the connections of a listener until it is closed.
+func (b *longAnswers) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go b.serve(c)
+	}
+}
+
+// answerWithLoad returns a backend that takes some time for a request, and reports how many it has.
+func answerWithLoad() http.HandlerFunc {
+	var inflight atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Load", fmt.Sprintf(`{"inflight":%d,"queue":0}`, inflight.Add(1)))
+		defer inflight.Add(-1)
+		time.Sleep(minBackendTime + rand.N(backendVariance))
+		echoRequestID(w, r)
+	}
+}
+
+// caller is a client that sends requests with a short deadline one after the other on a connection that it keeps.
+type caller struct {
+	addr, class, header string
+	wait                time.Duration
+	conn                net.Conn
+	in                  *bufio.Reader
+}
+
+// newCaller returns the i-th of the other clients, of which two thirds send keyed requests and the others unsafe ones.
+func newCaller(addr string, i int) *caller {
+	if i%3 == 0 {
+		return &caller{addr: addr, class: "send-quote", wait: 388 * time.Millisecond}
+	}
+	return &caller{addr: addr, class: "save-config", header: "Idempotency-Key: k%s\r\n", wait: 155 * time.Millisecond}
+}
+
+// callResult is the result of a request.
+type callResult struct {
+	class  string
+	wait   time.Duration // for which its client waits
+	took   time.Duration // without the time for which the test itself was late
+	status int
+	err    error // it got no answer
+}
+
+// isLost reports whether a request was answered too late or never.
+func (r *callResult) isLost() bool { return r.err != nil || r.took > r.wait+lostAfter }
+
+// call sends a request and waits for its answer.
+func (c *caller) call(id string, stalls *stallMeter) (result callResult) {
+	result.class, result.wait = c.class, c.wait
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.addr)
+		if err != nil {
+			result.err = err
+			return result
+		}
+		c.conn, c.in = conn, bufio.NewReader(conn)
+	}
+	start, stalled := time.Now(), stalls.total()
+	defer func() { result.took = time.Since(start) - (stalls.total() - stalled) }()
+	text := fmt.Sprintf("POST /api?key=7 HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %dm\r\n", id, c.class, c.wait.Milliseconds())
+	if c.header != "" {
+		text += fmt.Sprintf(c.header, id)
+	}
+	io.WriteString(c.conn, text+"Content-Length: 4\r\n\r\nbody") // an error shows up when the answer is read
+	c.conn.SetReadDeadline(start.Add(testTimeout))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err == nil {
+		result.status = resp.StatusCode
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	if err != nil || resp.Close {
+		c.conn.Close()
+		c.conn = nil
+	}
+	result.err = err
+	return result
+}
+
+// stallMeter measures for how long the test itself could not run, as a machine that is busy with something else delays it.
+type stallMeter struct{ stalled atomic.Int64 }
+
+// startStallMeter starts a meter that runs until the test ends.
+func startStallMeter(t *testing.T) *stallMeter {
+	m := &stallMeter{}
+	go timing.Every(t.Context(), heartbeat, m.beat())
+	return m
+}
+
+// beat returns a function that is to be called at each heartbeat.
+func (m *stallMeter) beat() func() {
+	last := time.Now()
+	return func() {
+		now := time.Now()
+		m.stalled.Add(int64(max(0, now.Sub(last)-2*heartbeat)))
+		last = now
+	}
+}
+
+func (m *stallMeter) total() time.Duration { return time.Duration(m.stalled.Load()) }
+
+// runOthers lets the other clients send requests until end, and returns what became of them.
+func runOthers(t *testing.T, addr string, end time.Time) (results []callResult) {
+	stalls := startStallMeter(t)
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	var ids atomic.Int64
+	for i := range otherClients {
+		clients.Go(func() {
+			c := newCaller(addr, i)
+			for time.Now().Before(end) {
+				result := c.call(fmt.Sprint("other-", ids.Add(1)), stalls)
+				mu.Lock()
+				results = append(results, result)
+				mu.Unlock()
+				time.Sleep(rand.N(otherPause))
+			}
+		})
+	}
+	clients.Wait()
+	return results
+}
+
+// checkNoneLost fails the test if a request was lost.
+func checkNoneLost(t *testing.T, results []callResult) {
+	t.Helper()
+	var took []time.Duration
+	lost := 0
+	for _, r := range results {
+		took = append(took, r.took)
+		if !r.isLost() {
+			continue
+		}
+		if lost++; lost == 1 {
+			t.Logf("the first lost: class %s after %v: status %d, %v", r.class, r.took, r.status, r.err)
+		}
+	}
+	slices.Sort(took)
+	t.Logf("%d others: median %v, 99th percentile %v, longest %v", len(took), took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
+	if lost > 0 {
+		t.Errorf("%d of %d requests of others were lost", lost, len(results))
+	}
+}
+
+// startFloods sends floods at full speed until end, each from one client. The returned function waits for them.
+func startFloods(p *program, rpcAddr string, sent []flood, end time.Time) (wait func()) {
+	var clients sync.WaitGroup
+	for _, f := range sent {
+		addr := p.addr
+		if f.rpc {
+			addr = rpcAddr
+		}
+		clients.Go(func() { f.send(addr, end) })
+	}
+	return clients.Wait
+}
+
+// runFloods sends floods at full speed, each from one client, while others send requests. It returns what became of these, and the part
+// of one processor that the node has used.
+func runFloods(t *testing.T, p *program, rpcAddr string, sent []flood) (others []callResult, used float64) {
+	t.Helper()
+	before, err := processorTime(p.cmd.Process.Pid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	end := start.Add(floodsFor)
+	wait := startFloods(p, rpcAddr, sent, end)
+	others = runOthers(t, p.addr, end)
+	wait()
+	after, err := processorTime(p.cmd.Process.Pid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return others, (after - before).Seconds() / time.Since(start).Seconds()
+}
+
+// lastingFloods are floods whose requests leave their connection open.
+var lastingFloods = []string{"readiness checks", "unknown methods", "notifications", "batches"}
+
+// Several clients flood the node, each on one connection. No request of others is lost. Floods that stay on their connections leave a part
+// of the processor unused. The floods of all kinds meet while the node is told to end: it answers what it has taken, and ends by itself.
+func TestRequestsAreNotLostBesideFloods(t *testing.T) {
+	for _, f := range allFloods() {
+		t.Run(f.name, func(t *testing.T) { floodNode(t, smallLimits, 0.25, f) })
+	}
+	for _, f := range allFloods() {
+		if slices.Contains(lastingFloods, f.name) {
+			t.Run("largest limits, "+f.name, func(t *testing.T) {
+				if used := floodNode(t, largeLimits, 1, f); used > 1-minFreePart {
+					t.Errorf("%.0f%% of a processor used; %.0f%% should be free", 100*used, 100*minFreePart)
+				}
+			})
+		}
+	}
+	t.Run("all at once, and a shutdown", func(t *testing.T) {
+		p, rpcAddr := startFloodedNode(t, smallMemoryLimits, 0.5)
+		usage := watchUsage(t, p.cmd.Process.Pid)
+		others, used := runFloods(t, p, rpcAddr, allFloods())
+		t.Logf("%.0f%% of a processor used", 100*used)
+		checkNoneLost(t, others)
+		wait := startFloods(p, rpcAddr, allFloods(), time.Now().Add(floodsFor))
+		p.terminate(t)
+		wait()
+		usage.checkLimits(t, smallMemoryLimits.memoryMB, smallMemoryLimits.sockets)
+	})
+}
+
+// floodNode starts a node with limits, floods it, and checks that no request of others is lost. It returns the part of one processor that
+// the node has used.
+func floodNode(t *testing.T, l limits, cores float64, f flood) (used float64) {
+	p, rpcAddr := startFloodedNode(t, l, cores)
+	usage := watchUsage(t, p.cmd.Process.Pid)
+	others, used := runFloods(t, p, rpcAddr, slices.Repeat([]flood{f}, floodingClients))
+	t.Logf("%.0f%% of a processor used", 100*used)
+	checkNoneLost(t, others)
+	usage.checkLimits(t, l.memoryMB, l.sockets)
+	p.checkStillRunning(t)
+	return used
+}
