Busy connections share a quarter of the processor, in turns, over both protocols

A connection that always had input paused for itself alone, for twice as long as it had worked, and reading and parsing did not count: six of them took the whole processor. A node has one (GOMAXPROCS follows limits.cores). While any goroutine is ready to run, the Go scheduler looks for input of others only every 10 ms, and each step of their requests (the read, the backend's answer, discovery's answer) then waits for all that are ready. The class: work of one connection is bounded, the sum over connections is not.

Change. admission.WorkShare bounds what all busy connections take together: a quarter of limits.cores, each slice of about a millisecond in its turn, so that the scheduler is idle in between. timing.FairReader measures the work between two reads of a connection, whatever the protocol does with them (chunked bodies, white space, batches, what follows a request), and pauses before it reads on. Requests that wait for a backend do not count. A connection that ends with input unread waits for its turn as well, as its client may go on with another. The pause of a millisecond for each 64 KiB that follow a request is replaced by it.

--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -45,7 +45,7 @@
 	attemptProbe closeProbe   // used by attempts
 	answered     bool         // a request on it was answered
 	waited       bool         // the last request had to wait for its answer
-	fairness     timing.Fairness
+	reads        timing.FairReader
 	discarded    bool // data that followed a request was discarded, so that no further request can be read
 
 	// Guarded by Front.mu.
@@ -55,21 +55,19 @@
 	usesEvictionSlot bool // it has a reject slot until it is closed, as another connection has got its descriptor
 }
 
-// newClientConn returns a connection from which nothing was read. Its memory is reserved in bodies.
-func newClientConn(conn net.Conn, bodies *message.Store) *clientConn {
+// newClientConn returns a connection from which nothing was read.
+func (s *Front) newClientConn(conn net.Conn) *clientConn {
 	c := &clientConn{Conn: conn, start: time.Now(), probe: sock.NewPeeker(conn), attemptProbe: closeProbe{probe: sock.NewPeeker(conn)}}
-	c.limit.R, c.limit.N = scanningReader{conn, &c.framing}, message.MaxHeadBytes
-	c.head = headBuffer{source: &c.limit, memory: bodies}
+	c.reads = timing.FairReader{Source: conn, Shared: s.work,
+		HasInput: func() bool { return c.probe.Pending() == sock.Readable },
+		Ending:   func() bool { return c.probe.Peer() == sock.PeerClosed || s.isEvicted(c) }}
+	c.limit.R, c.limit.N = scanningReader{&c.reads, &c.framing}, message.MaxHeadBytes
+	c.head = headBuffer{source: &c.limit, memory: s.bodies}
 	c.in = bufio.NewReader(&c.head)
 	c.account.Owner, c.account.From = c, host(conn.RemoteAddr())
 	return c
 }
 
-// hasInput reports whether a part of another request has arrived.
-func (c *clientConn) hasInput() bool {
-	return c.in.Buffered()+len(c.head.unread()) > 0 || c.probe.Pending() == sock.Readable
-}
-
 // readAhead reads data that follows a request, of which it keeps what the buffer has space for. It returns the number of bytes read.
 func (c *clientConn) readAhead() (n int, err error) {
 	if c.in.Buffered() == c.in.Size() {
@@ -132,15 +130,9 @@
 // watchForClose keeps reading while a request is being answered and reports whether the client closed the connection. A
 // read deadline in the past ends it and is not a close.
 func (c *clientConn) watchForClose() (closed bool) {
-	for read := 0; ; {
-		n, err := c.readAhead()
-		if err != nil {
+	for {
+		if _, err := c.readAhead(); err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
-		if read += n; read < fastDiscardBytes {
-			continue
-		}
-		read -= discardBurstBytes
-		time.Sleep(discardPause)
 	}
 }
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -17,6 +17,7 @@
 	"craneglade/internal/message"
 	"craneglade/internal/quota"
 	"craneglade/internal/sock"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -41,11 +42,8 @@
 	lingerTimeout = 100 * time.Millisecond // for the client to read its last answer before the connection is reset
 	lingerBytes   = 256 << 10              // what is read of further data from the client meanwhile
 	// Data that follows a request while it is answered is kept up to the size of the connection's buffer. The rest is read
-	// and discarded, as the client's close may follow it: the first fastDiscardBytes at full speed, the rest with a pause
-	// after each discardBurstBytes so that it does not occupy a core.
-	fastDiscardBytes  = 1 << 20
-	discardBurstBytes = 64 << 10
-	discardPause      = time.Millisecond
+	// and discarded, as the client's close may follow it: up to fastDiscardBytes before the request is sent, the rest meanwhile.
+	fastDiscardBytes = 1 << 20
 	// minRejectSlots are one for a new connection and one for the connection that is evicted for it.
 	minRejectSlots = 2
 )
@@ -61,6 +59,7 @@
 	TenantShares     map[string]float64           // quota of each tenant at this node, in requests per second
 	SinceLastReceive func(net.Conn) time.Duration // how long the last bytes waited in the kernel; nil for sock.SinceLastReceive
 	Parsing          quota.Concurrency            // bounds how many heads are parsed at the same time
+	Work             *timing.SharedWork           // of busy connections
 	Log              *slog.Logger
 }
 
@@ -73,6 +72,7 @@
 	clock            engine.Clock
 	sinceLastReceive func(net.Conn) time.Duration
 	parsing          quota.Concurrency
+	work             *timing.SharedWork
 	log              *slog.Logger
 	shuttingDown     atomic.Bool     // the node is shutting down
 	closing          atomic.Bool     // connections are being closed
@@ -92,7 +92,7 @@
 
 // New returns a front. It serves nobody until Serve is called.
 func New(cfg Config) *Front {
-	s := &Front{engine: cfg.Engine, bodies: cfg.Bodies, clock: cfg.Clock, parsing: cfg.Parsing, log: cfg.Log,
+	s := &Front{engine: cfg.Engine, bodies: cfg.Bodies, clock: cfg.Clock, parsing: cfg.Parsing, work: cfg.Work, log: cfg.Log,
 		quota: cfg.Quota, rejectSlots: make(chan struct{}, max(minRejectSlots, cfg.RejectSlots)), conns: map[*clientConn]struct{}{},
 		tenants: admission.NewTenants(cfg.TenantShares),
 		account: admission.NewClients(admission.Limits{RequestConns: cfg.MaxRequestConns, SilentAfter: silentTimeout, SlowAfter: slowReadAfter})}
@@ -117,7 +117,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newClientConn(conn, s.bodies)
+		c := s.newClientConn(conn)
 		c.hasDescriptor = s.quota.AcquireOrReclaim(s.evictForClient)
 		s.mu.Lock()
 		if c.usesRejectSlot = !c.hasDescriptor; c.usesRejectSlot {
@@ -229,7 +229,6 @@
 		if r == nil {
 			return s.endReason(c)
 		}
-		start := time.Now()
 		c.waited = false
 		if !s.startAnswer(c, r) && !s.shuttingDown.Load() {
 			c.overLimit = true
@@ -251,9 +250,10 @@
 		if !s.markIdle(c) {
 			return evictedAfterAnswer
 		}
-		if !c.waited { // for a backend
-			c.fairness.Worked(time.Since(start), c.hasInput)
+		if c.waited { // for a backend
+			c.reads.Exclude()
 		}
+		c.reads.EndRequest(c.in.Buffered()+len(c.head.unread()) > 0)
 	}
 }
 
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -148,7 +148,7 @@
 func TestExpiredDeadlineIsNotAClose(t *testing.T) {
 	t.Parallel()
 	client, conn := tcpPair(t)
-	c := newClientConn(conn, newStore(t))
+	c := New(Config{Bodies: newStore(t), Log: slog.New(slog.DiscardHandler)}).newClientConn(conn)
 	if _, err := io.WriteString(client, "x"); err != nil {
 		t.Fatal(err)
 	}
@@ -174,7 +174,7 @@
 	bodies := newStore(t)
 	f := New(Config{Clock: engine.NewClock(), Bodies: bodies, Parsing: quota.NewConcurrency(1), Log: slog.New(slog.DiscardHandler)})
 	client, conn := tcpPair(t)
-	c := newClientConn(conn, bodies)
+	c := f.newClientConn(conn)
 	f.account.Add(f.now(), &c.account)
 	done := make(chan struct{})
 	go func() {
--- a/internal/httpfront/shutdown.go
+++ b/internal/httpfront/shutdown.go
@@ -115,6 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
+		c.closing = true
 		c.Close()
 	}
 }
--- a/internal/httpfront/write.go
+++ b/internal/httpfront/write.go
@@ -47,6 +47,9 @@
 // linger waits for the client to close after its last answer. If unread data remains or arrives later, closing resets the
 // connection, and the client loses what it has not read yet.
 func (c *clientConn) linger() {
+	if !c.usesRejectSlot {
+		c.reads.Finish(lingerTimeout)
+	}
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"craneglade/internal/rpcfront"
 	"craneglade/internal/settings"
 	"craneglade/internal/sock"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -167,12 +168,13 @@
 		return nil, err
 	}
 	parsing := quota.NewConcurrency(runtime.GOMAXPROCS(0))
-	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock, Parsing: parsing,
+	work := timing.NewSharedWork(cmp.Or(cfg.Cores, float64(runtime.GOMAXPROCS(0))))
+	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock, Parsing: parsing, Work: work,
 		Quota: quotas.Side(admission.ClientSide), RejectSlots: cfg.rejectSlots(), MaxRequestConns: cfg.descriptors() / 3, TenantShares: cfg.tenantShares(), SinceLastReceive: cfg.sinceLastReceive, Log: log})
 	quotas.SetReclaim(admission.ClientSide, func() bool { return n.front.EvictIdleForBackend() || n.rpcFront != nil && n.rpcFront.EvictIdle() })
 	quotas.SetReclaim(admission.BackendSide, n.carrier.EvictIdle)
 	if n.rpcCarrier != nil {
-		n.rpcFront = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: quotas.Side(admission.ClientSide), Memory: n.bodies, Parsing: parsing,
+		n.rpcFront = rpcfront.New(rpcfront.Config{Engine: n.engine, Quota: quotas.Side(admission.ClientSide), Memory: n.bodies, Parsing: parsing, Work: work,
 			Methods: cfg.rpcMethods(), MaxInflight: file.JSONRPC.MaxInflight, MaxBatch: file.JSONRPC.MaxBatch, IdleTimeout: file.JSONRPC.IdleTimeout.D(), Log: log})
 	}
 	var ctx context.Context
--- a/internal/rpcfront/call.go
+++ b/internal/rpcfront/call.go
@@ -29,7 +29,7 @@
 		c.write(errAnswer)
 		return nil
 	}
-	c.start(call, id, memory, func(answer message, size int64) {
+	c.atBackend = c.start(call, id, memory, func(answer message, size int64) {
 		c.write(answer)
 		c.releaseCall(size)
 	})
@@ -102,24 +102,22 @@
 
 // start passes a call to the engine once admit allows it. Until then it blocks and nothing more is read, which slows the client
 // down. answer is called once, with nil for a notification or a client that has disconnected; size bytes are reserved for the
-// answer, which the callee has to return.
-func (c *conn) start(call *rpccarrier.Call, id jsontext.Value, memory *messageMemory, answer func(m message, size int64)) {
+// answer, which the callee has to return. start reports whether the call was not answered at once.
+func (c *conn) start(call *rpccarrier.Call, id jsontext.Value, memory *messageMemory, answer func(m message, size int64)) (atBackend bool) {
 	f := c.front
-	refuse := func(text string) {
+	refuse := func(text string) (atBackend bool) {
 		c.finish(id, refusal(id, text, refuseRetryAfter), 0, answer)
+		return false
 	}
 	if !memory.hasCalls {
-		refuse(noMemoryForCall)
-		return
+		return refuse(noMemoryForCall)
 	}
 	if reason := c.admit(call.Arrived.Add(call.ClientTimeout)); reason != "" {
-		refuse(reason)
-		return
+		return refuse(reason)
 	}
 	if reason := c.reasonToRefuse(); reason != "" {
 		c.releaseCall(openCallBytes)
-		refuse(reason)
-		return
+		return refuse(reason)
 	}
 	call.Disconnected = c.mayBeClosed
 	memory.retain(2) // by the engine and by the goroutine below
@@ -127,6 +125,7 @@
 	c.callStarted()
 	c.calls.Add(1)
 	f.cfg.Engine.Submit(&call.Request) // the id is new, so this can't fail
+	atBackend = len(call.Done()) == 0
 	go func() {
 		defer c.calls.Done()
 		defer c.callDone()
@@ -142,6 +141,7 @@
 			c.finish(id, nil, 0, answer)
 		}
 	}()
+	return atBackend
 }
 
 // reasonToRefuse returns why a call that memory is reserved for may not be passed to the engine, or "". A client that has closed the
@@ -165,6 +165,7 @@
 // return.
 func (c *conn) admit(deadline time.Time) (refused string) {
 	var timer *time.Timer
+	expired := false
 	for {
 		open := c.openCallCount()
 		if open < c.front.cfg.MaxInflight {
@@ -179,12 +180,14 @@
 			timer = time.NewTimer(time.Until(deadline))
 			defer timer.Stop()
 		}
-		start := time.Now()
-		select {
-		case <-c.released:
-			c.waited += time.Since(start)
-		case <-timer.C:
-			c.waited += time.Since(start)
+		c.reads.Wait(func() {
+			select {
+			case <-c.released:
+			case <-timer.C:
+				expired = true
+			}
+		})
+		if expired {
 			return "too many calls are open"
 		}
 	}
--- a/internal/rpcfront/conn.go
+++ b/internal/rpcfront/conn.go
@@ -42,8 +42,8 @@
 	calls    sync.WaitGroup
 
 	// Used by the reader.
-	waited   time.Duration // for memory and for open calls, during the current message
-	fairness timing.Fairness
+	reads     timing.FairReader
+	atBackend bool // the latest message was a call that waits for a backend
 
 	// Guarded by Front.mu.
 	idleElement   *list.Element // in Front.idleConns; nil if busy
@@ -126,7 +126,10 @@
 
 // serve reads calls until the connection ends or a frame is malformed.
 func (c *conn) serve() {
-	in := bufio.NewReader(c.Conn)
+	c.reads = timing.FairReader{Source: c.Conn, Shared: c.front.cfg.Work,
+		HasInput: func() bool { return sock.Pending(c.Conn) == sock.Readable },
+		Ending:   func() bool { return c.peer() == sock.PeerClosed }}
+	in := bufio.NewReader(&c.reads)
 	r := jsonrpc.NewReader(in)
 	r.MaxNesting = maxNesting
 	for first := true; ; first = false {
@@ -144,6 +147,7 @@
 					continue
 				}
 			}
+			c.reads.Finish(lingerTimeout)
 			return
 		}
 		if !c.serveMessage(r) {
@@ -164,8 +168,7 @@
 	c.mu.Lock()
 	c.framing = r.Framing()
 	c.mu.Unlock()
-	start := time.Now()
-	c.waited = 0
+	c.atBackend = false
 	var text jsontext.Value
 	if err == nil {
 		c.front.cfg.Parsing.Run(func() { text, err = jsonrpc.Value(frame) })
@@ -176,28 +179,33 @@
 		err = c.single(text, arrived, memory)
 	}
 	switch {
+	case err == nil:
+		if c.atBackend && c.openCallCount() <= c.front.cfg.MaxInflight/2 { // else its client sends faster than it is served
+			c.reads.Exclude()
+		}
+		c.reads.EndRequest(r.Buffered())
+		return true
 	case errors.Is(err, jsonrpc.ErrNoMemory):
 		c.endAfter(refusal(jsonrpc.Null, "no memory for a message", refuseRetryAfter))
 		return false
-	case err != nil:
+	default:
 		c.endAfter(message{jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "Parse error", quote(err.Error()))})
 		return false
 	}
-	c.fairness.Worked(time.Since(start)-c.waited, func() bool { return r.Buffered() || sock.Pending(c.Conn) == sock.Readable })
-	return true
 }
 
 // endAfter answers a message whose end is unknown, so that no other can be read. The connection ends once the open calls are
 // answered.
 func (c *conn) endAfter(m message) {
 	c.write(m)
-	c.calls.Wait()
+	c.reads.Wait(c.calls.Wait)
 	c.linger()
 }
 
 // linger gives the client time to read its last answer. If unread data remains, closing resets the connection, and the client
 // loses what it has not read yet.
 func (c *conn) linger() {
+	c.reads.Finish(lingerTimeout)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -21,6 +21,7 @@
 	"craneglade/internal/jsonrpc"
 	"craneglade/internal/quota"
 	"craneglade/internal/sock"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -50,6 +51,7 @@
 	// Parsing bounds how many messages are parsed at the same time. That needs memory for the names of members and the levels of
 	// nesting, many times the size of the message, which is not reserved.
 	Parsing quota.Concurrency
+	Work    *timing.SharedWork // of busy connections
 	Log     *slog.Logger
 }
 
--- /dev/null
+++ b/internal/timing/fairreader.go
@@ -0,0 +1,120 @@
+package timing
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"craneglade/internal/admission"
+)
+
+const (
+	fairSlice = time.Millisecond // of work, after which a busy connection pauses
+	// maxSliceWork is the most that a slice counts for. What took longer has waited for a processor, or in a write.
+	maxSliceWork = 10 * time.Millisecond
+	// pauseInterval is how often a pausing connection checks whether it is to end.
+	pauseInterval = 5 * time.Millisecond
+	// busyPart is the part of the time for which a connection has to be worked for to be busy, also if all that has arrived was read.
+	busyPart = 1.0 / 32
+)
+
+// SharedWork lets the busy connections of a node take turns. It is safe for concurrent use.
+type SharedWork struct {
+	start time.Time
+	mu    sync.Mutex
+	share *admission.WorkShare
+}
+
+// NewSharedWork returns the SharedWork of a node that may use a number of processors, or a part of one.
+func NewSharedWork(processors float64) *SharedWork {
+	return &SharedWork{start: time.Now(), share: admission.NewWorkShare(processors)}
+}
+
+// reserve accounts for work of a connection that has more to do, and returns how long it has to pause before that.
+func (s *SharedWork) reserve(worked time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.start)
+	return s.share.Reserve(now, min(worked, maxSliceWork)) - now
+}
+
+// FairReader is the reader of a connection whose other side may send faster than it is served. All that the connection's goroutine does
+// between two reads counts as work for it, unless it is excluded. After a slice of work a busy connection pauses before it reads on.
+// Without that, a few such connections keep every processor occupied. The Go scheduler then looks for input of others only every 10 ms,
+// and each step of their requests waits for all goroutines that are ready. A FairReader is used by one goroutine at a time.
+type FairReader struct {
+	Source   io.Reader   // the connection
+	Shared   *SharedWork // what the node's busy connections have in common
+	HasInput func() bool // reports, without blocking, whether more has arrived
+	Ending   func() bool // reports, without blocking, whether the connection is to end, which ends a pause
+
+	worked    time.Duration // since the slice began
+	since     time.Time     // when the slice began
+	accounted time.Time     // until when work is in worked
+	filled    bool          // the last read filled its buffer, so that more may have arrived
+}
+
+// Read reads from the connection, after a pause if it is busy.
+func (f *FairReader) Read(p []byte) (int, error) {
+	f.EndRequest(false)
+	n, err := f.Source.Read(p)
+	f.filled = n == len(p)
+	f.Exclude()
+	return n, err
+}
+
+// EndRequest is called between requests, and pauses if the connection is busy. hasMore tells that some of the next request was read.
+func (f *FairReader) EndRequest(hasMore bool) {
+	f.account()
+	if f.worked < fairSlice {
+		return
+	}
+	if hasMore || f.isBusy() {
+		f.pause(f.Shared.reserve(f.worked))
+	}
+	f.worked, f.since = 0, time.Now()
+}
+
+// account counts the time since the last call of a method as work.
+func (f *FairReader) account() {
+	now := time.Now()
+	if f.accounted.IsZero() { // the first call
+		f.accounted, f.since = now, now
+	}
+	f.worked += now.Sub(f.accounted)
+	f.accounted = now
+}
+
+// Exclude drops the time since the last call of a method: the connection has waited for others, or was worked for at their cost.
+func (f *FairReader) Exclude() { f.accounted = time.Now() }
+
+// Wait calls wait, whose time does not count as work.
+func (f *FairReader) Wait(wait func()) {
+	f.account()
+	wait()
+	f.Exclude()
+}
+
+// Finish is called before the connection is closed. It pauses, for limit at most, if more has arrived: the other side may go on with
+// another connection.
+func (f *FairReader) Finish(limit time.Duration) {
+	f.account()
+	if f.HasInput() {
+		f.pause(min(f.Shared.reserve(f.worked), limit))
+	}
+	f.worked = 0
+}
+
+// isBusy reports whether the other side sends faster than it is served, or is worked for during much of the time.
+func (f *FairReader) isBusy() bool {
+	return float64(f.worked) > busyPart*float64(time.Since(f.since)) || f.filled && f.HasInput()
+}
+
+// pause waits for d, or until the connection is to end.
+func (f *FairReader) pause(d time.Duration) {
+	end := time.Now().Add(d)
+	for ; d > 0 && !f.Ending(); d = time.Until(end) {
+		time.Sleep(min(d, pauseInterval))
+	}
+	f.Exclude()
+}
