Backends' answers without a call take their turn like other busy connections

What callers saw: answers late beside backends that send, on their JSON-RPC connections, messages that answer no call, as fast as they can.

The reader of such a connection never waits, so that six of them occupy the processor as six flooding clients did.

The reader is a timing.FairReader with the node's shared work. A message that answers a call does not count; one that answers none does.

--- a/cmd/craneglade/floods_test.go
+++ b/cmd/craneglade/floods_test.go
@@ -77,6 +77,12 @@
 func startFloodedNode(t *testing.T, l limits, cores float64) (p *program, rpcAddr string) {
 	t.Helper()
 	rpcBackend := &longAnswers{delay: minBackendTime, answer: "q", calls: map[int]int{}}
+	return startNodeBefore(t, l, cores, rpcBackend.serve)
+}
+
+// startNodeBefore is startFloodedNode with backends whose JSON-RPC connections serveRPC serves.
+func startNodeBefore(t *testing.T, l limits, cores float64, serveRPC func(net.Conn)) (p *program, rpcAddr string) {
+	t.Helper()
 	var listed []stand.Entry
 	for i := range floodBackends {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -84,7 +90,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { ln.Close() })
-		go rpcBackend.accept(ln)
+		go acceptEach(ln, serveRPC)
 		listed = append(listed, stand.Entry{ID: fmt.Sprint("s-", i+1), Addr: serveBackend(t, answerWithLoad()), RPC: ln.Addr().String(), Zone: "n", Kind: "k", State: trace.Ready, Weight: 1})
 	}
 	discovery := serveDiscovery(t, "127.0.0.1:0", 2, listed)
@@ -101,14 +107,14 @@
 	return p, rpcAddr
 }
 
-// accept serves the connections of a listener until it is closed.
-func (b *longAnswers) accept(ln net.Listener) {
+// acceptEach serves the connections of a listener until it is closed.
+func acceptEach(ln net.Listener, serve func(net.Conn)) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		go b.serve(c)
+		go serve(c)
 	}
 }
 
@@ -248,6 +254,24 @@
 	}
 }
 
+// openBackendConnections calls the node until its connections to backends are as they should be.
+func openBackendConnections(t *testing.T, rpcAddr string, ready func() bool) {
+	t.Helper()
+	c, err := net.Dial("tcp", rpcAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go io.Copy(io.Discard, c)
+	for id, end := 0, time.Now().Add(testTimeout); !ready(); id++ {
+		if time.Now().After(end) {
+			t.Fatal("the node has not connected to its backends")
+		}
+		fmt.Fprintln(c, quoteCall(id)) // an error shows up as no connections
+		time.Sleep(heartbeat)
+	}
+}
+
 // startFloods sends floods at full speed until end, each from one client. The returned function waits for them.
 func startFloods(p *program, rpcAddr string, sent []flood, end time.Time) (wait func()) {
 	var clients sync.WaitGroup
@@ -299,6 +323,24 @@
 			})
 		}
 	}
+	t.Run("backends that send answers without a call", func(t *testing.T) {
+		var flooding atomic.Int64
+		end := time.Now().Add(testTimeout)
+		p, rpcAddr := startNodeBefore(t, smallLimits, 0.25, func(c net.Conn) {
+			defer c.Close()
+			bufio.NewReader(c).ReadString('\n') // the first call
+			flooding.Add(1)
+			c.SetDeadline(end)
+			answers := []byte(strings.Repeat(`{"jsonrpc":"2.0","id":"none","result":1}`+"\n", floodTextSize/40))
+			for sent := true; sent; {
+				_, err := c.Write(answers)
+				sent = err == nil
+			}
+		})
+		openBackendConnections(t, rpcAddr, func() bool { return flooding.Load() >= floodingClients })
+		checkNoneLost(t, runOthers(t, p.addr, time.Now().Add(floodsFor)))
+		p.checkStillRunning(t)
+	})
 	t.Run("all at once, and a shutdown", func(t *testing.T) {
 		p, rpcAddr := startFloodedNode(t, smallMemoryLimits, 0.5)
 		usage := watchUsage(t, p.cmd.Process.Pid)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,10 +155,11 @@
 	}
 	n.carrier = httpcarrier.New(httpcarrier.Config{Quota: backendQuota, BackendIdleTimeout: cfg.Settings.BackendIdleTimeout, MaxSettleWait: cfg.maxSettleWait(),
 		AcceptLoadReports: cfg.Settings.AcceptLoadReports, Bodies: n.bodies, Log: log, Now: cfg.now, Sleep: cfg.sleep, Dial: dial, DialNetwork: dialer.DialContext})
+	work := timing.NewSharedWork(cmp.Or(cfg.Cores, float64(runtime.GOMAXPROCS(0))))
 	var carrier engine.Carrier = n.carrier
 	if file.JSONRPC.Listen != "" {
 		n.rpcCarrier = rpccarrier.New(rpccarrier.Config{MaxConnsPerBackend: file.JSONRPC.MaxConnsPerBackend, Quota: backendQuota, SendMetadata: file.JSONRPC.SendMetadata, AcceptLoadReports: cfg.Settings.AcceptLoadReports,
-			Dial: dial, Log: log})
+			Dial: dial, Work: work, Log: log})
 		carrier = carriers{n.carrier, n.rpcCarrier}
 	}
 	n.engine, err = engine.New(engine.Config{Settings: cfg.Settings.Policy, Seed: cfg.Seed, Clock: clock,
@@ -168,7 +169,6 @@
 		return nil, err
 	}
 	parsing := quota.NewConcurrency(runtime.GOMAXPROCS(0))
-	work := timing.NewSharedWork(cmp.Or(cfg.Cores, float64(runtime.GOMAXPROCS(0))))
 	n.front = httpfront.New(httpfront.Config{Engine: n.engine, Bodies: n.bodies, Clock: clock, Parsing: parsing, Work: work,
 		Quota: quotas.Side(admission.ClientSide), RejectSlots: cfg.rejectSlots(), MaxRequestConns: cfg.descriptors() / 3, TenantShares: cfg.tenantShares(), SinceLastReceive: cfg.sinceLastReceive, Log: log})
 	quotas.SetReclaim(admission.ClientSide, func() bool { return n.front.EvictIdleForBackend() || n.rpcFront != nil && n.rpcFront.EvictIdle() })
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -16,6 +16,8 @@
 	"craneglade/internal/engine"
 	"craneglade/internal/jsonrpc"
 	"craneglade/internal/quota"
+	"craneglade/internal/sock"
+	"craneglade/internal/timing"
 	"craneglade/policy"
 )
 
@@ -39,6 +41,7 @@
 	SendMetadata       bool         // send backends the id, deadline, key and tenant of a call in an additional member
 	AcceptLoadReports  bool         // evaluate load reports in answers
 	Dial               func(ctx context.Context, addr string) (net.Conn, error)
+	Work               *timing.SharedWork // of connections on which backends send what was not asked for
 	Log                *slog.Logger
 }
 
@@ -334,7 +337,8 @@
 
 // read delivers answers to their calls until the connection ends. The calls still open then may have run.
 func (l *link) read() {
-	in := jsonrpc.NewReader(bufio.NewReader(l.Conn))
+	reads := l.fairReader()
+	in := jsonrpc.NewReader(bufio.NewReader(reads))
 	in.MaxNesting = maxNesting
 	for {
 		frame, err := in.Next()
@@ -347,8 +351,11 @@
 			break // the start of the next frame is unknown
 		}
 		for _, v := range members {
-			l.deliver(jsonrpc.Parse(v, metadataMember))
+			if l.deliver(jsonrpc.Parse(v, metadataMember)) {
+				reads.Exclude()
+			}
 		}
+		reads.EndRequest(in.Buffered())
 	}
 	l.Close()
 	l.mu.Lock()
@@ -370,8 +377,16 @@
 	n.cfg.Quota.Release()
 }
 
-// deliver passes a message to its call. An answer without an open call, late or duplicate, is dropped.
-func (l *link) deliver(m jsonrpc.Message, err error) {
+// fairReader returns the reader of the connection. Only messages that answer no call count as work.
+func (l *link) fairReader() *timing.FairReader {
+	probe := sock.NewPeeker(l.Conn)
+	return &timing.FairReader{Source: l.Conn, Shared: l.carrier.cfg.Work,
+		HasInput: func() bool { return probe.Pending() == sock.Readable },
+		Ending:   func() bool { return probe.Peer() == sock.PeerClosed }}
+}
+
+// deliver passes a message to its call, and reports whether there is one. An answer without an open call, late or duplicate, is dropped.
+func (l *link) deliver(m jsonrpc.Message, err error) (expected bool) {
 	id, ok := jsonrpc.Text(m.ID)
 	l.mu.Lock()
 	l.received++
@@ -387,7 +402,8 @@
 	l.mu.Unlock()
 	if !ok || c == nil {
 		l.carrier.cfg.Log.Debug("dropped an answer without an open call", "err", err)
-		return
+		return false
 	}
 	l.closeIfUnused()
+	return true
 }
