Datagrams that come faster than a node handles them take their turn

What callers saw: with the fleet's address open, one sender of datagrams that no node encrypted took 81 % of a node's processor.

The reader of datagrams never waits while there are any.

It is a timing.FairReader with the node's shared work; what the kernel has no space for meanwhile is dropped, as on a congested network.

--- a/cmd/craneglade/floods_test.go
+++ b/cmd/craneglade/floods_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -72,16 +73,22 @@
 // allFloods are the floods of both tests.
 func allFloods() []flood { return append(slices.Clone(floods), costlyFloods...) }
 
-// startFloodedNode starts a node with limits, of which cores is enforced, in front of backends of both protocols that take some time. It
-// returns the node, and the address of its JSON-RPC front.
-func startFloodedNode(t *testing.T, l limits, cores float64) (p *program, rpcAddr string) {
+// floodedNode is a node that is flooded.
+type floodedNode struct {
+	*program
+	rpcAddr   string // where it listens for JSON-RPC
+	fleetAddr string // where it listens for other nodes
+}
+
+// startFloodedNode starts a node with limits, of which cores is enforced, in front of backends of both protocols that take some time.
+func startFloodedNode(t *testing.T, l limits, cores float64) *floodedNode {
 	t.Helper()
 	rpcBackend := &longAnswers{delay: minBackendTime, answer: "q", calls: map[int]int{}}
 	return startNodeBefore(t, l, cores, rpcBackend.serve)
 }
 
 // startNodeBefore is startFloodedNode with backends whose JSON-RPC connections serveRPC serves.
-func startNodeBefore(t *testing.T, l limits, cores float64, serveRPC func(net.Conn)) (p *program, rpcAddr string) {
+func startNodeBefore(t *testing.T, l limits, cores float64, serveRPC func(net.Conn)) *floodedNode {
 	t.Helper()
 	var listed []stand.Entry
 	for i := range floodBackends {
@@ -94,17 +101,19 @@
 		listed = append(listed, stand.Entry{ID: fmt.Sprint("s-", i+1), Addr: serveBackend(t, answerWithLoad()), RPC: ln.Addr().String(), Zone: "n", Kind: "k", State: trace.Ready, Weight: 1})
 	}
 	discovery := serveDiscovery(t, "127.0.0.1:0", 2, listed)
-	rpcAddr = freeAddr(t)
-	own := filepath.Join(t.TempDir(), "own.toml")
-	settings := fmt.Sprintf("[jsonrpc]\nlisten = %q\ninflight = %d\n[[jsonrpc.method]]\nname = \"sendQuote\"\nclass = \"send-quote\"\npatience = \"1s\"\n", rpcAddr, defaultInflight)
-	if err := os.WriteFile(own, []byte(settings), 0o600); err != nil {
+	n := &floodedNode{rpcAddr: freeAddr(t), fleetAddr: freeAddr(t)}
+	folder := t.TempDir()
+	own, key := filepath.Join(folder, "own.toml"), filepath.Join(folder, "fleet.key")
+	settings := fmt.Sprintf("[jsonrpc]\nlisten = %q\ninflight = %d\n[[jsonrpc.method]]\nname = \"sendQuote\"\nclass = \"send-quote\"\npatience = \"1s\"\n", n.rpcAddr, defaultInflight) +
+		fmt.Sprintf("[fleet]\nlisten = %q\ncluster = \"test\"\nkey_file = %q\n", n.fleetAddr, key)
+	if err := errors.Join(os.WriteFile(own, []byte(settings), 0o600), os.WriteFile(key, []byte("000102030405060708090a0b0c0d0e0f\n"), 0o600)); err != nil {
 		t.Fatal(err)
 	}
 	text := strings.Replace(l.inConfig(config("")), platformSettings, floodSettings, 1)
 	text = strings.Replace(text, `"cores":1.0`, fmt.Sprintf(`"cores":%v`, cores), 1)
-	p = startCommand(t, exec.Command(buildForDeployment(t), "serve", "--config", own), discovery.Addr, text)
-	limitProcessor(t, p.cmd.Process.Pid, cores)
-	return p, rpcAddr
+	n.program = startCommand(t, exec.Command(buildForDeployment(t), "serve", "--config", own), discovery.Addr, text)
+	limitProcessor(t, n.cmd.Process.Pid, cores)
+	return n
 }
 
 // acceptEach serves the connections of a listener until it is closed.
@@ -273,12 +282,12 @@
 }
 
 // startFloods sends floods at full speed until end, each from one client. The returned function waits for them.
-func startFloods(p *program, rpcAddr string, sent []flood, end time.Time) (wait func()) {
+func (n *floodedNode) startFloods(sent []flood, end time.Time) (wait func()) {
 	var clients sync.WaitGroup
 	for _, f := range sent {
-		addr := p.addr
+		addr := n.addr
 		if f.rpc {
-			addr = rpcAddr
+			addr = n.rpcAddr
 		}
 		clients.Go(func() { f.send(addr, end) })
 	}
@@ -287,18 +296,24 @@
 
 // runFloods sends floods at full speed, each from one client, while others send requests. It returns what became of these, and the part
 // of one processor that the node has used.
-func runFloods(t *testing.T, p *program, rpcAddr string, sent []flood) (others []callResult, used float64) {
+func (n *floodedNode) runFloods(t *testing.T, sent []flood) (others []callResult, used float64) {
 	t.Helper()
-	before, err := processorTime(p.cmd.Process.Pid)
+	return n.runBeside(t, func(end time.Time) (wait func()) { return n.startFloods(sent, end) })
+}
+
+// runBeside is runFloods for the load of startLoad, which returns a function that waits for its end.
+func (n *floodedNode) runBeside(t *testing.T, startLoad func(end time.Time) (wait func())) (others []callResult, used float64) {
+	t.Helper()
+	before, err := processorTime(n.cmd.Process.Pid)
 	if err != nil {
 		t.Fatal(err)
 	}
 	start := time.Now()
 	end := start.Add(floodsFor)
-	wait := startFloods(p, rpcAddr, sent, end)
-	others = runOthers(t, p.addr, end)
+	wait := startLoad(end)
+	others = runOthers(t, n.addr, end)
 	wait()
-	after, err := processorTime(p.cmd.Process.Pid)
+	after, err := processorTime(n.cmd.Process.Pid)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -326,7 +341,7 @@
 	t.Run("backends that send answers without a call", func(t *testing.T) {
 		var flooding atomic.Int64
 		end := time.Now().Add(testTimeout)
-		p, rpcAddr := startNodeBefore(t, smallLimits, 0.25, func(c net.Conn) {
+		n := startNodeBefore(t, smallLimits, 0.25, func(c net.Conn) {
 			defer c.Close()
 			bufio.NewReader(c).ReadString('\n') // the first call
 			flooding.Add(1)
@@ -337,18 +352,29 @@
 				sent = err == nil
 			}
 		})
-		openBackendConnections(t, rpcAddr, func() bool { return flooding.Load() >= floodingClients })
-		checkNoneLost(t, runOthers(t, p.addr, time.Now().Add(floodsFor)))
-		p.checkStillRunning(t)
+		openBackendConnections(t, n.rpcAddr, func() bool { return flooding.Load() >= floodingClients })
+		checkNoneLost(t, runOthers(t, n.addr, time.Now().Add(floodsFor)))
+		n.checkStillRunning(t)
 	})
+	for name, startLoad := range fleetFloods {
+		t.Run(name, func(t *testing.T) {
+			n := startFloodedNode(t, smallLimits, 0.25)
+			usage := watchUsage(t, n.cmd.Process.Pid)
+			others, used := n.runBeside(t, func(end time.Time) (wait func()) { return startLoad(n.fleetAddr, end) })
+			t.Logf("%.0f%% of a processor used", 100*used)
+			checkNoneLost(t, others)
+			usage.checkLimits(t, smallLimits.memoryMB, smallLimits.sockets)
+			n.checkStillRunning(t)
+		})
+	}
 	t.Run("all at once, and a shutdown", func(t *testing.T) {
-		p, rpcAddr := startFloodedNode(t, smallMemoryLimits, 0.5)
-		usage := watchUsage(t, p.cmd.Process.Pid)
-		others, used := runFloods(t, p, rpcAddr, allFloods())
+		n := startFloodedNode(t, smallMemoryLimits, 0.5)
+		usage := watchUsage(t, n.cmd.Process.Pid)
+		others, used := n.runFloods(t, allFloods())
 		t.Logf("%.0f%% of a processor used", 100*used)
 		checkNoneLost(t, others)
-		wait := startFloods(p, rpcAddr, allFloods(), time.Now().Add(floodsFor))
-		p.terminate(t)
+		wait := n.startFloods(allFloods(), time.Now().Add(floodsFor))
+		n.terminate(t)
 		wait()
 		usage.checkLimits(t, smallMemoryLimits.memoryMB, smallMemoryLimits.sockets)
 	})
@@ -357,12 +383,12 @@
 // floodNode starts a node with limits, floods it, and checks that no request of others is lost. It returns the part of one processor that
 // the node has used.
 func floodNode(t *testing.T, l limits, cores float64, f flood) (used float64) {
-	p, rpcAddr := startFloodedNode(t, l, cores)
-	usage := watchUsage(t, p.cmd.Process.Pid)
-	others, used := runFloods(t, p, rpcAddr, slices.Repeat([]flood{f}, floodingClients))
+	n := startFloodedNode(t, l, cores)
+	usage := watchUsage(t, n.cmd.Process.Pid)
+	others, used := n.runFloods(t, slices.Repeat([]flood{f}, floodingClients))
 	t.Logf("%.0f%% of a processor used", 100*used)
 	checkNoneLost(t, others)
 	usage.checkLimits(t, l.memoryMB, l.sockets)
-	p.checkStillRunning(t)
+	n.checkStillRunning(t)
 	return used
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 	n.followDNS(ctx, &file.DNS)
 	if file.Fleet.Listen != "" {
 		n.peers, err = peers.Start(peers.Config{Fleet: &file.Fleet, Name: cfg.Name, Policy: &cfg.Settings.Policy, OverflowSites: file.Sites.Names(), Clock: clock.Now,
-			ViewChanged: n.engine.FleetStateChanged, Log: log})
+			ViewChanged: n.engine.FleetStateChanged, Work: work, Log: log})
 		if err != nil {
 			n.shutdown()
 			return nil, err
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -49,7 +49,8 @@
 	Policy        *policy.Settings // number and count of nodes, zone and tenants
 	OverflowSites []string         // sites that the site-loss plan names, if there is one
 	Clock         func() time.Duration
-	ViewChanged   func() // called from its own goroutine when View may have changed
+	ViewChanged   func()             // called from its own goroutine when View may have changed
+	Work          *timing.SharedWork // of datagrams that come faster than they are handled; nil for no bound
 	Log           *slog.Logger
 }
 
@@ -100,7 +101,7 @@
 			return nil, fmt.Errorf("fleet.audit: %w", err)
 		}
 	}
-	if p.transport, err = newTransport(f.Listen, int(f.BytesPerSecond)); err != nil {
+	if p.transport, err = newTransport(f.Listen, int(f.BytesPerSecond), cfg.Work); err != nil {
 		return nil, errors.Join(fmt.Errorf("fleet.listen: %w", err), p.closeAudit())
 	}
 	host, port, err := splitAddr(f.Advertise)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -199,7 +199,7 @@
 }
 
 func TestTransportDropsBeyondByteBudget(t *testing.T) {
-	w, err := newTransport("127.0.0.1:0", 1000)
+	w, err := newTransport("127.0.0.1:0", 1000, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peers/pushpull_test.go
+++ b/internal/peers/pushpull_test.go
@@ -59,7 +59,7 @@
 func TestPushPullBytes(t *testing.T) {
 	var bytesPerMember []float64
 	for _, n := range []int{300, 1500, 5900} {
-		wire, err := newTransport("127.0.0.1:0", 8<<10)
+		wire, err := newTransport("127.0.0.1:0", 8<<10, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"craneglade/internal/sock"
+	"craneglade/internal/timing"
 )
 
 const (
@@ -49,7 +52,9 @@
 	Received      int64 `json:"received"`
 }
 
-func newTransport(addr string, bytesPerSecond int) (*transport, error) {
+// newTransport listens on addr. Datagrams that come faster than they are handled take their turn by work, and what the kernel has no
+// space for meanwhile is dropped.
+func newTransport(addr string, bytesPerSecond int, work *timing.SharedWork) (*transport, error) {
 	a, err := net.ResolveTCPAddr("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -63,15 +68,21 @@
 	if t.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: a.IP, Port: t.port}); err != nil {
 		return nil, errors.Join(err, t.tcp.Close())
 	}
-	t.wg.Go(t.readDatagrams)
+	t.wg.Go(func() { t.readDatagrams(work) })
 	t.wg.Go(t.acceptStreams)
 	return t, nil
 }
 
-func (t *transport) readDatagrams() {
+func (t *transport) readDatagrams(work *timing.SharedWork) {
 	buf := make([]byte, maxDatagramBytes)
+	in := &datagramReader{udp: t.udp}
+	probe := sock.NewPeeker(t.udp)
+	fair := timing.FairReader{Source: in, Shared: work,
+		HasInput: func() bool { return probe.Pending() == sock.Readable },
+		Ending:   t.isShutDown}
 	for {
-		n, from, err := t.udp.ReadFrom(buf)
+		n, err := fair.Read(buf)
+		from := in.from
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -94,6 +105,27 @@
 	}
 }
 
+// datagramReader reads datagrams and keeps the sender of the latest.
+type datagramReader struct {
+	udp  *net.UDPConn
+	from net.Addr
+}
+
+func (r *datagramReader) Read(p []byte) (n int, err error) {
+	n, r.from, err = r.udp.ReadFrom(p)
+	return n, err
+}
+
+// isShutDown reports whether Shutdown was called.
+func (t *transport) isShutDown() bool {
+	select {
+	case <-t.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (t *transport) acceptStreams() {
 	for {
 		c, err := t.tcp.Accept()
--- a/internal/timing/fairreader.go
+++ b/internal/timing/fairreader.go
@@ -18,7 +18,7 @@
 	busyPart = 1.0 / 32
 )
 
-// SharedWork lets the busy connections of a node take turns. It is safe for concurrent use.
+// SharedWork lets the busy connections of a node take turns. It is safe for concurrent use. A nil one never delays.
 type SharedWork struct {
 	start time.Time
 	mu    sync.Mutex
@@ -32,6 +32,9 @@
 
 // reserve accounts for work of a connection that has more to do, and returns how long it has to pause before that.
 func (s *SharedWork) reserve(worked time.Duration) time.Duration {
+	if s == nil {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Since(s.start)
