Answers of unknown length are reserved before they are read

Such an answer was read completely, up to 64 KiB, without a reservation, as was one with a length and a status other than 200.

It is reserved as it is read, in doubling steps. Where the budget has nothing left it waits for one of the slots for which a sixteenth of the memory for requests is kept, as the requests that wait for their answers may hold all the rest; its 250 ms count from then on.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -44,13 +44,15 @@
 	// MaxSettleWait is how long a request may wait until settleTime has passed on a connection that was just used. Opening
 	// another connection costs the backend work.
 	MaxSettleWait     time.Duration
-	AcceptLoadReports bool           // evaluate load reports in answers
-	Bodies            *message.Store // memory for answers; one that gets none, or is larger than message.MaxBodyBytes, is streamed
-	Dial              func(ctx context.Context, addr string) (net.Conn, error)
-	DialNetwork       func(ctx context.Context, network, addr string) (net.Conn, error) // for backends with several addresses, of any network
-	Now               func() time.Time                                                  // the clock for the age of connections; nil for time.Now
-	Sleep             func(ctx context.Context, d time.Duration) bool                   // nil for timing.Sleep
-	Log               *slog.Logger
+	AcceptLoadReports bool // evaluate load reports in answers
+	// AnswerSlots is how many answers of unknown length, of message.MaxBodyBytes at most, the node has memory for beyond Bodies.
+	AnswerSlots int
+	Bodies      *message.Store // memory for answers; one that gets none, or is larger than message.MaxBodyBytes, is streamed
+	Dial        func(ctx context.Context, addr string) (net.Conn, error)
+	DialNetwork func(ctx context.Context, network, addr string) (net.Conn, error) // for backends with several addresses, of any network
+	Now         func() time.Time                                                  // the clock for the age of connections; nil for time.Now
+	Sleep       func(ctx context.Context, d time.Duration) bool                   // nil for timing.Sleep
+	Log         *slog.Logger
 }
 
 // Carrier implements engine.Carrier for requests of type *message.Request.
@@ -59,11 +61,13 @@
 	reports bool
 	bodies  *message.Store
 	log     *slog.Logger
+
+	answerSlots chan struct{}
 }
 
 // New returns a carrier without connections.
 func New(cfg Config) *Carrier {
-	return &Carrier{pool: newPool(cfg), reports: cfg.AcceptLoadReports, bodies: cfg.Bodies, log: cfg.Log}
+	return &Carrier{pool: newPool(cfg), reports: cfg.AcceptLoadReports, bodies: cfg.Bodies, log: cfg.Log, answerSlots: make(chan struct{}, max(1, cfg.AnswerSlots))}
 }
 
 // Conns returns the number of open connections and how many of them are idle.
@@ -188,17 +192,13 @@
 	}
 	var resp *http.Response
 	var body []byte
-	var reserved int64
+	memory := &answerMemory{store: n.bodies, slots: n.answerSlots}
 	stream := false
 	if err == nil {
-		resp, body, err = c.read(r.In.Method, func(size int64) bool {
-			if size > message.MaxBodyBytes || !n.bodies.Reserve(size) {
-				stream = true
-				return false
-			}
-			reserved = size
-			return true
-		}, n.bodies.MaxAnswer)
+		resp, body, err = c.read(ctx, r.In.Method, func(size int64) bool {
+			stream = size > message.MaxBodyBytes || !memory.reserve(size)
+			return !stream
+		}, memory, n.bodies.MaxAnswer)
 	}
 	switch {
 	case err == nil, errors.Is(err, errInvalidAnswer):
@@ -233,9 +233,7 @@
 		b.answers.Add(1)
 	}
 	if err != nil {
-		if reserved > 0 {
-			n.bodies.Release(reserved)
-		}
+		memory.release()
 		outcome := policy.Reset // unless shown otherwise it may have run
 		switch cause := context.Cause(ctx); {
 		case cause != nil && !errors.Is(cause, errTimeout):
@@ -254,10 +252,10 @@
 		return engine.Result{Outcome: outcome}, c.addr != "" && !complete && ctx.Err() == nil && (p == nil || p.Memory != nil)
 	}
 	res = n.classify(a.Backend, resp, body)
-	if p, ok := res.Reply.(*message.Reply); ok && reserved > 0 {
-		p.AttachReservation(n.bodies, reserved)
-	} else if reserved > 0 {
-		n.bodies.Release(reserved)
+	if p, ok := res.Reply.(*message.Reply); ok {
+		p.OnRelease(memory.release)
+	} else {
+		memory.release()
 	}
 	return res, false
 }
@@ -292,8 +290,9 @@
 var errInvalidAnswer = errors.New("invalid answer from backend")
 
 // read reads an answer completely before any of it is forwarded, so that the request can be retried if it breaks off. For an
-// answer with status 200 whose size reserve refuses, it reads the head only. An answer larger than maxSize is invalid.
-func (c *backendConn) read(method string, reserve func(size int64) bool, maxSize int64) (*http.Response, []byte, error) {
+// answer with status 200 whose size reserve refuses, it reads the head only. All others are read into memory. An answer larger than
+// maxSize is invalid.
+func (c *backendConn) read(ctx context.Context, method string, reserve func(size int64) bool, memory *answerMemory, maxSize int64) (*http.Response, []byte, error) {
 	c.limit.N = message.MaxHeadBytes + message.MaxBodyBytes
 	for {
 		if _, err := c.in.Peek(1); err != nil {
@@ -328,10 +327,7 @@
 		}
 		// This limit must never end a body: one that ends with its connection would then pass as complete.
 		c.limit.N = maxChunkedFactor*message.MaxBodyBytes + message.MaxHeadBytes
-		body, err := io.ReadAll(io.LimitReader(resp.Body, message.MaxBodyBytes+1))
-		if err == nil && len(body) > message.MaxBodyBytes {
-			err = errors.New("body too large")
-		}
+		body, err := c.readBody(ctx, resp, memory)
 		if err != nil {
 			return nil, nil, fmt.Errorf("%w: %w", errInvalidAnswer, err)
 		}
@@ -339,6 +335,14 @@
 	}
 }
 
+// readBody reads the body of an answer. After a wait for memory it has as long as an answer has from its first byte.
+func (c *backendConn) readBody(ctx context.Context, resp *http.Response, memory *answerMemory) ([]byte, error) {
+	if memory.reserved > 0 { // its length is known
+		return io.ReadAll(resp.Body)
+	}
+	return memory.readAll(ctx, resp.Body, func() error { return c.SetReadDeadline(time.Now().Add(answerTimeout)) })
+}
+
 // head returns the head of an answer without the empty line, or nil if it is incomplete or larger than the buffer. The result
 // is valid until the next read.
 func (c *backendConn) head() []byte {
--- a/internal/message/budget_test.go
+++ b/internal/message/budget_test.go
@@ -24,7 +24,7 @@
 	if !s.Reserve(RequestOverheadBytes) {
 		t.Fatal("memory for an answer was not available")
 	}
-	p.AttachReservation(s, RequestOverheadBytes)
+	p.OnRelease(func() { s.Release(RequestOverheadBytes) })
 	if s.Admit(&c) {
 		t.Error("a request was admitted over the limit")
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -61,18 +61,17 @@
 	Body   []byte
 	Stream *AnswerStream // instead of Body, for an answer that is still being received
 
-	store *Store // where size bytes are reserved; nil if none are
-	size  int64
+	release func() // returns its memory; nil if none is reserved
 }
 
-// AttachReservation makes Release return size bytes that were reserved in s.
-func (p *Reply) AttachReservation(s *Store, size int64) { p.store, p.size = s, size }
+// OnRelease makes Release call release, which returns the memory of the reply.
+func (p *Reply) OnRelease(release func()) { p.release = release }
 
 // Release returns the memory reserved for the reply. It may be called repeatedly, and on nil.
 func (p *Reply) Release() {
-	if p != nil && p.store != nil {
-		p.store.Release(p.size)
-		p.store = nil
+	if p != nil && p.release != nil {
+		p.release()
+		p.release = nil
 	}
 }
 
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"craneglade/internal/admission"
+	"craneglade/internal/message"
 )
 
 // readMemoryUse returns the memory that this process uses now, by /proc/self/statm (proc(5)). An error means that the system has no
@@ -41,10 +42,21 @@
 	return min(cmp.Or(cfg.Sockets, cfg.memory.Descriptors), cfg.memory.Descriptors)
 }
 
-// requestBytes returns the memory for bodies, heads, answers and calls; 0 for no limit.
+// answerSlotsPart is the part of the memory for requests that is kept for answers of unknown length.
+const answerSlotsPart = 16
+
+// answerSlots returns for how many answers of unknown length the node keeps memory; 0 without a limit.
+func (cfg *Config) answerSlots() int {
+	if cfg.memory == nil {
+		return 0
+	}
+	return int(cfg.memory.Requests / answerSlotsPart / message.MaxBodyBytes)
+}
+
+// requestBytes returns the memory for bodies, heads, answers and calls, without the slots for answers of unknown length; 0 for no limit.
 func (cfg *Config) requestBytes() int64 {
 	if cfg.memory == nil {
 		return 0
 	}
-	return cfg.memory.Requests
+	return cfg.memory.Requests - int64(cfg.answerSlots())*message.MaxBodyBytes
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	}
 	n.carrier = httpcarrier.New(httpcarrier.Config{Quota: backendQuota, BackendIdleTimeout: cfg.Settings.BackendIdleTimeout, MaxSettleWait: cfg.maxSettleWait(),
-		AcceptLoadReports: cfg.Settings.AcceptLoadReports, Bodies: n.bodies, Log: log, Now: cfg.now, Sleep: cfg.sleep, Dial: dial, DialNetwork: dialer.DialContext})
+		AcceptLoadReports: cfg.Settings.AcceptLoadReports, Bodies: n.bodies, AnswerSlots: cfg.answerSlots(), Log: log, Now: cfg.now, Sleep: cfg.sleep, Dial: dial, DialNetwork: dialer.DialContext})
 	work := timing.NewSharedWork(cmp.Or(cfg.Cores, float64(runtime.GOMAXPROCS(0))))
 	var carrier engine.Carrier = n.carrier
 	if file.JSONRPC.Listen != "" {
