A held-up process does not make a client that sends little pay as a busy one

What callers saw (trials with sixty flooding clients on a quarter of a core): one or two of some 110 requests of others answered 1.2 to 2.4 s late, while the node used 11 to 18 % of a processor.

A process that is held up (stopped by the platform, or beside others on its core) added the pause to whatever connection it was serving, which then counted as busy and waited for its turn, within its request too. And each pausing connection looked every 5 ms whether it is to end, with three system calls.

A time counts as work up to 250 us, and 100 ns for each byte that was read for it. Within a request a connection pauses only if more has arrived than was read; how much of the time it is worked for counts between requests alone. A pausing connection looks eight times, at intervals of 5 to 100 ms.

--- a/internal/timing/fairreader.go
+++ b/internal/timing/fairreader.go
@@ -9,11 +9,17 @@
 )
 
 const (
-	fairSlice = time.Millisecond // of work, after which a busy connection pauses
-	// maxSliceWork is the most that a slice counts for. What took longer has waited for a processor, or in a write.
-	maxSliceWork = 10 * time.Millisecond
-	// pauseInterval is how often a pausing connection checks whether it is to end.
-	pauseInterval = 5 * time.Millisecond
+	fairSlice    = time.Millisecond      // of work, after which a busy connection pauses
+	maxSliceWork = 10 * time.Millisecond // the most that a slice counts for
+	// A time counts as work up to maxRequestWork and maxWorkPerByte for what was read for it. What took longer has waited, for a processor
+	// or in a write: a client that sends little must not pay for a process that was held up.
+	maxRequestWork = 250 * time.Microsecond
+	maxWorkPerByte = 100 * time.Nanosecond
+	// A pausing connection checks a few times whether it is to end, at intervals within these bounds: each check costs system calls,
+	// and thousands may pause.
+	pauseChecks      = 8
+	minCheckInterval = 5 * time.Millisecond
+	maxCheckInterval = 100 * time.Millisecond
 	// busyPart is the part of the time for which a connection has to be worked for to be busy, also if all that has arrived was read.
 	busyPart = 1.0 / 32
 )
@@ -54,37 +60,56 @@
 	worked    time.Duration // since the slice began
 	since     time.Time     // when the slice began
 	accounted time.Time     // until when work is in worked
+	unserved  int           // bytes that were read since the last request ended
 	filled    bool          // the last read filled its buffer, so that more may have arrived
 }
 
-// Read reads from the connection, after a pause if it is busy.
+// Read reads from the connection, after a pause if the other side sends faster than it is served.
 func (f *FairReader) Read(p []byte) (int, error) {
-	f.EndRequest(false)
+	f.account()
+	if f.worked >= fairSlice && f.isBehind() {
+		f.takeTurn()
+	}
 	n, err := f.Source.Read(p)
 	f.filled = n == len(p)
+	f.unserved += n
 	f.Exclude()
 	return n, err
 }
 
-// EndRequest is called between requests, and pauses if the connection is busy. hasMore tells that some of the next request was read.
+// EndRequest is called between requests, and pauses if the connection is busy: also if it is worked for during much of the time, though
+// all that has arrived was read. hasMore tells that some of the next request was read.
 func (f *FairReader) EndRequest(hasMore bool) {
 	f.account()
+	f.unserved = 0
 	if f.worked < fairSlice {
 		return
 	}
-	if hasMore || f.isBusy() {
-		f.pause(f.Shared.reserve(f.worked))
+	if hasMore || f.isBehind() || float64(f.worked) > busyPart*float64(time.Since(f.since)) {
+		f.takeTurn()
+	} else {
+		f.beginSlice()
 	}
-	f.worked, f.since = 0, time.Now()
 }
 
+// isBehind reports whether more has arrived than was read.
+func (f *FairReader) isBehind() bool { return f.filled && f.HasInput() }
+
+// takeTurn waits for the connection's turn, and begins a slice.
+func (f *FairReader) takeTurn() {
+	f.pause(f.Shared.reserve(f.worked))
+	f.beginSlice()
+}
+
+func (f *FairReader) beginSlice() { f.worked, f.since = 0, time.Now() }
+
 // account counts the time since the last call of a method as work.
 func (f *FairReader) account() {
 	now := time.Now()
 	if f.accounted.IsZero() { // the first call
 		f.accounted, f.since = now, now
 	}
-	f.worked += now.Sub(f.accounted)
+	f.worked += min(now.Sub(f.accounted), maxRequestWork+time.Duration(f.unserved)*maxWorkPerByte)
 	f.accounted = now
 }
 
@@ -108,16 +133,12 @@
 	f.worked = 0
 }
 
-// isBusy reports whether the other side sends faster than it is served, or is worked for during much of the time.
-func (f *FairReader) isBusy() bool {
-	return float64(f.worked) > busyPart*float64(time.Since(f.since)) || f.filled && f.HasInput()
-}
-
 // pause waits for d, or until the connection is to end.
 func (f *FairReader) pause(d time.Duration) {
 	end := time.Now().Add(d)
+	interval := min(max(d/pauseChecks, minCheckInterval), maxCheckInterval)
 	for ; d > 0 && !f.Ending(); d = time.Until(end) {
-		time.Sleep(min(d, pauseInterval))
+		time.Sleep(min(d, interval))
 	}
 	f.Exclude()
 }
