Requests that wait for a backend do not count as work of a busy connection

What callers would have seen: a client whose backends answer within a millisecond or two takes over a 32nd of the time with the parsing of its requests, so it counted as busy and paused; the share of a quarter would have bounded such clients together. Found by reading; the documentation promised otherwise.

Only the part of such a request after its last read was dropped.

FairReader.DropRequest drops all of the request, and nothing of those before it. And a client is made to wait before its connection is closed only if nothing else reads from that connection: an attempt may still read a streamed body.

TestDroppedRequestsAreNoWork.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -244,6 +244,9 @@
 			return answerNotRead
 		}
 		if last {
+			if r.Body.IsDrained() {
+				c.finishReading()
+			}
 			c.linger()
 			return lastAnswerSent
 		}
@@ -251,7 +254,7 @@
 			return evictedAfterAnswer
 		}
 		if c.waited { // for a backend
-			c.reads.Exclude()
+			c.reads.DropRequest()
 		}
 		c.reads.EndRequest(c.in.Buffered()+len(c.head.unread()) > 0)
 	}
--- a/internal/httpfront/write.go
+++ b/internal/httpfront/write.go
@@ -40,16 +40,22 @@
 // reject writes a rejection as the last answer on the connection.
 func (c *clientConn) reject(rej *message.Rejection) {
 	if c.write(nil, answer{status: rej.Status, body: []byte(rej.Text + "\n"), retryAfter: rej.RetryAfter}, true) == nil {
+		c.finishReading()
 		c.linger()
 	}
 }
 
-// linger waits for the client to close after its last answer. If unread data remains or arrives later, closing resets the
-// connection, and the client loses what it has not read yet.
-func (c *clientConn) linger() {
+// finishReading makes a client that has sent more wait for its turn before it can go on with another connection. Nothing else may read
+// from the connection. One that holds a reject slot does not wait, as others wait for the slot.
+func (c *clientConn) finishReading() {
 	if !c.usesRejectSlot {
 		c.reads.Finish(lingerTimeout)
 	}
+}
+
+// linger waits for the client to close after its last answer. If unread data remains or arrives later, closing resets the
+// connection, and the client loses what it has not read yet.
+func (c *clientConn) linger() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -352,7 +352,7 @@
 		}
 		for _, v := range members {
 			if l.deliver(jsonrpc.Parse(v, metadataMember)) {
-				reads.Exclude()
+				reads.DropRequest()
 			}
 		}
 		reads.EndRequest(in.Buffered())
--- a/internal/rpcfront/conn.go
+++ b/internal/rpcfront/conn.go
@@ -181,7 +181,7 @@
 	switch {
 	case err == nil:
 		if c.atBackend && c.openCallCount() <= c.front.cfg.MaxInflight/2 { // else its client sends faster than it is served
-			c.reads.Exclude()
+			c.reads.DropRequest()
 		}
 		c.reads.EndRequest(r.Buffered())
 		return true
--- a/internal/timing/fairreader.go
+++ b/internal/timing/fairreader.go
@@ -48,7 +48,7 @@
 }
 
 // FairReader is the reader of a connection whose other side may send faster than it is served. All that the connection's goroutine does
-// between two reads counts as work for it, unless it is excluded. After a slice of work a busy connection pauses before it reads on.
+// between two reads counts as work for it, unless the request is dropped. After a slice of work a busy connection pauses before it reads on.
 // Without that, a few such connections keep every processor occupied. The Go scheduler then looks for input of others only every 10 ms,
 // and each step of their requests waits for all goroutines that are ready. A FairReader is used by one goroutine at a time.
 type FairReader struct {
@@ -58,6 +58,7 @@
 	Ending   func() bool // reports, without blocking, whether the connection is to end, which ends a pause
 
 	worked    time.Duration // since the slice began
+	ended     time.Duration // the part of worked that was for requests that have ended
 	since     time.Time     // when the slice began
 	accounted time.Time     // until when work is in worked
 	unserved  int           // bytes that were read since the last request ended
@@ -73,7 +74,7 @@
 	n, err := f.Source.Read(p)
 	f.filled = n == len(p)
 	f.unserved += n
-	f.Exclude()
+	f.skip()
 	return n, err
 }
 
@@ -81,7 +82,7 @@
 // all that has arrived was read. hasMore tells that some of the next request was read.
 func (f *FairReader) EndRequest(hasMore bool) {
 	f.account()
-	f.unserved = 0
+	f.unserved, f.ended = 0, f.worked
 	if f.worked < fairSlice {
 		return
 	}
@@ -101,7 +102,7 @@
 	f.beginSlice()
 }
 
-func (f *FairReader) beginSlice() { f.worked, f.since = 0, time.Now() }
+func (f *FairReader) beginSlice() { f.worked, f.ended, f.since = 0, 0, time.Now() }
 
 // account counts the time since the last call of a method as work.
 func (f *FairReader) account() {
@@ -113,14 +114,20 @@
 	f.accounted = now
 }
 
-// Exclude drops the time since the last call of a method: the connection has waited for others, or was worked for at their cost.
-func (f *FairReader) Exclude() { f.accounted = time.Now() }
+// DropRequest drops the work for the current request, before EndRequest: how fast such requests come is bounded by others.
+func (f *FairReader) DropRequest() {
+	f.worked = f.ended
+	f.skip()
+}
+
+// skip drops the time since the last call of a method.
+func (f *FairReader) skip() { f.accounted = time.Now() }
 
 // Wait calls wait, whose time does not count as work.
 func (f *FairReader) Wait(wait func()) {
 	f.account()
 	wait()
-	f.Exclude()
+	f.skip()
 }
 
 // Finish is called before the connection is closed. It pauses, for limit at most, if more has arrived: the other side may go on with
@@ -140,5 +147,5 @@
 	for ; d > 0 && !f.Ending(); d = time.Until(end) {
 		time.Sleep(min(d, interval))
 	}
-	f.Exclude()
+	f.skip()
 }
--- a/internal/timing/fairreader_test.go
+++ b/internal/timing/fairreader_test.go
@@ -86,6 +86,42 @@
 	}
 }
 
+// Requests that wait for others do not count, however many come at once; those between them do.
+func TestDroppedRequestsAreNoWork(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		conn := newFairConn(NewSharedWork(1))
+		conn.waiting = true
+		buffer := make([]byte, requestBytes)
+		paused := time.Duration(0)
+		request := func(dropped bool) {
+			start := time.Now()
+			conn.Read(buffer)
+			time.Sleep(testWork / 2)
+			conn.Read(buffer) // its body
+			time.Sleep(testWork / 2)
+			if dropped {
+				conn.DropRequest()
+			}
+			conn.EndRequest(false)
+			paused += time.Since(start) - testWork
+		}
+		for range testRequests {
+			request(true)
+		}
+		if paused != 0 {
+			t.Errorf("%v of pauses for requests that wait for others", paused)
+		}
+		for range testRequests {
+			request(true)
+			request(false)
+		}
+		if want := 3 * testRequests * testWork; paused < want-maxSliceWork || paused > want+maxSliceWork {
+			t.Errorf("%v of pauses for %v of work, want %v", paused, testRequests*testWork, want)
+		}
+	})
+}
+
 // Busy connections share one part of the processor: six of them take six times as long as one.
 func TestBusyConnectionsTakeTurns(t *testing.T) {
 	t.Parallel()
