--- a/review/stage/names.go
+++ b/review/stage/names.go
@@ -86,6 +86,15 @@
 	default:
 		m.Ns = append(m.Ns, soa)
 	}
+	if _, udp := w.RemoteAddr().(*net.UDPAddr); udp {
+		size := dns.MinMsgSize
+		if o := q.IsEdns0(); o != nil {
+			size = max(size, int(o.UDPSize()))
+			m.SetEdns0(uint16(size), false)
+		}
+		m.Truncate(size)
+	}
+	m.Compress = true
 	w.WriteMsg(m)
 	if name == n.site && q.Question[0].Qtype == dns.TypeSRV {
 		n.mu.Lock()
