--- a/review/stage/http.go
+++ b/review/stage/http.go
@@ -213,6 +213,7 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 	closed   bool
+	silent   bool // its machine has vanished
 }
 
 // NewBackend starts a box at the address of its entry. handle decides what a request gets: with hold it gets nothing, and its
@@ -261,6 +262,12 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			break
 		}
+		b.mu.Lock()
+		silent := b.silent
+		b.mu.Unlock()
+		if silent {
+			return // nothing of what comes is received
+		}
 		call := &Call{Backend: b, ID: r.Header.Get("X-Request-Id"), Class: r.Header.Get("X-Class"), Key: r.Header.Get("Idempotency-Key"), At: time.Now(), Conn: c}
 		status, hold := b.handle(call)
 		if hold {
@@ -291,6 +298,14 @@
 	}
 }
 
+// Vanish has a box say nothing more: its connections stay open and silent, and new ones are refused.
+func (b *Backend) Vanish() {
+	b.StopListening()
+	b.mu.Lock()
+	b.silent = true
+	b.mu.Unlock()
+}
+
 // Die ends a box: its listener closes and its connections are reset.
 func (b *Backend) Die() {
 	b.StopListening()
