--- a/review/6/main.go
+++ b/review/6/main.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	rounds  = 8
-	window  = 5 * time.Second // the settings' repeat_window_s
-	atSame  = 700 * time.Millisecond
-	resetAt = 900 * time.Millisecond
+	rounds      = 8
+	window      = 5 * time.Second        // the settings' repeat_window_s
+	atSame      = 700 * time.Millisecond // when the list has the new box
+	listedAfter = 300 * time.Millisecond // its start
+	resetAt     = 900 * time.Millisecond
 )
 
 // cellMemory is what the boxes of one cell remember together: the keys that they ran, and when.
@@ -107,18 +108,19 @@
 			case c := <-vanished:
 				old := c.Backend
 				s.Logf("the machine of box %s vanishes with %s", old.Entry.ID, c.ID)
-				time.Sleep(atSame)
+				time.Sleep(atSame - listedAfter)
 				e := old.Entry
 				e.ID, e.StartedMS = fmt.Sprintf("s-%d", next), time.Now().UnixMilli()
 				next++
 				mu.Lock()
 				boxes[e.ID] = s.NewBackend(e, handle)
 				mu.Unlock()
+				time.Sleep(listedAfter)
 				d.Change(e) // a new box is listed before the end of the silent one is noticed
 				time.Sleep(resetAt - atSame)
 				s.Logf("the address of box %s resets the connections of before", old.Entry.ID)
 				old.Reset()
-				time.Sleep(3 * time.Second)
+				time.Sleep(4100 * time.Millisecond)
 				gone := old.Entry
 				gone.State = "Gone"
 				d.Change(gone)
