--- a/review/stage/http.go
+++ b/review/stage/http.go
@@ -35,7 +35,6 @@
 	State     string   `json:"state"`
 	Weight    float64  `json:"weight"`
 	StartedMS int64    `json:"started_ms"`
-	RPC       string   `json:"rpc,omitempty"`
 	Addrs     []string `json:"addrs,omitempty"`
 }
 
@@ -56,9 +55,8 @@
 	log   []List // changes by version
 	base  int64
 	news  chan struct{}
-	told  int64 // the latest version that was written to a node
 
-	// Trouble, if it is set, is asked at each call: "down" for a 503, "silent" for no answer, "whole" for the whole list, or "".
+	// Trouble, if it is set, is asked at each call: "silent" for no answer, "whole" for the whole list, or "".
 	Trouble func() string
 }
 
@@ -111,20 +109,6 @@
 	d.news = make(chan struct{})
 }
 
-// Told returns the latest version that was written to a node.
-func (d *Discovery) Told() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.told
-}
-
-// Version returns the present version.
-func (d *Discovery) Version() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.base + int64(len(d.log))
-}
-
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/v1/endpoints" {
 		http.NotFound(w, r)
@@ -134,11 +118,7 @@
 	if d.Trouble != nil {
 		trouble = d.Trouble()
 	}
-	switch trouble {
-	case "down":
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case "silent":
+	if trouble == "silent" {
 		<-r.Context().Done()
 		return
 	}
@@ -185,9 +165,6 @@
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
 	}
-	d.mu.Lock()
-	d.told = max(d.told, out.Version)
-	d.mu.Unlock()
 	if len(out.Servers) > 0 {
 		d.stage.Logf("discovery: told version %d, full %v", out.Version, out.Full)
 	}
@@ -312,16 +289,10 @@
 	b.Reset()
 }
 
-// pieceBytes is the size of the pieces of a request that a slow client writes.
-const pieceBytes = 32 << 10
-
 // Request is a client's request over HTTP.
 type Request struct {
 	ID, Class, Tenant, Key string
 	Deadline               time.Duration
-	Safe                   bool // sent as a GET
-	Body                   []byte
-	Pause                  time.Duration // between pieces of the body
 }
 
 // Answer is what a client got.
@@ -364,18 +335,8 @@
 		c.conn = nil
 		return Answer{Err: err}
 	}
-	for text := r.text(); len(text) > 0; {
-		piece := text
-		if r.Pause > 0 && len(text) > pieceBytes {
-			piece = text[:pieceBytes]
-		}
-		if _, err := c.conn.Write(piece); err != nil {
-			break // the answer may be there all the same
-		}
-		text = text[len(piece):]
-		if len(text) > 0 {
-			time.Sleep(r.Pause)
-		}
+	if _, err := c.conn.Write(r.text()); err != nil {
+		return fail(err)
 	}
 	c.conn.SetReadDeadline(start.Add(r.Deadline + 5*time.Second))
 	resp, err := http.ReadResponse(c.in, nil)
@@ -410,34 +371,11 @@
 // text returns a request as it is written.
 func (r *Request) text() []byte {
 	var b bytes.Buffer
-	method := "POST"
-	if r.Safe {
-		method = "GET"
-	}
-	fmt.Fprintf(&b, "%s /api?key=7f3a HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline: %dm\r\n",
-		method, r.ID, r.Class, r.Tenant, r.Deadline.Milliseconds())
+	fmt.Fprintf(&b, "POST /api?key=7f3a HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline: %dm\r\n",
+		r.ID, r.Class, r.Tenant, r.Deadline.Milliseconds())
 	if r.Key != "" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", r.Key)
 	}
-	if !r.Safe {
-		body := r.Body
-		if body == nil {
-			body = []byte("work")
-		}
-		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	} else {
-		b.WriteString("\r\n")
-	}
+	b.WriteString("Content-Length: 4\r\n\r\nwork")
 	return b.Bytes()
 }
-
-// Abandon sends a request on a connection of its own and closes that after a while.
-func Abandon(addr string, r Request, after time.Duration) {
-	conn, err := net.DialTimeout("tcp", addr, 2*time.Second)
-	if err != nil {
-		return
-	}
-	conn.Write(r.text())
-	time.Sleep(after)
-	conn.Close()
-}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -247,18 +247,6 @@
 	s.Fail("node %s is not ready after 30 s", n.Name)
 }
 
-// Signal sends the node's process a signal.
-func (n *Node) Signal(sig syscall.Signal) {
-	s := n.stage
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
-		n.stopped = true
-	}
-	s.logLocked("node %s is sent %v", n.Name, sig)
-	n.process.Process.Signal(sig)
-}
-
 // Kill ends the node's process and waits for its end.
 func (n *Node) Kill() {
 	n.stage.mu.Lock()
