A keyed request is repeated in the group that its attempt was sent to

It struck when an update removed, moved or drained the backend while the request was out.

Cause: an entry that removes a backend carries its number and state alone (engine.removePredecessors, a backend that moved, a change that says Gone or Terminating without zone and cell). The policy stored that entry whole, so that the zone became "" and the cell 0, and the rule on repeats compared cells with what the backend had become. A request's group was looked up again at each repeat instead of being kept.

Change: an attempt keeps the zone and cell that its backend had when it was sent (policy/repeat.go). Only an active entry tells what a backend is; a drain or removal changes its state alone (policy/list.go, moved out of policy.go). Where the list gives the same process another zone or cell while the request is out, the group is not known and there is no repeat.

--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -44,7 +44,7 @@
 		return
 	}
 	if r.mayHaveRun == nil {
-		r.mayHaveRun, r.retryBefore = s, a.sentAt+r.class.Window.Seconds()
+		r.mayHaveRun, r.retryBefore = a, a.sentAt+r.class.Window.Seconds()
 	}
 	r.avoid = s
 	if !b.mayRetry(now, r) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -17,7 +16,6 @@
 
 	"craneglade/internal/cold"
 	"craneglade/internal/health"
-	"craneglade/internal/subset"
 )
 
 // H and R are the thresholds between a backend's modes, see thresholdH and thresholdR.
@@ -229,7 +227,8 @@
 	} else {
 		r.attempts = r.attemptsBuf[:0]
 	}
-	*a = attempt{backend: s, request: r, open: true, occupancyAtSend: b.occupancy(s, now) + 1, sentAt: now}
+	*a = attempt{backend: s, request: r, open: true, repeatGroup: s.repeatGroup(),
+		occupancyAtSend: b.occupancy(s, now) + 1, sentAt: now}
 	r.attempts = append(r.attempts, a)
 	s.attempts = append(s.attempts, a)
 	if b.mayHedge(r.class) && r.open == 0 {
@@ -284,7 +283,7 @@
 		return
 	}
 	if r.mayHaveRun == nil && ev.Outcome.MayHaveRun() {
-		r.mayHaveRun, r.retryBefore = s, now-ev.Took.Seconds()+r.class.Window.Seconds()
+		r.mayHaveRun, r.retryBefore = a, now-ev.Took.Seconds()+r.class.Window.Seconds()
 	}
 	r.avoid = s
 	if r.open > 0 {
@@ -580,9 +579,7 @@
 		!b.gates.Allows(now, s.Zone, r.zoneDraw) {
 		return false
 	}
-	m, group := r.mayHaveRun, r.class.Group
-	return m == nil || r.class.Effect != Keyed ||
-		(group != GroupZone || s.Zone == m.Zone) && (group != GroupCell || s.Cell == m.Cell)
+	return r.mayRepeatAt(s)
 }
 
 // pick draws a backend in maxMode or a better mode from this node's subset of the fleet. It draws from the other
@@ -714,67 +711,3 @@
 	b.sends.Decay(decay)
 	b.rankClasses(math.Exp(-dt / historyDecaySeconds))
 }
-
-// applyList applies an update of the backend list.
-func (b *Balancer) applyList(now float64, ev *Event) {
-	if ev.List == ListFailed {
-		// All nodes lose the list at once: subscribe again after a random wait, so that they don't do it together.
-		wait := min(resubscribeSeconds, cmp.Or(b.cfg.MustAskIn, time.Hour).Seconds()/3)
-		b.resubscribeAt = now + wait*(0.5+b.rng.Float64())
-		return
-	}
-	if ev.List == ListCached && b.cfg.MustAsk {
-		b.do(Action{Kind: ActSubscribe})
-	}
-	if ev.List != ListDelta {
-		usableUntil := 0.0
-		if len(ev.Entries) == 0 && len(b.sorted) > 0 {
-			// An empty list is more likely an error than an empty fleet: fetch it again, and use the old one for as
-			// long as its backends may be used if they drain.
-			usableUntil = now + drainServeFraction*b.cfg.DrainGrace.Seconds()
-			b.do(Action{Kind: ActFetch})
-			b.log("the backend list is empty: using the previous one for part of the drain grace")
-		}
-		for _, s := range b.sorted {
-			if s.State == Active {
-				s.usableUntil = usableUntil
-			}
-			s.State = Removed // those still listed become active or draining below
-		}
-		if usableUntil > 0 {
-			return
-		}
-	}
-	for _, e := range ev.Entries {
-		s := b.backends[e.ID]
-		startsDraining := s != nil && s.State == Active && e.State == Draining && ev.List == ListDelta && s.answers > 0
-		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
-			s = &backend{launched: e.Launched.Seconds(), minFullOccupancy: math.Inf(1), baseWorkTime: math.Inf(1),
-				reportAt: now, laggedAt: now, sentAt: now, lastOKAt: now}
-			if b.cfg.QueueOnly {
-				s.reportAt = math.Inf(-1) // until the first report it is unknown how many attempts wait
-			}
-			b.backends[e.ID] = s
-			b.sorted = append(b.sorted, s)
-		}
-		s.Entry, s.usableUntil = e, 0
-		if startsDraining && !b.cfg.MustAsk { // all nodes learn it at once, seconds before its successor is listed
-			s.usableUntil = now + drainServeFraction*b.cfg.DrainGrace.Seconds()
-		}
-	}
-	b.sorted = slices.DeleteFunc(b.sorted, func(s *backend) bool { return s.State == Removed || b.backends[s.ID] != s })
-	// Attempts in flight keep their own pointers to the backends removed here.
-	maps.DeleteFunc(b.backends, func(_ uint32, s *backend) bool { return s.State == Removed })
-	slices.SortFunc(b.sorted, func(x, y *backend) int { return cmp.Compare(x.ID, y.ID) })
-	inSubset, nodesPerBackend := subset.Of(len(b.sorted),
-		func(i int) (string, uint64) { return b.sorted[i].Zone, b.sorted[i].Hash },
-		subset.Node{Number: b.cfg.Number, Nodes: b.cfg.Nodes, Zone: b.cfg.Zone, CrossPrice: b.cfg.CrossPrice})
-	for i, s := range b.sorted {
-		s.outsideSubset = !inSubset[i]
-	}
-	// A queue reported alone is already an overload, and a late sign of it: it gets no flatter q.
-	if b.nodesPerBackend = nodesPerBackend; !b.cfg.QueueOnly {
-		b.sharingFactor = max(1, nodesPerBackend/b.tuning.Steep)
-	}
-	b.refresh(now)
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -44,9 +44,10 @@
 type attempt struct {
 	backend         *backend
 	request         *request
-	open            bool    // no outcome yet
-	noCancel        bool    // cancelled already, or never to be cancelled
-	occupancyAtSend float64 // of its backend, this attempt included
+	repeatGroup     repeatGroup // of its backend when it was sent
+	open            bool        // no outcome yet
+	noCancel        bool        // cancelled already, or never to be cancelled
+	occupancyAtSend float64     // of its backend, this attempt included
 	sentAt          float64
 	presumedLost    bool // its backend has answered a much later attempt
 }
@@ -65,7 +66,7 @@
 	attemptsBuf       [1]*attempt // and neither does the slice
 	open              int         // attempts without an outcome
 	done              bool        // the client has its answer or has disconnected: nothing more is sent
-	mayHaveRun        *backend    // backend of the first attempt that may have run
+	mayHaveRun        *attempt    // first attempt that may have run
 	retryBefore       float64     // end of Class.Window from the send of that attempt, for keyed retries; 0 before
 	avoid             *backend    // the backend tried last: not used twice in a row
 }
