One process is used at an address: the one that came last, however the list tells it

Both entries were used, and both reached the one box that has the address, in the cell of the other.

Cause: the engine ended the use of an earlier backend at an address only if the list left it out or had it as draining. A whole list that still has the silent one as ready kept it; and one that was removed came back with the next list that named it, by a change as well, and after its grace as if it were new. The engine went by HTTP addresses alone.

Change: internal/ownership, a package without I/O, clocks or goroutines, keeps who was listed at which address (HTTP, JSON-RPC and further ones) and since when. The process that started or moved there last owns it; the others count as gone until the list has another process under their id. On an equal start the one told later owns it; where two of different groups are told at once with one start, zone and cell count as unknown, which equal nothing. A backend whose address another one has, or that has moved, gets nothing new at once; before, a moved one did for its grace, at the old address. The policy learns since when the address may be another process's (Entry.EndedAt): what was sent later may have run there, so it is not repeated by a zone or cell.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,6 +18,7 @@
 
 	"craneglade/internal/cold"
 	"craneglade/internal/membership"
+	"craneglade/internal/ownership"
 	"craneglade/internal/siting"
 	"craneglade/policy"
 )
@@ -193,6 +194,7 @@
 	listed    index     // the backends of byID that are not removed
 	removed   []removal // not yet seen by scheduleForget
 	starts    cold.Starts
+	owners    *ownership.Table
 
 	members     *membership.Fleet // nil for the list alone
 	memberTimer *time.Timer
@@ -211,7 +213,8 @@
 		return nil, err
 	}
 	e := &Engine{settings: cfg.Settings, clock: cfg.Clock, log: cfg.Log, carrier: cfg.Carrier, bal: bal, members: cfg.Members,
-		requests: map[string]*Request{}, sent: newSentRequests(), byID: map[string]*Backend{}, byNumber: map[uint32]*Backend{}}
+		requests: map[string]*Request{}, sent: newSentRequests(), byID: map[string]*Backend{}, byNumber: map[uint32]*Backend{},
+		owners: ownership.NewTable()}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.debug = cfg.Log.Enabled(e.ctx, slog.LevelDebug)
 	return e, nil
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -8,7 +8,6 @@
 	"craneglade/internal/membership"
 	"craneglade/internal/shared"
 	"craneglade/internal/shared/judgement"
-	"craneglade/internal/subset"
 	"craneglade/policy"
 )
 
@@ -26,6 +25,8 @@
 	// AfterOutage is set if requests for the list failed before it arrived: its updates may have been in force for a while, so
 	// that a drain in it may have no grace left.
 	AfterOutage bool `json:"-"`
+
+	owners map[string]string // by ID of a backend that has lost an address: ID of the process that has it
 }
 
 // Backend is the runtime object of one backend process. A restart or a change of address gives a new one.
@@ -44,6 +45,7 @@
 	removed      bool                      // not on the list any more; guarded by Engine.mu
 	countedOpen  bool                      // counted in Engine.listed as taking new requests; guarded by Engine.mu
 	removals     int                       // times it was removed from the list; guarded by Engine.mu
+	ended        bool                      // another process has its address; guarded by Engine.mu
 	writesStopAt atomic.Pointer[time.Time] // nothing new may be written to it from then on; nil for none
 }
 
@@ -146,139 +148,6 @@
 	return e.listed.open > 0
 }
 
-// applyList applies a list, merged with the other sources if there are any. e.mu must be held.
-func (e *Engine) applyList(l *List, kind policy.ListKind) {
-	e.version = l.Version
-	if e.members == nil {
-		e.applyBackends(l, kind)
-	} else {
-		e.mergeList(l, kind)
-	}
-}
-
-// applyBackends updates the backends from a list and passes it to the policy. e.mu must be held.
-func (e *Engine) applyBackends(l *List, kind policy.ListKind) {
-	now := e.clock.Now()
-	entries := make([]policy.Entry, 0, len(l.Backends))
-	seen := map[string]bool{}
-	for i := range l.Backends {
-		seen[l.Backends[i].ID] = true
-	}
-	var started []*Backend // that were not known before
-	for i := range l.Backends {
-		s := &l.Backends[i]
-		x := policy.Entry{Hash: subset.Hash(s.ID), Zone: s.Zone, Cell: s.Cell, Kind: s.Kind}
-		if s.RPC != "" {
-			x.Protocols = ProtocolRPC
-		}
-		switch s.State {
-		case "Ready":
-		case "Gone":
-			x.State = policy.Removed
-		default: // Terminating or an unknown state: no new requests for either
-			x.State = policy.Draining
-		}
-		b := e.byID[s.ID]
-		if b != nil && (b.Addr != s.Addr && s.Addr != "" || b.RPC != s.RPC && s.RPC != "") {
-			// Another address means another process, even with the same start time.
-			entries = append(entries, policy.Entry{ID: b.Number, State: policy.Removed})
-			e.remove(b)
-			b = nil
-		}
-		switch {
-		case b == nil && x.State == policy.Removed:
-			continue
-		case b == nil:
-			e.nextNum++
-			b = newBackend(e.nextNum, s)
-			b.launched = e.starts.At(now, b.listedStart(), false)
-			started = append(started, b)
-		case b.startedMS != s.StartedMS:
-			old := b
-			b = newBackend(old.Number, s) // the policy distinguishes the two by their start time
-			b.launched = e.starts.At(now, b.listedStart(), kind == policy.ListDelta && !l.AfterOutage)
-			e.listed.remove(old)
-			e.replaced(old)
-		}
-		if len(s.Addrs) > 1 || x.State == policy.Active { // an update of a drain may omit them
-			b.SetAddrs(s.Addrs)
-		}
-		e.byID[s.ID], e.byNumber[b.Number] = b, b
-		x.ID, x.Launched = b.Number, b.launched
-		switch x.State {
-		case policy.Active:
-			b.removed = false
-			b.ResumeWrites()
-		case policy.Draining:
-			e.drain(b)
-			if l.AfterOutage { // its grace may be over
-				x.State = policy.Removed
-			}
-		case policy.Removed:
-			e.remove(b)
-		}
-		e.listed.update(b)
-		if l.AfterOutage && x.State == policy.Removed {
-			b.StopWritesAt(time.Now())
-		}
-		entries = append(entries, x)
-	}
-	if kind != policy.ListDelta {
-		for id, b := range e.byID {
-			if !seen[id] {
-				e.remove(b)
-				if l.AfterOutage { // as for an entry that drains: its grace may be over
-					b.StopWritesAt(time.Now())
-				}
-			}
-		}
-	}
-	entries = append(entries, e.removePredecessors(started, seen)...)
-	e.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
-	e.notifyFleetState()
-	e.notifySites()
-	e.scheduleForget()
-}
-
-// removePredecessors removes the backends whose address now belongs to one of started: their processes must have ended. A predecessor
-// is one that is not in the list (seen holds the ids that are), or that takes no new requests. It returns the entries for the policy.
-func (e *Engine) removePredecessors(started []*Backend, seen map[string]bool) (entries []policy.Entry) {
-	if len(started) == 0 {
-		return nil
-	}
-	removedAt := e.removedByAddr()
-	for _, b := range started {
-		if b.removed { // by a later entry of the same list
-			continue
-		}
-		for _, o := range e.listed.at(b.Addr) {
-			if o != b && (!seen[o.ID] || o.writesStopAt.Load() != nil) {
-				entries = append(entries, policy.Entry{ID: o.Number, State: policy.Removed})
-				e.remove(o)
-				e.replaced(o)
-			}
-		}
-		for _, o := range removedAt[b.Addr] {
-			e.replaced(o)
-		}
-	}
-	return entries
-}
-
-// removedByAddr returns the backends that are not listed any more and whose grace is not over, by address. They are few.
-func (e *Engine) removedByAddr() map[string][]*Backend {
-	out := map[string][]*Backend{}
-	if len(e.byID) == e.listed.size {
-		return out
-	}
-	for _, b := range e.byID {
-		if b.removed {
-			out[b.Addr] = append(out[b.Addr], b)
-		}
-	}
-	return out
-}
-
 // replaced ends the use of a backend whose process is gone, as another one has its address: an attempt that was decided for it
 // would reach that one.
 func (e *Engine) replaced(b *Backend) {
--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -33,7 +33,7 @@
 // mergeList applies a list merged with the other sources. e.mu must be held.
 func (e *Engine) mergeList(l *List, kind policy.ListKind) {
 	statuses := e.members.UpdateList(e.clock.Now(), kind != policy.ListDelta, l.Backends)
-	out := List{Version: l.Version, Backends: make([]ListedBackend, 0, len(statuses)), AfterOutage: l.AfterOutage}
+	out := List{Version: l.Version, Backends: make([]ListedBackend, 0, len(statuses)), AfterOutage: l.AfterOutage, owners: l.owners}
 	for i := range statuses {
 		// A full list removes what it omits, and an empty one must stay empty.
 		if kind == policy.ListDelta || statuses[i].Backend.State != membership.Gone {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -27,6 +27,16 @@
 	// Addrs lists all addresses of the backend, including Addr: IP addresses with ports, or "unix:" and a path. It is empty
 	// if there is only Addr. Not part of PROTOCOL.
 	Addrs []string `json:"addrs"`
+
+	// ZoneUnknown and CellUnknown tell that Zone or Cell does not hold for sure, or is not known. Not part of PROTOCOL.
+	ZoneUnknown bool `json:"-"`
+	CellUnknown bool `json:"-"`
+}
+
+// IsRestart reports whether an entry tells of another process than the one that started at a time. An update of a drain or removal may leave
+// the start out.
+func IsRestart(startedMS int64, b *Backend) bool {
+	return b.StartedMS != startedMS && (b.StartedMS != 0 || b.State == Ready)
 }
 
 // States of a backend in a list.
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,204 @@
+// Package ownership decides which listed backend process owns an address. An address belongs to one process at a time, but a backend
+// list may name two: a new process is listed while the end of the one before, which fell silent, has not been noticed. The one that came
+// last, by its start or by its move there, owns the address. The others have ended, whatever the list says of them, and stay so until
+// the list has another process under their ID: they were there before one that is known to have had their address.
+//
+// The package has no clock, I/O or goroutines. A Table is not safe for concurrent use.
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"craneglade/internal/membership"
+)
+
+// Table holds the processes of a backend list and the owners of their addresses.
+type Table struct {
+	processes map[string]*process // by ID
+	byAddress map[string][]*process
+	updates   int // number of calls of Update
+
+	latestStart int64 // of all processes that were ever listed
+}
+
+// process is one listed backend process. Everything but its state is fixed: an ID with another start or address is another process.
+type process struct {
+	id        string
+	addr, rpc string   // as in the list
+	addresses []string // all of them, over any protocol, sorted
+	start     int64    // Unix milliseconds; 0 for long ago
+	since     int64    // when it got its addresses: its start, unless it has moved
+	zone      string
+	cell      int64
+
+	toldIn    int  // the update that first named it
+	position  int  // its index there
+	toldReady bool // it was ready then
+
+	owner     *process // owns one of its addresses in its place; nil if it has them all
+	contested bool     // another group's process was told with it that may as well own its address
+}
+
+// NewTable returns a table without processes.
+func NewTable() *Table {
+	return &Table{processes: map[string]*process{}, byAddress: map[string][]*process{}}
+}
+
+// Superseded is a process that has lost an address to another one.
+type Superseded struct {
+	ID    string
+	Owner string // ID of the process that has the address
+}
+
+// Update applies a full list or a delta, and returns the processes that have lost an address by it.
+func (t *Table) Update(full bool, backends []membership.Backend) []Superseded {
+	t.updates++
+	if full {
+		t.removeUnlisted(backends)
+	}
+	shared := map[string]bool{} // addresses of new processes that others have too
+	for i := range backends {
+		b := &backends[i]
+		if b.State == membership.Gone {
+			t.remove(b.ID)
+		} else if p := t.update(b, i); p != nil {
+			for _, address := range p.addresses {
+				if len(t.byAddress[address]) > 1 {
+					shared[address] = true
+				}
+			}
+		}
+	}
+	var out []Superseded
+	for _, address := range slices.Sorted(maps.Keys(shared)) { // sorted for reproducible results
+		out = t.settle(address, out)
+	}
+	return out
+}
+
+// Owner returns the ID of the process that owns an address of a listed process in its place, and "" if there is none.
+func (t *Table) Owner(id string) string {
+	if p := t.processes[id]; p != nil && p.owner != nil {
+		return p.owner.id
+	}
+	return ""
+}
+
+// Contested reports whether the zone and cell of whoever owns the addresses of a listed process are not known, as nothing tells which
+// of two processes it is.
+func (t *Table) Contested(id string) bool {
+	p := t.processes[id]
+	return p != nil && p.contested
+}
+
+// update applies the entry of a process. It returns the process if it is a new one, or has other addresses than before.
+func (t *Table) update(b *membership.Backend, position int) *process {
+	p := &process{id: b.ID, addr: b.Addr, rpc: b.RPC, start: b.StartedMS, since: b.StartedMS, zone: b.Zone, cell: b.Cell,
+		toldIn: t.updates, position: position, toldReady: b.State == membership.Ready}
+	old := t.processes[b.ID]
+	known := old != nil && !membership.IsRestart(old.start, b)
+	if known {
+		p.addr, p.rpc = cmp.Or(b.Addr, old.addr), cmp.Or(b.RPC, old.rpc)
+		p.start, p.since = old.start, old.since
+	}
+	p.addresses = addresses(p.addr, p.rpc, b.Addrs)
+	t.latestStart = max(t.latestStart, p.start)
+	if known {
+		switch withoutNew := isSubset(p.addresses, old.addresses); {
+		case withoutNew && (!p.toldReady || len(p.addresses) == len(old.addresses)):
+			return nil // an update of a drain may omit some
+		case !withoutNew: // it came to an address after its start
+			p.since = t.latestStart
+		}
+	}
+	t.remove(b.ID)
+	t.processes[b.ID] = p
+	for _, address := range p.addresses {
+		t.byAddress[address] = append(t.byAddress[address], p)
+	}
+	return p
+}
+
+// remove forgets a process.
+func (t *Table) remove(id string) {
+	p := t.processes[id]
+	if p == nil {
+		return
+	}
+	delete(t.processes, id)
+	for _, address := range p.addresses {
+		rest := slices.DeleteFunc(t.byAddress[address], func(o *process) bool { return o == p })
+		if len(rest) == 0 {
+			delete(t.byAddress, address)
+		} else {
+			t.byAddress[address] = rest
+		}
+	}
+}
+
+// removeUnlisted forgets the processes that a full list omits.
+func (t *Table) removeUnlisted(backends []membership.Backend) {
+	listed := make(map[string]bool, len(backends))
+	for i := range backends {
+		listed[backends[i].ID] = true
+	}
+	for id := range t.processes {
+		if !listed[id] {
+			t.remove(id)
+		}
+	}
+}
+
+// settle decides which process owns an address, and appends those that have lost it to out.
+func (t *Table) settle(address string, out []Superseded) []Superseded {
+	if len(t.byAddress[address]) < 2 {
+		return out // another entry of the update has moved the others away
+	}
+	owner := slices.MaxFunc(t.byAddress[address], compare)
+	for _, p := range t.byAddress[address] {
+		if p == owner {
+			continue
+		}
+		if p.since == owner.since && p.toldIn == owner.toldIn && (p.zone != owner.zone || p.cell != owner.cell) {
+			owner.contested = true
+		}
+		if p.owner == nil {
+			p.owner = owner
+			out = append(out, Superseded{ID: p.id, Owner: owner.id})
+		}
+	}
+	return out
+}
+
+// compare orders the processes at an address by who had it first. Where the list does not tell, the one that was told later came later.
+func compare(a, b *process) int {
+	return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.toldIn, b.toldIn), compareBool(a.toldReady, b.toldReady), cmp.Compare(a.position, b.position))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// addresses returns all addresses of a backend, sorted.
+func addresses(addr, rpc string, further []string) []string {
+	all := slices.DeleteFunc(append([]string{addr, rpc}, further...), func(address string) bool { return address == "" })
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// isSubset reports whether all of some is in all, which is sorted.
+func isSubset(some, all []string) bool {
+	return !slices.ContainsFunc(some, func(s string) bool {
+		_, found := slices.BinarySearch(all, s)
+		return !found
+	})
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,14 +166,22 @@
 
 // Entry is one backend in a list.
 type Entry struct {
-	ID        uint32
-	Hash      uint64 // subset.Hash of the backend's id in the list: the same at every node
-	Zone      string
-	Cell      int64
-	Kind      string        // machine kind; only compared for equality
+	ID   uint32
+	Hash uint64 // subset.Hash of the backend's id in the list: the same at every node
+	Zone string
+	Cell int64
+	Kind string // machine kind; only compared for equality
+
+	// ZoneUnknown and CellUnknown tell that Zone or Cell may not hold: they equal no other.
+	ZoneUnknown bool
+	CellUnknown bool
+
 	Launched  time.Duration // clock time of its latest start; 0: unknown, long ago
 	State     State
 	Protocols uint8 // bit set of the protocols that it speaks besides the first one
+
+	// EndedAt is for Removed: the clock time since which another process may have its addresses; 0 if none is known.
+	EndedAt time.Duration
 }
 
 // Event is one thing that happened at this node. Only the fields of its kind are read.
--- a/policy/list.go
+++ b/policy/list.go
@@ -63,6 +63,9 @@
 // applyEntry applies the entry of one backend. What a backend is, such as its zone and cell, only an entry as active
 // tells: an update of its drain or removal may leave that out.
 func (b *Balancer) applyEntry(now float64, e *Entry, kind ListKind) {
+	if e.EndedAt > 0 {
+		b.noteEnd(e.ID, e.EndedAt.Seconds())
+	}
 	s := b.backends[e.ID]
 	switch {
 	case s == nil && e.State == Removed:
@@ -81,8 +84,11 @@
 
 // newBackend adds a backend, or replaces the state of the earlier process with its number.
 func (b *Balancer) newBackend(now float64, e *Entry) *backend {
-	s := &backend{Entry: *e, launched: e.Launched.Seconds(), minFullOccupancy: math.Inf(1), baseWorkTime: math.Inf(1),
-		reportAt: now, laggedAt: now, sentAt: now, lastOKAt: now}
+	if old := b.backends[e.ID]; old != nil {
+		old.endedAt = min(old.endedAt, e.Launched.Seconds())
+	}
+	s := &backend{Entry: *e, launched: e.Launched.Seconds(), endedAt: neverEnded, minFullOccupancy: math.Inf(1),
+		baseWorkTime: math.Inf(1), reportAt: now, laggedAt: now, sentAt: now, lastOKAt: now}
 	if b.cfg.QueueOnly {
 		s.reportAt = math.Inf(-1) // until the first report it is unknown how many attempts wait
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -579,7 +579,7 @@
 		!b.gates.Allows(now, s.Zone, r.zoneDraw) {
 		return false
 	}
-	return r.mayRepeatAt(s)
+	return r.mayRepeatAt(now, s)
 }
 
 // pick draws a backend in maxMode or a better mode from this node's subset of the fleet. It draws from the other
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,6 +76,7 @@
 	Entry
 	launched      float64
 	outsideSubset bool    // not in the subset of the fleet that this node works with
+	endedAt       float64 // since when another process may have its addresses; neverEnded if that is not known
 	usableUntil   float64 // while it drains, or after the list came empty, it gets requests until then
 	mode          mode
 	inFlight      float64    // this node's attempts in flight
