Planted faults of drains and groups follow the code that moved

Change: the faults are planted at the new places. They break the same rules: a drain counts as ready (over both protocols), and a repeat leaves its group.

--- a/internal/kit/proof/proof_test.go
+++ b/internal/kit/proof/proof_test.go
@@ -72,9 +72,9 @@
 )
 
 var daemonFaults = []fault{
-	{name: "drains not taken in", violations: []string{judge.SentToDraining}, file: "internal/engine/list.go",
-		old: `			x.State = policy.Draining`,
-		new: `			x.State = policy.Active; ` + engineLogged + `"-", "box", s.ID)`},
+	{name: "drains not taken in", violations: []string{judge.SentToDraining}, file: "internal/engine/apply.go",
+		old: `	x := policyEntry(s)`,
+		new: `	x := policyEntry(s); if x.State == policy.Draining { x.State = policy.Active; ` + engineLogged + `"-", "box", s.ID) }`},
 	{name: "a reset counts as never run", violations: []string{judge.UnsafeRepeat, judge.FalseRefusal, judge.RepeatOutsideGroup, judge.RepeatAfterWindow},
 		file: "internal/httpcarrier/carrier.go",
 		old:  `		outcome := policy.Reset // unless shown otherwise it may have run`,
@@ -86,8 +86,8 @@
 		old: `	remaining := r.ClientTimeout - time.Since(r.Arrived) - Transit`,
 		new: `	remaining := r.ClientTimeout + 150*time.Millisecond; time.AfterFunc(r.ClientTimeout, func() { ` + engineLogged + `r.ID) })`},
 	{name: "groups not looked at", violations: []string{judge.RepeatOutsideGroup}, file: "policy/policy.go",
-		old: `		(group != GroupZone || s.Zone == m.Zone) && (group != GroupCell || s.Cell == m.Cell)`,
-		new: `		(group != GroupZone || s.Zone == m.Zone || b.planted(r.id)) && (group != GroupCell || s.Cell == m.Cell)`},
+		old: `	return r.mayRepeatAt(now, s)`,
+		new: `	return r.mayRepeatAt(now, s) || b.planted(r.id)`},
 	{name: "the window not looked at", violations: []string{judge.RepeatAfterWindow}, file: "policy/policy.go",
 		old: `		c.Effect == Safe || c.Effect == Keyed && now < r.retryBefore)`,
 		new: `		c.Effect == Safe || c.Effect == Keyed && (now < r.retryBefore || b.planted(r.id) && func() bool { r.retryBefore = 0; return true }()))`},
@@ -117,9 +117,9 @@
 		file: "internal/rpccarrier/carrier.go", scenario: "jsonrpc.toml",
 		old: `			return engine.Result{Outcome: policy.Reset} // its last byte was written: it may have run`,
 		new: `			n.cfg.Log.Info("planted", "id", "-"); return engine.Result{Outcome: policy.ConnectFailed}`},
-	{name: "drains not taken in where a box speaks JSON-RPC", violations: []string{judge.SentToDraining}, file: "internal/engine/list.go", scenario: "jsonrpc.toml",
-		old: `			x.State = policy.Draining`,
-		new: `			x.State = policy.Draining; if s.RPC != "" { x.State = policy.Active; ` + engineLogged + `"-", "box", s.ID) }`},
+	{name: "drains not taken in where a box speaks JSON-RPC", violations: []string{judge.SentToDraining}, file: "internal/engine/apply.go", scenario: "jsonrpc.toml",
+		old: `	x := policyEntry(s)`,
+		new: `	x := policyEntry(s); if x.State == policy.Draining && s.RPC != "" { x.State = policy.Active; ` + engineLogged + `"-", "box", s.ID) }`},
 	// If the request whose answer goes to another request has a second attempt in flight, that attempt's answer reaches the
 	// right request. The misdirected bytes are then both a second answer to the one request and a wrong answer to the other,
 	// and the judge reports the former.
