A refused connection tells that a backend's process has ended, before the list does

Cause: the node took whatever answers at an address for the process that the list names there. A connection that is refused shows that this process has ended (PROTOCOL, The network), and nothing used that.

Change: carriers tell when the connection of an attempt was open, and when one was refused (of several addresses all have to refuse). What went over a connection opened after that counts as run in an unknown group: no repeat by zone or cell, and the backend is no target of one, until the list has another process. What went over an earlier connection, or was sent by a successor's start, keeps its group exactly; maxSendLagSeconds stays for attempts whose connection is not known yet.

Evidence: TestNoRepeatAfterUnknownProcess, over HTTP and JSON-RPC, fails without the line that records the refusal (1 repeat in the cell, want 0) and passes with it; without a refusal the repeat is sent as before. TestIsRefused. internal/node, engine, carriers, sock and policy pass.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,6 +37,14 @@
 	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
 }
 
+// at returns a time of the system clock's monotonic reading, since the Unix epoch; 0 for the zero time.
+func (c Clock) at(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
+}
+
 // Elapsed returns the time since the clock was created.
 func (c Clock) Elapsed() time.Duration { return time.Since(c.start) }
 
@@ -136,8 +144,10 @@
 type Result struct {
 	Outcome       policy.Outcome
 	Load          policy.Load
-	NewConnection bool // a connection was dialled for it, successfully or not
-	Reply         any  // for OK, unless delivered; its Release method, if any, is called if it is not used
+	NewConnection bool      // a connection was dialled for it, successfully or not
+	ConnectedAt   time.Time // when the connection that it used was open; zero if that is not known
+	RefusedAt     time.Time // when a connection was tried that was refused, as no process listened; zero for none
+	Reply         any       // for OK, unless delivered; its Release method, if any, is called if it is not used
 }
 
 // Carrier sends attempts to backends.
@@ -375,7 +385,7 @@
 		e.sites.RecordOutcome(now, a.Backend.Number, res.Outcome, now-a.sent)
 	}
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Backend: a.Backend.Number, Attempt: a.index,
-		Took: now - a.sent, Finished: r.answered.Load(), Outcome: res.Outcome, Load: res.Load})
+		ConnectedAt: e.clock.at(res.ConnectedAt), RefusedAt: e.clock.at(res.RefusedAt), Took: now - a.sent, Finished: r.answered.Load(), Outcome: res.Outcome, Load: res.Load})
 	e.forget(r)
 }
 
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -102,14 +102,21 @@
 // Carry sends the request once and waits for the answer. A connection that it abandons is closed before it returns, so
 // that consecutive attempts never overlap.
 func (n *Carrier) Carry(ctx context.Context, a *engine.Attempt) engine.Result {
-	newConn := false
-	res := n.carry(ctx, a, &newConn)
-	res.NewConnection = newConn
+	var used connUse
+	res := n.carry(ctx, a, &used)
+	res.NewConnection, res.ConnectedAt, res.RefusedAt = used.dialled, used.openedAt, used.refusedAt
 	return res
 }
 
-// carry implements Carry. It sets fresh if it opens a connection.
-func (n *Carrier) carry(ctx context.Context, a *engine.Attempt, fresh *bool) engine.Result {
+// connUse is what an attempt learns of its last connection.
+type connUse struct {
+	dialled   bool      // a connection was dialled, successfully or not
+	openedAt  time.Time // of the one that it used; zero for none
+	refusedAt time.Time // when one was tried that was refused; zero for none
+}
+
+// carry implements Carry.
+func (n *Carrier) carry(ctx context.Context, a *engine.Attempt, used *connUse) engine.Result {
 	ctx, cancel := context.WithTimeoutCause(ctx, a.Timeout, errTimeout)
 	defer cancel()
 	r, ok := a.Request.Payload.(*message.Request)
@@ -121,7 +128,7 @@
 	// A request whose last byte was not written is sent to the backend's next address, within the same deadline.
 	wait := a.Timeout
 	for remaining := len(a.Backend.Addrs()); ; remaining-- {
-		res, unsent := n.send(ctx, a, r, wait, b, answersBefore, fresh)
+		res, unsent := n.send(ctx, a, r, wait, b, answersBefore, used)
 		if !unsent || remaining <= 1 {
 			return res
 		}
@@ -133,7 +140,7 @@
 
 // send is one try of carry, on one connection. unsent reports that the request can't have reached the backend completely and
 // may be sent again on another connection within the same attempt.
-func (n *Carrier) send(ctx context.Context, a *engine.Attempt, r *message.Request, wait time.Duration, b *backendPool, answersBefore int64, fresh *bool) (res engine.Result, unsent bool) {
+func (n *Carrier) send(ctx context.Context, a *engine.Attempt, r *message.Request, wait time.Duration, b *backendPool, answersBefore int64, used *connUse) (res engine.Result, unsent bool) {
 	start := time.Now()
 	until := ctx
 	if !a.WriteDeadline.IsZero() {
@@ -145,7 +152,7 @@
 		return engine.Result{Outcome: policy.NeverSent}, false
 	}
 	c, err := n.pool.get(until, b, a.Backend, a.Effect == policy.Unsafe)
-	*fresh = *fresh || c == nil && !errors.Is(err, errNoDescriptor) || c != nil && c.idleFor == 0
+	used.record(c, err, start)
 	switch {
 	case errors.Is(err, errNoDescriptor), errors.Is(err, reach.ErrStopped), sock.IsLocalFailure(err), err != nil && errors.Is(context.Cause(until), errRepeatWindow):
 		return engine.Result{Outcome: policy.NeverSent}, false // not a failure of the backend
@@ -260,6 +267,19 @@
 	return res, false
 }
 
+// record records the result of getting a connection, which began at start.
+func (u *connUse) record(c *backendConn, err error, start time.Time) {
+	if c != nil {
+		u.dialled = u.dialled || c.idleFor == 0
+		u.openedAt = c.openedAt
+		return
+	}
+	u.dialled = u.dialled || !errors.Is(err, errNoDescriptor)
+	if sock.IsRefused(err) {
+		u.refusedAt = start
+	}
+}
+
 // encode returns the request as sent to the backend, with the headers that PROTOCOL defines.
 func encode(r *message.Request, wait time.Duration) ([]byte, error) {
 	in := r.In
--- a/internal/httpcarrier/pool.go
+++ b/internal/httpcarrier/pool.go
@@ -99,6 +99,7 @@
 	probe       *sock.Peeker
 	backend     *backendPool
 	addr        string         // the address used, if the backend has several; otherwise ""
+	openedAt    time.Time      // when it was open
 	idleFor     time.Duration  // how long it had been idle when it was taken; 0 if it is new
 	idleSince   time.Time      // when it became idle
 	idleElement *lists.Element // in pool.idleConns; nil while it has an owner; guarded by pool.mu
@@ -201,7 +202,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &backendConn{Conn: conn, probe: sock.NewPeeker(conn), backend: k, addr: addr}
+	c := &backendConn{Conn: conn, probe: sock.NewPeeker(conn), backend: k, addr: addr, openedAt: time.Now()}
 	c.limit.R = conn
 	c.in = bufio.NewReader(&c.limit)
 	return c, nil
--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -1,9 +1,14 @@
 package node
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -110,3 +115,62 @@
 		}
 	}
 }
+
+// Once a connection to a backend was refused, its process has ended, and what answers at its address later is not listed yet. It may be
+// of another cell: a keyed request that it may have run must not be repeated by the cell of the one that has ended.
+func TestNoRepeatAfterUnknownProcess(t *testing.T) {
+	t.Parallel()
+	for _, refused := range []bool{true, false} {
+		for _, protocol := range []string{"http", "rpc"} {
+			t.Run(fmt.Sprint(protocol, "/refused ", refused), func(t *testing.T) {
+				t.Parallel()
+				silent, taken, reset := newSilentRPCBackend(t)
+				same := newRPCBackend(t, respondRPC)
+				var dials atomic.Int32
+				configure := func(c *Config) {
+					cellSettings(t)(c)
+					c.dial = func(_ context.Context, addr string) (net.Conn, error) {
+						if dials.Add(1) == 1 && refused {
+							return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+						}
+						return net.Dial("tcp", addr)
+					}
+				}
+				r, addr := startRPCNodeWith(t, configure, nil, silent.inCell("s-1", 1))
+				if protocol == "http" {
+					addr = r.addr
+				}
+				for id := 0; ; id++ { // until the backend is tried again
+					c := dialRPC(t, addr)
+					if protocol == "http" {
+						c.send(save(fmt.Sprint("k", id)).text())
+					} else {
+						c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":"saveConfig","params":{"key":"k%d"}}`+"\n", id))
+					}
+					answered := make(chan struct{})
+					go func() {
+						c.in.Peek(1)
+						close(answered)
+					}()
+					select {
+					case <-taken:
+					case <-answered:
+						continue
+					}
+					break
+				}
+				list := engine.List{Version: 2, Backends: []engine.ListedBackend{same.inCell("s-2", 1)}}
+				r.engine.UpdateList(r.listSource, &list, policy.ListDelta, func(int64) bool { return true })
+				reset()
+				wait(t, "the end of the request", func() bool { return r.engine.OpenRequests() == 0 })
+				want := 1
+				if refused {
+					want = 0
+				}
+				if n := len(same.http.requests()) + same.calls("saveConfig"); n != want {
+					t.Errorf("the other backend of the cell got %d repeats, want %d", n, want)
+				}
+			})
+		}
+	}
+}
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -69,8 +69,9 @@
 // link is a connection to a backend.
 type link struct {
 	net.Conn
-	carrier *Carrier
-	backend *backendLinks
+	carrier  *Carrier
+	backend  *backendLinks
+	openedAt time.Time
 
 	writing chan struct{} // write lock, capacity 1
 
@@ -129,22 +130,36 @@
 	if !ok || a.Backend.RPC == "" {
 		return engine.Result{Outcome: policy.NeverSent}
 	}
-	notSent := func() engine.Result { // the result for a call that was not written completely
-		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errTimeout) {
-			return engine.Result{Outcome: policy.Canceled}
-		}
-		return engine.Result{Outcome: policy.ConnectFailed}
-	}
+	start := time.Now()
 	l, err := n.acquire(ctx, a.Backend)
 	if errors.Is(err, errNoDescriptor) || err != nil && !a.MayStart() {
 		return engine.Result{Outcome: policy.NeverSent}
 	} else if err != nil {
-		return notSent()
+		res := notSent(ctx)
+		if sock.IsRefused(err) {
+			res.RefusedAt = start
+		}
+		return res
 	}
+	res := n.call(ctx, a, c, l)
+	res.ConnectedAt = l.openedAt
+	return res
+}
+
+// notSent returns the result for a call that was not written completely.
+func notSent(ctx context.Context) engine.Result {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errTimeout) {
+		return engine.Result{Outcome: policy.Canceled}
+	}
+	return engine.Result{Outcome: policy.ConnectFailed}
+}
+
+// call sends a call on a connection and waits for its answer.
+func (n *Carrier) call(ctx context.Context, a *engine.Attempt, c *Call, l *link) engine.Result {
 	select {
 	case l.writing <- struct{}{}:
 	case <-ctx.Done():
-		return notSent()
+		return notSent(ctx)
 	}
 	// Last check before the first byte: the drain grace or the time for repeats may have ended meanwhile, or the client may have
 	// disconnected.
@@ -154,10 +169,11 @@
 	}
 	if ctx.Err() != nil {
 		<-l.writing
-		return notSent()
+		return notSent(ctx)
 	}
 	until, _ := ctx.Deadline()
 	var metadata []byte
+	var err error
 	member := ""
 	if n.cfg.SendMetadata {
 		member = metadataMember
@@ -171,7 +187,7 @@
 	id, answer, receivedBefore, ok := l.register()
 	if !ok {
 		<-l.writing
-		return notSent()
+		return notSent(ctx)
 	}
 	text := jsonrpc.AppendFrame(nil, jsonrpc.Lines, jsonrpc.AppendCall(nil, id, c.Method, c.Params, member, metadata))
 	writeDeadline := time.Now().Add(min(writeTimeout, time.Until(until)))
@@ -187,7 +203,7 @@
 		}
 		l.Close() // part of a message may be written: nothing can follow it
 		if sent < len(text) {
-			return notSent()
+			return notSent(ctx)
 		}
 	}
 	select {
@@ -281,7 +297,7 @@
 		n.cfg.Quota.Release()
 		return nil, err
 	}
-	return &link{Conn: conn, carrier: n, backend: ls, writing: make(chan struct{}, 1), calls: map[string]chan jsonrpc.Message{}}, nil
+	return &link{Conn: conn, carrier: n, backend: ls, openedAt: time.Now(), writing: make(chan struct{}, 1), calls: map[string]chan jsonrpc.Message{}}, nil
 }
 
 // openCalls returns the number of open calls on a link and whether it takes more.
--- a/internal/sock/errors.go
+++ b/internal/sock/errors.go
@@ -20,6 +20,14 @@
 	return isOneOf(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN)
 }
 
+// IsRefused reports whether connect(2) failed because no process listens at the address. Of several joined errors all have to say so.
+func IsRefused(err error) bool {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return !slices.ContainsFunc(joined.Unwrap(), func(e error) bool { return !IsRefused(e) })
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // isTransient reports whether creating, binding or connecting a socket may succeed if it is retried shortly after err.
 func isTransient(err error) bool {
 	return IsLocalFailure(err) || isOneOf(err, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EADDRINUSE)
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -1,8 +1,13 @@
 package sock
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -47,3 +52,34 @@
 	c.Close()
 	wait("the close", func() bool { return Pending(s) == Closed })
 }
+
+// That nothing listens at a backend is known only if each of its addresses refused the connection.
+func TestIsRefused(t *testing.T) {
+	t.Parallel()
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	for name, c := range map[string]struct {
+		err  error
+		want bool
+	}{
+		"none":                      {nil, false},
+		"refused":                   {refused, true},
+		"wrapped":                   {fmt.Errorf("dial: %w", refused), true},
+		"timed out":                 {context.DeadlineExceeded, false},
+		"local":                     {syscall.EADDRNOTAVAIL, false},
+		"both addresses":            {errors.Join(errors.Join(nil, refused), refused), true},
+		"one address of two":        {errors.Join(errors.Join(nil, refused), syscall.ETIMEDOUT), false},
+		"one address of two, first": {errors.Join(errors.Join(nil, syscall.ETIMEDOUT), refused), false},
+	} {
+		if got := IsRefused(c.err); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	if _, err := net.Dial("tcp", listener.Addr().String()); !IsRefused(err) {
+		t.Errorf("the error of a port where nothing listens is %v", err)
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -196,6 +196,8 @@
 	Backend           uint32                // EvOutcome
 	Attempt           int                   // EvOutcome, EvResponseStarted: from 0 in the order of the sends
 	Took              time.Duration         // EvOutcome: since the send
+	ConnectedAt       time.Duration         // EvOutcome: when the attempt's connection was open; 0: unknown
+	RefusedAt         time.Duration         // EvOutcome: when its connection was refused, as nothing listened; 0: not
 	Finished          bool                  // EvOutcome: the client has its final answer or has disconnected
 	Outcome           Outcome               // EvOutcome
 	Load              Load                  // EvOutcome
--- a/policy/list.go
+++ b/policy/list.go
@@ -87,7 +87,7 @@
 	if old := b.backends[e.ID]; old != nil {
 		old.endedAt = min(old.endedAt, e.Launched.Seconds())
 	}
-	s := &backend{Entry: *e, launched: e.Launched.Seconds(), endedAt: neverEnded, minFullOccupancy: math.Inf(1),
+	s := &backend{Entry: *e, launched: e.Launched.Seconds(), endedAt: math.Inf(1), minFullOccupancy: math.Inf(1),
 		baseWorkTime: math.Inf(1), reportAt: now, laggedAt: now, sentAt: now, lastOKAt: now}
 	if b.cfg.QueueOnly {
 		s.reportAt = math.Inf(-1) // until the first report it is unknown how many attempts wait
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -277,6 +277,7 @@
 	a.open = false
 	r.open--
 	r.done = r.done || ev.Finished
+	a.noteConnection(ev)
 	b.recordOutcome(now, s, r, a, ev)
 	if r.done {
 		b.endRequest(r)
--- a/policy/repeat.go
+++ b/policy/repeat.go
@@ -1,7 +1,5 @@
 package policy
 
-import "math"
-
 // Repeats of keyed requests that may have run.
 
 // maxSendLagSeconds is how long after its send an attempt may reach its backend, a stall of this process included.
@@ -38,9 +36,22 @@
 }
 
 // reachedListedProcess reports whether an attempt can have reached no process but the one that it was sent to, as the
-// list had it then and has it still.
+// list had it then and has it still. A connection belongs to the process that had the address when it was opened.
 func (a *attempt) reachedListedProcess() bool {
-	return a.sentAt+maxSendLagSeconds < a.backend.endedAt && a.repeatGroup == a.backend.repeatGroup()
+	reachedBy := a.sentAt + maxSendLagSeconds
+	if a.connectedAt > 0 {
+		reachedBy = a.connectedAt
+	}
+	return reachedBy < a.backend.endedAt && a.repeatGroup == a.backend.repeatGroup()
+}
+
+// noteConnection records what the connection of an ended attempt tells of its backend's process. If it was refused, the
+// process has ended, and the list has yet to tell what answers at its address later.
+func (a *attempt) noteConnection(ev *Event) {
+	a.connectedAt = ev.ConnectedAt.Seconds()
+	if ev.RefusedAt > 0 {
+		a.backend.endedAt = min(a.backend.endedAt, ev.RefusedAt.Seconds())
+	}
 }
 
 // noteEnd records that another process may have the addresses of a backend since a time. It may be one that is not
@@ -57,6 +68,3 @@
 		}
 	}
 }
-
-// neverEnded is endedAt of a backend whose process is known to have its addresses.
-var neverEnded = math.Inf(1)
--- a/policy/state.go
+++ b/policy/state.go
@@ -49,7 +49,8 @@
 	noCancel        bool        // cancelled already, or never to be cancelled
 	occupancyAtSend float64     // of its backend, this attempt included
 	sentAt          float64
-	presumedLost    bool // its backend has answered a much later attempt
+	connectedAt     float64 // when its connection was open; 0 if that is not known
+	presumedLost    bool    // its backend has answered a much later attempt
 }
 
 // request is a request without a final answer, or with attempts still open.
@@ -76,7 +77,7 @@
 	Entry
 	launched      float64
 	outsideSubset bool    // not in the subset of the fleet that this node works with
-	endedAt       float64 // since when another process may have its addresses; neverEnded if that is not known
+	endedAt       float64 // since when another process may have its addresses; infinite if that is not known
 	usableUntil   float64 // while it drains, or after the list came empty, it gets requests until then
 	mode          mode
 	inFlight      float64    // this node's attempts in flight
