A late end of the process before does not take its successor out of the names' reach

An entry that tells the end of the earlier process after the start of the later one took that one's place: it was off the list there, while the engine went on with it, so that the withdrawal by the names changed nothing.

Change: an entry about the predecessor of the process listed at an address leaves that one alone. All addresses of a backend that is ready are its own; only those that still are its own are forgotten with it. An update of a drain or removal changes the state alone.

--- a/internal/membership/decide.go
+++ b/internal/membership/decide.go
@@ -95,9 +95,7 @@
 			named = named || w.claim == Named || now-w.since < retention
 		}
 		if !named && !m.use && m.excludedUntil == 0 && (m.list == NoClaim || m.backend.State == Gone && now-m.listSince >= retention) {
-			for _, a := range m.backend.Addrs {
-				delete(f.canonical, a)
-			}
+			f.dropAliases(addr, m)
 			delete(f.members, addr)
 		}
 	}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -59,6 +59,12 @@
 	case b.Addr == "":
 		return // removal of a backend that was never known here
 	}
+	if b.State == Ready {
+		f.claimAliases(b)
+	} else if f.isPredecessor(b) {
+		delete(f.byID, b.ID)
+		return // it tells, late, of the end of the process before the one that is listed there
+	}
 	m := f.member(b.Addr)
 	if m.backend.ID != b.ID && f.byID[m.backend.ID] == b.Addr {
 		delete(f.byID, m.backend.ID) // an address has one process: the latest entry replaces its ID
@@ -68,8 +74,11 @@
 		f.resetMember(now, b.Addr)
 		m = f.member(b.Addr)
 	}
-	f.setAliases(m.backend.Addrs, b)
-	m.backend = b
+	if b.State != Ready && m.backend.ID == b.ID && !IsRestart(m.backend.StartedMS, &b) {
+		m.backend.State = b.State // an update of a drain or removal may leave out the rest
+	} else {
+		m.backend = b
+	}
 	f.byID[b.ID] = b.Addr
 	if b.State == Ready {
 		f.setListClaim(now, m, Named)
@@ -82,10 +91,21 @@
 	touched[b.Addr] = true
 }
 
-// setAliases replaces the further addresses by which a backend is known.
-func (f *Fleet) setAliases(before []string, b Backend) {
-	for _, addr := range before {
-		delete(f.canonical, addr)
+// isPredecessor reports whether an entry, of a backend that is not ready, is about a process that had the address before the one that is
+// listed there.
+func (f *Fleet) isPredecessor(b Backend) bool {
+	m := f.members[b.Addr]
+	if m == nil || m.backend.ID == b.ID || f.byID[m.backend.ID] != b.Addr {
+		return false
+	}
+	return b.StartedMS < m.backend.StartedMS || b.State == Gone && b.StartedMS == m.backend.StartedMS
+}
+
+// claimAliases replaces the further addresses by which the backend at an address is known. All its addresses are its own from now on.
+func (f *Fleet) claimAliases(b Backend) {
+	delete(f.canonical, b.Addr)
+	if m := f.members[b.Addr]; m != nil {
+		f.dropAliases(b.Addr, m)
 	}
 	for _, addr := range b.Addrs {
 		if addr != b.Addr {
@@ -94,6 +114,15 @@
 	}
 }
 
+// dropAliases forgets the further addresses of the backend at an address, unless another backend has them now.
+func (f *Fleet) dropAliases(addr string, m *member) {
+	for _, alias := range m.backend.Addrs {
+		if f.canonical[alias] == addr {
+			delete(f.canonical, alias)
+		}
+	}
+}
+
 // RefreshList records that the list's source has answered, with or without changes. It returns the backends whose status
 // changed.
 func (f *Fleet) RefreshList(now time.Duration) []Status {
