A backend that only names know has no known cell

Cause: an unknown cell was written as 0, which is a legal one and passed the comparison.

Its zone is that of its site, as before.

--- a/internal/resolve/resolve_test.go
+++ b/internal/resolve/resolve_test.go
@@ -70,7 +70,7 @@
 			}
 			got, ttl, err = client(bad, good).Backends(t.Context(), site) // the second server answers
 		}
-		if err != nil || len(got) != 3 || ttl != 7*time.Second || got[0].Addr != "127.0.0.1:9000" || got[0].Zone != "tacoma" {
+		if err != nil || len(got) != 3 || ttl != 7*time.Second || got[0].Addr != "127.0.0.1:9000" || got[0].Zone != "tacoma" || !got[0].CellUnknown {
 			t.Errorf("fault %d: %v, %v, %v", c.fault, got, ttl, err)
 		}
 	}
--- a/internal/resolve/source.go
+++ b/internal/resolve/source.go
@@ -101,7 +101,7 @@
 			ttl = min(ttl, addrTTL)
 			for _, a := range addrs {
 				addr := HostPort(a, t.Port)
-				byTarget[i] = append(byTarget[i], membership.Backend{ID: "dns:" + addr, Addr: addr, Zone: site.Zone, State: membership.Ready})
+				byTarget[i] = append(byTarget[i], membership.Backend{ID: "dns:" + addr, Addr: addr, Zone: site.Zone, CellUnknown: true, State: membership.Ready})
 			}
 		}
 		if len(addrs) > 0 {
