Outcomes at an earlier process are no evidence against its site's later one

What callers saw: with sites watched, attempts that had timed out at backends restarted in place made their site count as in doubt, though its new processes had failed nothing.

Cause: a backend that restarts in place keeps its number, and sites go by numbers: the outcome of an attempt, or of a probe, at the process before counted for the one after.

Change: the engine passes an outcome on only if it is of the process that has the number now. The policy keeps its own by attempt, and the shared judgements go by id and start, so they were right.

Evidence: TestOutcomeOfEarlierProcessIsNoEvidence fails without the check ('in doubt') and passes with it; without a restart the same time-outs put the site in doubt, as before.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -381,7 +381,7 @@
 	if e.fleetState != nil {
 		e.fleetState.RecordOutcome(a.Backend.key, res.Outcome)
 	}
-	if e.sites != nil {
+	if e.sites != nil && e.byNumber[a.Backend.Number] == a.Backend { // not of an earlier process with its number
 		e.sites.RecordOutcome(now, a.Backend.Number, res.Outcome, now-a.sent)
 	}
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Backend: a.Backend.Number, Attempt: a.index,
--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -52,7 +52,9 @@
 func (e *Engine) RecordProbe(b *Backend, up bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sites.RecordProbe(e.clock.Now(), b.Number, up)
+	if e.byNumber[b.Number] == b { // not of an earlier process with its number
+		e.sites.RecordProbe(e.clock.Now(), b.Number, up)
+	}
 }
 
 // Sites returns the state of each site, and whether the node considers itself cut off; nil and false if sites are not watched.
