A whole list without address conflicts is applied without a copy, and the log tells an end

Change: Table.Settled tells that nothing is to be resolved; an entry that says the same as before allocates nothing. The line 'backend has ended, as another one has its address' names both.

Tests of internal/ownership and internal/engine pass.

--- a/internal/engine/apply.go
+++ b/internal/engine/apply.go
@@ -35,6 +35,9 @@
 // also if the list still has them, or does not name them. e.mu must be held.
 func (e *Engine) resolveOwners(l *List, full bool) *List {
 	superseded := e.owners.Update(full, l.Backends)
+	if e.owners.Settled() {
+		return l
+	}
 	out := *l
 	out.owners = map[string]string{}
 	out.Backends = make([]ListedBackend, 0, len(superseded)+len(l.Backends))
@@ -187,6 +190,7 @@
 		if b == nil || b.ended {
 			continue
 		}
+		e.log.Info("backend has ended, as another one has its address", "box", id, "addr", b.Addr, "successor", u.list.owners[id])
 		endedAt := u.now
 		if owner != nil {
 			endedAt = owner.launched
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -21,12 +21,14 @@
 	updates   int // number of calls of Update
 
 	latestStart int64 // of all processes that were ever listed
+	unsettled   int   // number of listed processes that are superseded or contested
 }
 
 // process is one listed backend process. Everything but its state is fixed: an ID with another start or address is another process.
 type process struct {
 	id        string
-	addr, rpc string   // as in the list
+	addr, rpc string // as in the list
+	further   []string
 	addresses []string // all of them, over any protocol, sorted
 	start     int64    // Unix milliseconds; 0 for long ago
 	since     int64    // when it got its addresses: its start, unless it has moved
@@ -78,6 +80,9 @@
 	return out
 }
 
+// Settled reports whether all listed processes have their addresses for themselves, so that Owner and Contested tell nothing of any.
+func (t *Table) Settled() bool { return t.unsettled == 0 }
+
 // Owner returns the ID of the process that owns an address of a listed process in its place, and "" if there is none.
 func (t *Table) Owner(id string) string {
 	if p := t.processes[id]; p != nil && p.owner != nil {
@@ -95,10 +100,13 @@
 
 // update applies the entry of a process. It returns the process if it is a new one, or has other addresses than before.
 func (t *Table) update(b *membership.Backend, position int) *process {
-	p := &process{id: b.ID, addr: b.Addr, rpc: b.RPC, start: b.StartedMS, since: b.StartedMS, zone: b.Zone, cell: b.Cell,
-		toldIn: t.updates, position: position, toldReady: b.State == membership.Ready}
 	old := t.processes[b.ID]
 	known := old != nil && !membership.IsRestart(old.start, b)
+	if known && old.addr == b.Addr && old.rpc == b.RPC && slices.Equal(old.further, b.Addrs) {
+		return nil
+	}
+	p := &process{id: b.ID, addr: b.Addr, rpc: b.RPC, further: b.Addrs, start: b.StartedMS, since: b.StartedMS, zone: b.Zone, cell: b.Cell,
+		toldIn: t.updates, position: position, toldReady: b.State == membership.Ready}
 	if known {
 		p.addr, p.rpc = cmp.Or(b.Addr, old.addr), cmp.Or(b.RPC, old.rpc)
 		p.start, p.since = old.start, old.since
@@ -128,6 +136,9 @@
 		return
 	}
 	delete(t.processes, id)
+	if !p.settled() {
+		t.unsettled--
+	}
 	for _, address := range p.addresses {
 		rest := slices.DeleteFunc(t.byAddress[address], func(o *process) bool { return o == p })
 		if len(rest) == 0 {
@@ -162,16 +173,27 @@
 			continue
 		}
 		if p.since == owner.since && p.toldIn == owner.toldIn && (p.zone != owner.zone || p.cell != owner.cell) {
-			owner.contested = true
+			t.mark(owner, func() { owner.contested = true })
 		}
 		if p.owner == nil {
-			p.owner = owner
+			t.mark(p, func() { p.owner = owner })
 			out = append(out, Superseded{ID: p.id, Owner: owner.id})
 		}
 	}
 	return out
 }
 
+// settled reports whether a process has its addresses for itself.
+func (p *process) settled() bool { return p.owner == nil && !p.contested }
+
+// mark calls set, which makes a process superseded or contested.
+func (t *Table) mark(p *process, set func()) {
+	if p.settled() {
+		t.unsettled++
+	}
+	set()
+}
+
 // compare orders the processes at an address by who had it first. Where the list does not tell, the one that was told later came later.
 func compare(a, b *process) int {
 	return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.toldIn, b.toldIn), compareBool(a.toldReady, b.toldReady), cmp.Compare(a.position, b.position))
@@ -190,7 +212,13 @@
 
 // addresses returns all addresses of a backend, sorted.
 func addresses(addr, rpc string, further []string) []string {
-	all := slices.DeleteFunc(append([]string{addr, rpc}, further...), func(address string) bool { return address == "" })
+	all := make([]string, 0, 2+len(further))
+	for _, address := range [...]string{addr, rpc} {
+		if address != "" {
+			all = append(all, address)
+		}
+	}
+	all = append(all, further...)
 	slices.Sort(all)
 	return slices.Compact(all)
 }
