The process that was told last owns an address, as clocks may be stepped

Cause: found by reading: went by start times first.

Change: an entry that is new at an address owns it; only between entries of one update the start decides. Where the two orders disagree, or nothing decides, zone and cell of the owner are unknown if they differ from the other's, and the other one may have its address again once the owner is off the list. One that also started before the owner stays gone, as before. A start that seems to lie in the future, as after a step forward, counts as up to 6 s ago (PROTOCOL, Figures) where an attempt may have reached the new process.

--- a/internal/engine/apply.go
+++ b/internal/engine/apply.go
@@ -146,7 +146,7 @@
 	if moved { // another address means another process, even with the same start time
 		endedAt := u.now
 		if b.startedMS != known.startedMS {
-			endedAt = b.launched
+			endedAt = b.earliestStart(u.now)
 		}
 		u.entries = append(u.entries, e.end(known, endedAt))
 	}
@@ -193,12 +193,24 @@
 		e.log.Info("backend has ended, as another one has its address", "box", id, "addr", b.Addr, "successor", u.list.owners[id])
 		endedAt := u.now
 		if owner != nil {
-			endedAt = owner.launched
+			endedAt = owner.earliestStart(u.now)
 		}
 		u.entries = append(u.entries, e.end(b, endedAt))
 	}
 }
 
+// maxListDelay is how long after discovery has a change it counts as told (PROTOCOL, Figures).
+const maxListDelay = 6 * time.Second
+
+// earliestStart returns since when a backend, told at now, may have had its address. A start that seems to lie in the future is of a clock
+// that was stepped.
+func (b *Backend) earliestStart(now time.Duration) time.Duration {
+	if b.launched >= now {
+		return now - maxListDelay
+	}
+	return b.launched
+}
+
 // endPredecessors ends the use of the backends that are not in the list any more, or that other sources named, and whose address now
 // belongs to one that was not known before. e.mu must be held.
 func (e *Engine) endPredecessors(u *listUpdate) {
@@ -212,7 +224,7 @@
 		}
 		for _, o := range slices.Concat(e.listed.at(b.Addr), removedAt[b.Addr], removedAt[b.RPC]) {
 			if o != b && !o.ended {
-				u.entries = append(u.entries, e.end(o, b.launched))
+				u.entries = append(u.entries, e.end(o, b.earliestStart(u.now)))
 			}
 		}
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,7 +1,7 @@
 // Package ownership decides which listed backend process owns an address. An address belongs to one process at a time, but a backend
-// list may name two: a new process is listed while the end of the one before, which fell silent, has not been noticed. The one that came
-// last, by its start or by its move there, owns the address. The others have ended, whatever the list says of them, and stay so until
-// the list has another process under their ID: they were there before one that is known to have had their address.
+// list may name two: a new process is listed while the end of the one before, which fell silent, has not been noticed. The one that was
+// told last owns the address, as start times are of clocks that may be stepped; of those told at once the one that started last. One that
+// also started before the owner has ended, whatever the list says of it later, until the list has another process under its ID.
 //
 // The package has no clock, I/O or goroutines. A Table is not safe for concurrent use.
 package ownership
@@ -18,10 +18,9 @@
 type Table struct {
 	processes map[string]*process // by ID
 	byAddress map[string][]*process
-	updates   int // number of calls of Update
-
-	latestStart int64 // of all processes that were ever listed
-	unsettled   int   // number of listed processes that are superseded or contested
+	updates   int             // number of calls of Update
+	shared    map[string]bool // addresses that several processes have and whose owner is to be decided
+	unsettled int             // number of listed processes that are superseded or contested
 }
 
 // process is one listed backend process. Everything but its state is fixed: an ID with another start or address is another process.
@@ -31,7 +30,6 @@
 	further   []string
 	addresses []string // all of them, over any protocol, sorted
 	start     int64    // Unix milliseconds; 0 for long ago
-	since     int64    // when it got its addresses: its start, unless it has moved
 	zone      string
 	cell      int64
 
@@ -40,12 +38,13 @@
 	toldReady bool // it was ready then
 
 	owner     *process // owns one of its addresses in its place; nil if it has them all
-	contested bool     // another group's process was told with it that may as well own its address
+	ended     bool     // it started before one that owned an address of it
+	contested bool     // another group's process may as well own its addresses
 }
 
 // NewTable returns a table without processes.
 func NewTable() *Table {
-	return &Table{processes: map[string]*process{}, byAddress: map[string][]*process{}}
+	return &Table{processes: map[string]*process{}, byAddress: map[string][]*process{}, shared: map[string]bool{}}
 }
 
 // Superseded is a process that has lost an address to another one.
@@ -60,23 +59,18 @@
 	if full {
 		t.removeUnlisted(backends)
 	}
-	shared := map[string]bool{} // addresses of new processes that others have too
 	for i := range backends {
-		b := &backends[i]
-		if b.State == membership.Gone {
+		if b := &backends[i]; b.State == membership.Gone {
 			t.remove(b.ID)
-		} else if p := t.update(b, i); p != nil {
-			for _, address := range p.addresses {
-				if len(t.byAddress[address]) > 1 {
-					shared[address] = true
-				}
-			}
+		} else {
+			t.update(b, i)
 		}
 	}
 	var out []Superseded
-	for _, address := range slices.Sorted(maps.Keys(shared)) { // sorted for reproducible results
+	for _, address := range slices.Sorted(maps.Keys(t.shared)) { // sorted for reproducible results
 		out = t.settle(address, out)
 	}
+	clear(t.shared)
 	return out
 }
 
@@ -98,38 +92,41 @@
 	return p != nil && p.contested
 }
 
-// update applies the entry of a process. It returns the process if it is a new one, or has other addresses than before.
-func (t *Table) update(b *membership.Backend, position int) *process {
+// update applies the entry of a process.
+func (t *Table) update(b *membership.Backend, position int) {
 	old := t.processes[b.ID]
 	known := old != nil && !membership.IsRestart(old.start, b)
 	if known && old.addr == b.Addr && old.rpc == b.RPC && slices.Equal(old.further, b.Addrs) {
-		return nil
+		return
 	}
-	p := &process{id: b.ID, addr: b.Addr, rpc: b.RPC, further: b.Addrs, start: b.StartedMS, since: b.StartedMS, zone: b.Zone, cell: b.Cell,
+	p := &process{id: b.ID, addr: b.Addr, rpc: b.RPC, further: b.Addrs, start: b.StartedMS, zone: b.Zone, cell: b.Cell,
 		toldIn: t.updates, position: position, toldReady: b.State == membership.Ready}
 	if known {
 		p.addr, p.rpc = cmp.Or(b.Addr, old.addr), cmp.Or(b.RPC, old.rpc)
-		p.start, p.since = old.start, old.since
+		p.start = old.start
 	}
 	p.addresses = addresses(p.addr, p.rpc, b.Addrs)
-	t.latestStart = max(t.latestStart, p.start)
-	if known {
-		switch withoutNew := isSubset(p.addresses, old.addresses); {
-		case withoutNew && (!p.toldReady || len(p.addresses) == len(old.addresses)):
-			return nil // an update of a drain may omit some
-		case !withoutNew: // it came to an address after its start
-			p.since = t.latestStart
-		}
+	if known && isSubset(p.addresses, old.addresses) && (!p.toldReady || len(p.addresses) == len(old.addresses)) {
+		return // an update of a drain may omit some
 	}
 	t.remove(b.ID)
 	t.processes[b.ID] = p
 	for _, address := range p.addresses {
 		t.byAddress[address] = append(t.byAddress[address], p)
 	}
-	return p
+	t.noteShared(p)
 }
 
-// remove forgets a process.
+// noteShared has the owners of a process's addresses decided, where others have them too.
+func (t *Table) noteShared(p *process) {
+	for _, address := range p.addresses {
+		if len(t.byAddress[address]) > 1 {
+			t.shared[address] = true
+		}
+	}
+}
+
+// remove forgets a process. Those that only may have lost an address to it may have it again; whose it is now is not known for sure.
 func (t *Table) remove(id string) {
 	p := t.processes[id]
 	if p == nil {
@@ -146,6 +143,12 @@
 		} else {
 			t.byAddress[address] = rest
 		}
+		for _, o := range rest {
+			if o.owner == p && !o.ended {
+				o.owner, o.contested = nil, true
+				t.noteShared(o)
+			}
+		}
 	}
 }
 
@@ -172,7 +175,9 @@
 		if p == owner {
 			continue
 		}
-		if p.since == owner.since && p.toldIn == owner.toldIn && (p.zone != owner.zone || p.cell != owner.cell) {
+		if p.start < owner.start {
+			p.ended = true
+		} else if (p.start > owner.start || p.toldIn == owner.toldIn) && (p.zone != owner.zone || p.cell != owner.cell) {
 			t.mark(owner, func() { owner.contested = true })
 		}
 		if p.owner == nil {
@@ -194,9 +199,9 @@
 	set()
 }
 
-// compare orders the processes at an address by who had it first. Where the list does not tell, the one that was told later came later.
+// compare orders the processes at an address by who had it first.
 func compare(a, b *process) int {
-	return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.toldIn, b.toldIn), compareBool(a.toldReady, b.toldReady), cmp.Compare(a.position, b.position))
+	return cmp.Or(cmp.Compare(a.toldIn, b.toldIn), cmp.Compare(a.start, b.start), compareBool(a.toldReady, b.toldReady), cmp.Compare(a.position, b.position))
 }
 
 // compareBool orders false before true.
