Connections tell that a backend's address may have another process before the list does

The traces: nothing was refused, as the node had not dialled the address while it had no box; three attempts there had been waiting for 0.65 s.

Change: internal/identity keeps, for each backend, what its connections have shown. A refused or failed dial, an attempt without an answer in time, and at a repeat an attempt there that is late, cast doubt on connections opened since. An answer over an earlier connection ends it (not after a refusal: a draining process still answers). In doubt a backend is no target of a repeat by zone or cell, and what a new connection there may have run is not repeated; first attempts go on. A connection that breaks casts no doubt: TestRetryOnlyOfStoredBodies showed that a backend with one connection would lose repeats by it. An answer of discovery without changes is an event of the policy now.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"craneglade/internal/cold"
+	"craneglade/internal/identity"
 	"craneglade/internal/membership"
 	"craneglade/internal/ownership"
 	"craneglade/internal/siting"
@@ -45,6 +46,26 @@
 	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
 }
 
+// contact returns the contact of an attempt with the process at its backend's address.
+func (c Clock) contact(res *Result) identity.Contact {
+	switch {
+	case res.Refused:
+		return identity.Contact{Kind: identity.Refused, At: c.at(res.DialFailedAt)}
+	case !res.DialFailedAt.IsZero():
+		return identity.Contact{Kind: identity.Unreachable, At: c.at(res.DialFailedAt)}
+	case res.ConnectedAt.IsZero():
+		return identity.Contact{}
+	}
+	kind := identity.Connected
+	switch res.Outcome {
+	case policy.TimedOut:
+		kind = identity.Silent
+	case policy.OK, policy.Failed, policy.Full:
+		kind = identity.Answered
+	}
+	return identity.Contact{Kind: kind, At: c.at(res.ConnectedAt)}
+}
+
 // Elapsed returns the time since the clock was created.
 func (c Clock) Elapsed() time.Duration { return time.Since(c.start) }
 
@@ -146,7 +167,8 @@
 	Load          policy.Load
 	NewConnection bool      // a connection was dialled for it, successfully or not
 	ConnectedAt   time.Time // when the connection that it used was open; zero if that is not known
-	RefusedAt     time.Time // when a connection was tried that was refused, as no process listened; zero for none
+	DialFailedAt  time.Time // when a connection was tried that did not come up; zero for none
+	Refused       bool      // it was refused, as no process listens
 	Reply         any       // for OK, unless delivered; its Release method, if any, is called if it is not used
 }
 
@@ -385,7 +407,7 @@
 		e.sites.RecordOutcome(now, a.Backend.Number, res.Outcome, now-a.sent)
 	}
 	e.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Backend: a.Backend.Number, Attempt: a.index,
-		ConnectedAt: e.clock.at(res.ConnectedAt), RefusedAt: e.clock.at(res.RefusedAt), Took: now - a.sent, Finished: r.answered.Load(), Outcome: res.Outcome, Load: res.Load})
+		Contact: e.clock.contact(&res), Took: now - a.sent, Finished: r.answered.Load(), Outcome: res.Outcome, Load: res.Load})
 	e.forget(r)
 }
 
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -129,6 +129,8 @@
 	e.refreshList()
 	if fresh(e.version) {
 		e.applyList(l, kind)
+	} else {
+		e.handle(e.clock.Now(), &policy.Event{Kind: policy.EvListCurrent})
 	}
 }
 
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -104,15 +104,19 @@
 func (n *Carrier) Carry(ctx context.Context, a *engine.Attempt) engine.Result {
 	var used connUse
 	res := n.carry(ctx, a, &used)
-	res.NewConnection, res.ConnectedAt, res.RefusedAt = used.dialled, used.openedAt, used.refusedAt
+	res.NewConnection, res.ConnectedAt = used.dialled, used.openedAt
+	if res.Outcome == policy.ConnectFailed && used.openedAt.IsZero() {
+		res.DialFailedAt, res.Refused = used.triedAt, used.refused
+	}
 	return res
 }
 
 // connUse is what an attempt learns of its last connection.
 type connUse struct {
-	dialled   bool      // a connection was dialled, successfully or not
-	openedAt  time.Time // of the one that it used; zero for none
-	refusedAt time.Time // when one was tried that was refused; zero for none
+	dialled  bool      // a connection was dialled, successfully or not
+	triedAt  time.Time // when the attempt began to get a connection
+	openedAt time.Time // of the one that it used; zero for none
+	refused  bool      // none came up, and all addresses refused it
 }
 
 // carry implements Carry.
@@ -269,15 +273,13 @@
 
 // record records the result of getting a connection, which began at start.
 func (u *connUse) record(c *backendConn, err error, start time.Time) {
+	u.triedAt, u.openedAt, u.refused = start, time.Time{}, sock.IsRefused(err)
 	if c != nil {
 		u.dialled = u.dialled || c.idleFor == 0
 		u.openedAt = c.openedAt
 		return
 	}
 	u.dialled = u.dialled || !errors.Is(err, errNoDescriptor)
-	if sock.IsRefused(err) {
-		u.refusedAt = start
-	}
 }
 
 // encode returns the request as sent to the backend, with the headers that PROTOCOL defines.
--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -116,13 +116,21 @@
 	}
 }
 
-// Once a connection to a backend was refused, its process has ended, and what answers at its address later is not listed yet. It may be
-// of another cell: a keyed request that it may have run must not be repeated by the cell of the one that has ended.
+// Once a connection to a backend was refused, or nothing came over one any more, its process may have ended, and what answers at its address
+// later is not listed yet. It may be of another cell: a keyed request that it may have run must not be repeated by the cell of the one before.
 func TestNoRepeatAfterUnknownProcess(t *testing.T) {
 	t.Parallel()
-	for _, refused := range []bool{true, false} {
+	mute := listenWithoutAccept(t, "tcp", "127.0.0.1:0")
+	refuse := func(string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
+	for evidence, firstDial := range map[string]func(addr string) (net.Conn, error){
+		"refused": refuse,
+		"silent":  func(string) (net.Conn, error) { return net.Dial("tcp", mute) },
+		"none":    func(addr string) (net.Conn, error) { return net.Dial("tcp", addr) },
+	} {
 		for _, protocol := range []string{"http", "rpc"} {
-			t.Run(fmt.Sprint(protocol, "/refused ", refused), func(t *testing.T) {
+			t.Run(protocol+"/"+evidence, func(t *testing.T) {
 				t.Parallel()
 				silent, taken, reset := newSilentRPCBackend(t)
 				same := newRPCBackend(t, respondRPC)
@@ -130,8 +138,8 @@
 				configure := func(c *Config) {
 					cellSettings(t)(c)
 					c.dial = func(_ context.Context, addr string) (net.Conn, error) {
-						if dials.Add(1) == 1 && refused {
-							return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+						if dials.Add(1) == 1 {
+							return firstDial(addr)
 						}
 						return net.Dial("tcp", addr)
 					}
@@ -140,32 +148,14 @@
 				if protocol == "http" {
 					addr = r.addr
 				}
-				for id := 0; ; id++ { // until the backend is tried again
-					c := dialRPC(t, addr)
-					if protocol == "http" {
-						c.send(save(fmt.Sprint("k", id)).text())
-					} else {
-						c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":"saveConfig","params":{"key":"k%d"}}`+"\n", id))
-					}
-					answered := make(chan struct{})
-					go func() {
-						c.in.Peek(1)
-						close(answered)
-					}()
-					select {
-					case <-taken:
-					case <-answered:
-						continue
-					}
-					break
-				}
+				sendUntilTaken(t, addr, protocol, taken)
 				list := engine.List{Version: 2, Backends: []engine.ListedBackend{same.inCell("s-2", 1)}}
 				r.engine.UpdateList(r.listSource, &list, policy.ListDelta, func(int64) bool { return true })
 				reset()
 				wait(t, "the end of the request", func() bool { return r.engine.OpenRequests() == 0 })
-				want := 1
-				if refused {
-					want = 0
+				want := 0
+				if evidence == "none" {
+					want = 1
 				}
 				if n := len(same.http.requests()) + same.calls("saveConfig"); n != want {
 					t.Errorf("the other backend of the cell got %d repeats, want %d", n, want)
@@ -174,3 +164,28 @@
 		}
 	}
 }
+
+// sendUntilTaken sends keyed requests, each after the answer to the one before, until one is taken. The first one waits for 300 ms only.
+func sendUntilTaken(t *testing.T, addr, protocol string, taken chan struct{}) {
+	t.Helper()
+	for id, deadline := 0, 300; ; id, deadline = id+1, 50000 {
+		c := dialRPC(t, addr)
+		if protocol == "http" {
+			q := save(fmt.Sprint("k", id))
+			q.deadline = fmt.Sprint(deadline, "m")
+			c.send(q.text())
+		} else {
+			c.send(fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":"saveConfig","params":{"key":"k%d","deadline_ms":%d}}`+"\n", id, deadline))
+		}
+		answered := make(chan struct{})
+		go func() {
+			c.in.Peek(1)
+			close(answered)
+		}()
+		select {
+		case <-taken:
+			return
+		case <-answered:
+		}
+	}
+}
--- a/internal/rpccarrier/carrier.go
+++ b/internal/rpccarrier/carrier.go
@@ -136,8 +136,8 @@
 		return engine.Result{Outcome: policy.NeverSent}
 	} else if err != nil {
 		res := notSent(ctx)
-		if sock.IsRefused(err) {
-			res.RefusedAt = start
+		if res.Outcome == policy.ConnectFailed {
+			res.DialFailedAt, res.Refused = start, sock.IsRefused(err)
 		}
 		return res
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"craneglade/internal/identity"
 	"craneglade/internal/sites"
 )
 
@@ -117,6 +118,7 @@
 	EvResponseStarted                  // the client has started to receive a streamed response, of attempt Attempt
 	EvShared                           // an update of the fleet's shared state, in Shared
 	EvSites                            // limits on zones and classes while sites are lost, in Zones and Admit
+	EvListCurrent                      // discovery has answered, and the list has not changed
 	EvOther                            // anything the policy does not act on
 )
 
@@ -196,8 +198,7 @@
 	Backend           uint32                // EvOutcome
 	Attempt           int                   // EvOutcome, EvResponseStarted: from 0 in the order of the sends
 	Took              time.Duration         // EvOutcome: since the send
-	ConnectedAt       time.Duration         // EvOutcome: when the attempt's connection was open; 0: unknown
-	RefusedAt         time.Duration         // EvOutcome: when its connection was refused, as nothing listened; 0: not
+	Contact           identity.Contact      // EvOutcome: with the process at its backend's address
 	Finished          bool                  // EvOutcome: the client has its final answer or has disconnected
 	Outcome           Outcome               // EvOutcome
 	Load              Load                  // EvOutcome
--- a/policy/list.go
+++ b/policy/list.go
@@ -43,6 +43,9 @@
 	for i := range ev.Entries {
 		b.applyEntry(now, &ev.Entries[i], ev.List)
 	}
+	if ev.List != ListCached {
+		b.noteList(now)
+	}
 	b.sorted = slices.DeleteFunc(b.sorted, func(s *backend) bool { return s.State == Removed || b.backends[s.ID] != s })
 	// Attempts in flight keep their own pointers to the backends removed here.
 	maps.DeleteFunc(b.backends, func(_ uint32, s *backend) bool { return s.State == Removed })
@@ -85,9 +88,9 @@
 // newBackend adds a backend, or replaces the state of the earlier process with its number.
 func (b *Balancer) newBackend(now float64, e *Entry) *backend {
 	if old := b.backends[e.ID]; old != nil {
-		old.endedAt = min(old.endedAt, e.Launched.Seconds())
+		old.process.Ended(e.Launched.Seconds())
 	}
-	s := &backend{Entry: *e, launched: e.Launched.Seconds(), endedAt: math.Inf(1), minFullOccupancy: math.Inf(1),
+	s := &backend{Entry: *e, launched: e.Launched.Seconds(), minFullOccupancy: math.Inf(1),
 		baseWorkTime: math.Inf(1), reportAt: now, laggedAt: now, sentAt: now, lastOKAt: now}
 	if b.cfg.QueueOnly {
 		s.reportAt = math.Inf(-1) // until the first report it is unknown how many attempts wait
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -125,6 +125,8 @@
 		b.handleResponseStart(ev)
 	case EvList:
 		b.applyList(t, ev)
+	case EvListCurrent:
+		b.noteList(t)
 	case EvShared:
 		b.applyShared(t, ev.Shared)
 	case EvSites:
@@ -228,7 +230,7 @@
 		r.attempts = r.attemptsBuf[:0]
 	}
 	*a = attempt{backend: s, request: r, open: true, repeatGroup: s.repeatGroup(),
-		occupancyAtSend: b.occupancy(s, now) + 1, sentAt: now}
+		occupancyAtSend: b.occupancy(s, now) + 1, sentAt: now, connectedAt: now + maxSendLagSeconds}
 	r.attempts = append(r.attempts, a)
 	s.attempts = append(s.attempts, a)
 	if b.mayHedge(r.class) && r.open == 0 {
@@ -277,7 +279,7 @@
 	a.open = false
 	r.open--
 	r.done = r.done || ev.Finished
-	a.noteConnection(ev)
+	a.connectedAt = cmp.Or(a.backend.process.Note(now, a.sentAt, ev.Contact), a.connectedAt)
 	b.recordOutcome(now, s, r, a, ev)
 	if r.done {
 		b.endRequest(r)
--- a/policy/repeat.go
+++ b/policy/repeat.go
@@ -1,29 +1,15 @@
 package policy
 
+import "craneglade/internal/identity"
+
 // Repeats of keyed requests that may have run.
 
-// maxSendLagSeconds is how long after its send an attempt may reach its backend, a stall of this process included.
+// maxSendLagSeconds is how long after its send the connection of an attempt may be open, a stall of this node included.
 const maxSendLagSeconds = 0.15
 
-// repeatGroup tells which backends drop a repeat of a request: those with the same zone or the same cell, by
-// Class.Group. What is not known equals nothing.
-type repeatGroup struct {
-	zone                     string
-	cell                     int64
-	zoneUnknown, cellUnknown bool
-}
-
 // repeatGroup returns the group that the backend is listed in.
-func (s *backend) repeatGroup() repeatGroup {
-	return repeatGroup{s.Zone, s.Cell, s.ZoneUnknown, s.CellUnknown}
-}
-
-// sharedWith reports whether the backends of both groups drop each other's repeats for a class with a Group.
-func (g repeatGroup) sharedWith(o repeatGroup, kind Group) bool {
-	if kind == GroupZone {
-		return g.zone == o.zone && !g.zoneUnknown && !o.zoneUnknown
-	}
-	return g.cell == o.cell && !g.cellUnknown && !o.cellUnknown
+func (s *backend) repeatGroup() identity.Group {
+	return identity.Group{Zone: s.Zone, Cell: s.Cell, ZoneUnknown: s.ZoneUnknown, CellUnknown: s.CellUnknown}
 }
 
 // mayRepeatAt reports whether a request may go to a backend in view of its attempts that may have run.
@@ -32,39 +18,44 @@
 	if a == nil || c.Effect != Keyed || c.Group == GroupAll {
 		return true
 	}
-	return a.reachedListedProcess() && now < s.endedAt && s.repeatGroup().sharedWith(a.repeatGroup, c.Group)
+	return a.reachedListedProcess(now) && s.reaches(now, now) &&
+		s.repeatGroup().Shares(a.repeatGroup, c.Group == GroupZone)
 }
 
 // reachedListedProcess reports whether an attempt can have reached no process but the one that it was sent to, as the
-// list had it then and has it still. A connection belongs to the process that had the address when it was opened.
-func (a *attempt) reachedListedProcess() bool {
-	reachedBy := a.sentAt + maxSendLagSeconds
-	if a.connectedAt > 0 {
-		reachedBy = a.connectedAt
-	}
-	return reachedBy < a.backend.endedAt && a.repeatGroup == a.backend.repeatGroup()
+// list had it then and has it still.
+func (a *attempt) reachedListedProcess(now float64) bool {
+	s := a.backend
+	return a.repeatGroup == s.repeatGroup() && s.process.Reaches(a.connectedAt) &&
+		(a.open || s.reaches(now, a.connectedAt))
 }
 
-// noteConnection records what the connection of an ended attempt tells of its backend's process. If it was refused, the
-// process has ended, and the list has yet to tell what answers at its address later.
-func (a *attempt) noteConnection(ev *Event) {
-	a.connectedAt = ev.ConnectedAt.Seconds()
-	if ev.RefusedAt > 0 {
-		a.backend.endedAt = min(a.backend.endedAt, ev.RefusedAt.Seconds())
+// reaches reports whether a connection that was open at a time is one to the process that the list names. An attempt
+// that is late shows a process that may have ended meanwhile.
+func (s *backend) reaches(now, opened float64) bool {
+	if n := leadingEnded(s.attempts); n < len(s.attempts) {
+		if oldest := s.attempts[n]; now-oldest.sentAt > oldest.request.class.hedgeAfter() {
+			return s.process.ReachesUnanswered(oldest.sentAt+maxSendLagSeconds, opened)
+		}
 	}
+	return s.process.Reaches(opened)
 }
 
-// noteEnd records that another process may have the addresses of a backend since a time. It may be one that is not
-// listed any more, and that only open requests still refer to.
-func (b *Balancer) noteEnd(id uint32, endedAt float64) {
-	if s := b.backends[id]; s != nil {
-		s.endedAt = min(s.endedAt, endedAt)
-	}
+// noteEnd records that another process may have the addresses of a removed backend since a time. Only the attempts of
+// open requests still refer to it.
+func (b *Balancer) noteEnd(id uint32, since float64) {
 	for _, r := range b.requests {
 		for _, a := range r.attempts {
 			if a.backend.ID == id {
-				a.backend.endedAt = min(a.backend.endedAt, endedAt)
+				a.backend.process.Ended(since)
 			}
 		}
 	}
 }
+
+// noteList records that discovery has answered, with the list that is in force now.
+func (b *Balancer) noteList(now float64) {
+	for _, s := range b.sorted {
+		s.process.ListAnswered(now)
+	}
+}
--- a/policy/repeat_test.go
+++ b/policy/repeat_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"craneglade/internal/identity"
 )
 
 // cellSettings has a class whose repeats only the backends of a cell drop.
@@ -65,3 +67,51 @@
 		}
 	}
 }
+
+// While an attempt at a backend is late and nothing has come over its connections since, another process may have its
+// address. No keyed request that may have run is repeated there, nor after a new connection there.
+func TestNoRepeatWhileBackendIsSilent(t *testing.T) {
+	const opened = t0 - 10*time.Second
+	for name, c := range map[string]struct {
+		alive   bool          // an answer has come since over a connection of before
+		at      time.Duration // of the failure
+		to      uint32        // backend of the attempt that fails
+		opened  time.Duration // its connection
+		repeats bool
+	}{
+		"repeat at the silent one":              {false, time.Second, 2, opened, false},
+		"repeat at it before it is late":        {false, 100 * time.Millisecond, 2, opened, true},
+		"repeat at one that has answered since": {true, time.Second, 2, opened, true},
+		"failed on a new connection there":      {false, time.Second, 1, t0 + 900*time.Millisecond, false},
+		"failed on an old connection there":     {false, time.Second, 1, opened, true},
+		"failed there, answered since":          {true, time.Second, 1, t0 + 200*time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBalancer(t, settings(cellSettings), Entry{ID: 1, Zone: "a", Cell: 1})
+			end := func(now time.Duration, send Action, o Outcome, connected time.Duration) Action {
+				return lastAction(b.Handle(now, &Event{Kind: EvOutcome, ID: send.ID, Backend: send.Backend, Outcome: o, Finished: o == OK,
+					Contact: identity.Contact{Kind: identity.Answered, At: connected}}, nil))
+			}
+			end(t0, sendRequest(b, t0, "before", "low"), OK, opened)
+			sendRequest(b, t0, "late", "low")
+			failing := Entry{ID: c.to, Zone: "a", Cell: 1}
+			other := Entry{ID: 3 - c.to, Zone: "a", Cell: 1}
+			if c.to == 2 { // the only one that takes the request
+				b.Handle(t0, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{{ID: 1, State: Draining}, failing}}, nil)
+			}
+			send := sendRequest(b, t0+c.at-50*time.Millisecond, "k", "key")
+			if send.Kind != ActSend || send.Backend != c.to {
+				t.Fatalf("the first attempt is %+v", send)
+			}
+			b.Handle(t0+c.at, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{other}}, nil)
+			if c.alive {
+				b.backends[1].process.Answered((t0 + c.at).Seconds(), opened.Seconds())
+			}
+			setEstimate(b.backends[1], t0+c.at, 0)
+			repeat := end(t0+c.at, send, Failed, c.opened)
+			if c.repeats && (repeat.Kind != ActSend || repeat.Backend != other.ID) || !c.repeats && repeat.Kind != ActFail {
+				t.Errorf("the action is %+v", repeat)
+			}
+		})
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,6 +5,7 @@
 
 	"craneglade/internal/decay"
 	"craneglade/internal/health"
+	"craneglade/internal/identity"
 	"craneglade/internal/pace"
 	"craneglade/internal/sites"
 )
@@ -44,12 +45,12 @@
 type attempt struct {
 	backend         *backend
 	request         *request
-	repeatGroup     repeatGroup // of its backend when it was sent
-	open            bool        // no outcome yet
-	noCancel        bool        // cancelled already, or never to be cancelled
-	occupancyAtSend float64     // of its backend, this attempt included
+	repeatGroup     identity.Group // of its backend when it was sent
+	open            bool           // no outcome yet
+	noCancel        bool           // cancelled already, or never to be cancelled
+	occupancyAtSend float64        // of its backend, this attempt included
 	sentAt          float64
-	connectedAt     float64 // when its connection was open; 0 if that is not known
+	connectedAt     float64 // when its connection was open; at the latest, until that is known
 	presumedLost    bool    // its backend has answered a much later attempt
 }
 
@@ -77,7 +78,6 @@
 	Entry
 	launched      float64
 	outsideSubset bool    // not in the subset of the fleet that this node works with
-	endedAt       float64 // since when another process may have its addresses; infinite if that is not known
 	usableUntil   float64 // while it drains, or after the list came empty, it gets requests until then
 	mode          mode
 	inFlight      float64    // this node's attempts in flight
@@ -101,6 +101,7 @@
 	lastOKAt               float64
 	lossAt                 float64         // when an attempt that was presumed lost timed out
 	workTime, baseWorkTime float64         // reported service time, smoothed, and the lowest mean of its kind
+	process                identity.Record // whether its addresses have the process that the list names
 	health.Record                          // of the backend as a whole
 	classHealth            []health.Record // by class, as one class alone may fail; nil before a failure
 	answers                float64         // decayed count; unlike sends it leaves out rejected requests
