--- a/internal/engine/list_test.go
+++ b/internal/engine/list_test.go
@@ -97,7 +97,6 @@
 	removed []*modelBackend
 
 	lists     int
-	latest    int64                    // start in any list
 	processes map[string]*modelProcess // what the list has, by ID
 }
 
