A late attempt casts doubt only where nothing else has come since

Cause: found on reading again. While any attempt at a backend was late, it was no target of a repeat by zone or cell, though it had answered others a moment ago: one lost or slow request was taken for a sign that its process may have ended.

Change: each late attempt counts only if no answer has come since it was sent, over a connection that was open by then (Record.Silent).

--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -51,10 +51,9 @@
 // the last sign of life that it has given later.
 func (r *Record) Failed(since float64) { r.doubt(r.lastSign(since)) }
 
-// ReachesUnanswered is Reaches while something sent at since is overdue. Without any connection that has brought an answer it tells nothing.
-func (r *Record) ReachesUnanswered(since, opened float64) bool {
-	return r.Reaches(opened) && (len(r.proofs) == 0 || opened <= r.lastSign(since))
-}
+// Silent reports whether nothing has come since a time from the process that had the addresses then. It is false if no connection has
+// brought an answer yet.
+func (r *Record) Silent(since float64) bool { return len(r.proofs) > 0 && r.lastSign(since) == since }
 
 // lastSign returns until when the process that had the addresses at since is known to have lived.
 func (r *Record) lastSign(since float64) float64 {
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -92,6 +92,29 @@
 	}
 }
 
+// A process is silent only if nothing has come since over connections opened until then, and if it has ever answered.
+func TestSilent(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		steps []step
+		want  bool
+	}{
+		"never answered":             {nil, false},
+		"answered before":            {[]step{answered(4, 3)}, true},
+		"answered since":             {[]step{answered(4, 3), answered(6, 2)}, false},
+		"a new connection answered":  {[]step{answered(4, 3), answered(7, 6)}, true},
+		"both, the old one at first": {[]step{answered(6, 3), answered(8, 7)}, false},
+	} {
+		var r Record
+		for _, s := range c.steps {
+			s(&r)
+		}
+		if got := r.Silent(5); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // What is not known equals nothing.
 func TestGroups(t *testing.T) {
 	t.Parallel()
--- a/policy/repeat.go
+++ b/policy/repeat.go
@@ -31,11 +31,12 @@
 }
 
 // reaches reports whether a connection that was open at a time is one to the process that the list names. An attempt
-// that is late shows a process that may have ended meanwhile.
+// that is late, with nothing else answered since, shows a process that may have ended meanwhile.
 func (s *backend) reaches(now, opened float64) bool {
-	if n := leadingEnded(s.attempts); n < len(s.attempts) {
-		if oldest := s.attempts[n]; now-oldest.sentAt > oldest.request.class.hedgeAfter() {
-			return s.process.ReachesUnanswered(oldest.sentAt+maxSendLagSeconds, opened)
+	for _, a := range s.attempts {
+		since := a.sentAt + maxSendLagSeconds
+		if a.open && opened > since && now-a.sentAt > a.request.class.hedgeAfter() && s.process.Silent(since) {
+			return false
 		}
 	}
 	return s.process.Reaches(opened)
--- a/policy/repeat_test.go
+++ b/policy/repeat_test.go
@@ -105,7 +105,7 @@
 			}
 			b.Handle(t0+c.at, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{other}}, nil)
 			if c.alive {
-				b.backends[1].process.Answered((t0 + c.at).Seconds(), opened.Seconds())
+				b.backends[1].process.Answered((t0 + c.at/2).Seconds(), opened.Seconds())
 			}
 			setEstimate(b.backends[1], t0+c.at, 0)
 			repeat := end(t0+c.at, send, Failed, c.opened)
