A time-out casts no doubt on a process that has answered since the send

Cause: each time-out cast doubt on its backend until the next answer over an older connection, also where others had been answered since the send, so that a repeat or a hedged attempt found fewer backends of its zone.

--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -47,9 +47,13 @@
 	}
 }
 
-// Failed records that something sent at a time, or a connection tried then, got no answer: the process may have ended since then, or since
-// the last sign of life that it has given later.
-func (r *Record) Failed(since float64) { r.doubt(r.lastSign(since)) }
+// Failed records that something sent at a time, or a connection tried then, got no answer: the process may have ended since then, unless it
+// has given a sign of life later.
+func (r *Record) Failed(since float64) {
+	if r.lastSign(since) == since {
+		r.doubt(since)
+	}
+}
 
 // Silent reports whether nothing has come since a time from the process that had the addresses then. It is false if no connection has
 // brought an answer yet.
