--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -28,7 +28,7 @@
 		"an old connection answers after the silence":   {[]step{failed(5), answered(7, 4)}, 6, true},
 		"a new connection answers after the silence":    {[]step{failed(5), answered(7, 6)}, 6, false},
 		"an old connection answered meanwhile":          {[]step{answered(7, 4), failed(5)}, 6, true},
-		"and the connection is opened much later":      {[]step{answered(7, 4), failed(5)}, 80, true},
+		"and the connection is opened much later":       {[]step{answered(7, 4), failed(5)}, 80, true},
 		"and one opened since that answered later":      {[]step{answered(7, 4), answered(9, 6), failed(5)}, 8, true},
 		"an old connection answered before":             {[]step{answered(4, 3), failed(5)}, 6, false},
 		"a new connection answered meanwhile":           {[]step{answered(7, 6), failed(5)}, 8, false},
