--- a/internal/sock/peek.go
+++ b/internal/sock/peek.go
@@ -91,12 +91,27 @@
 	if err == nil && info.State != unix.BPF_TCP_ESTABLISHED {
 		return PeerClosed
 	}
-	if queueBytes(fd, unix.SIOCINQ) > maxUnreadBytes {
+	if queueBytes(fd, unix.SIOCINQ) > maxUnreadBytes || isBufferHalfFull(fd) {
 		return PeerUnknown
 	}
 	return PeerPresent
 }
 
+// Indexes of socket memory information, see sock_diag(7).
+const (
+	memInfoReceiveUsed = 0
+	memInfoReceiveSize = 1
+	memInfoCount       = 9
+)
+
+// isBufferHalfFull reports whether unread data takes over half of a socket's receive buffer. Small segments take many times their size.
+func isBufferHalfFull(fd int) bool {
+	var info [memInfoCount]uint32
+	size := uint32(unsafe.Sizeof(info))
+	_, _, err := syscall.Syscall6(syscall.SYS_GETSOCKOPT, uintptr(fd), unix.SOL_SOCKET, unix.SO_MEMINFO, uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	return err == 0 && info[memInfoReceiveUsed] > info[memInfoReceiveSize]/2
+}
+
 // Unread returns the number of bytes that have arrived on a connection and were not read, 0 if that is not available.
 func Unread(c net.Conn) int { return queueLength(c, unix.SIOCINQ) }
 
