HTTP requests sent at once on a connection count their time from their own last byte

Cause: while a request was answered, watchForClose read what followed it into the connection's buffer. awaitRequest then took a request whose first byte was there as "pipelined" and counted its time from that moment (read.go, delay := 0); what the buffer of 4 KiB did not hold was dropped (readAhead). A request that waited in the kernel beside later ones counted from the latest byte of the connection.

Now what follows a request stays in the kernel. The watch reads nothing: it waits for the socket to become readable, observes each arrival, and sees a close behind unread data (sock.Receiver.Watch). A request's time counts from its own last byte, also if its client writes slowly: until now from its first one, which took time from it. Only when so much follows that a close behind it could not be known, over half of the receive buffer, is it read and dropped, as the older tests ask. A pausing connection is observed at least every 40 ms.

TestExpiredDeadlineIsNotAClose waited for the end of the stream by reading, which peerAfterRequest had emptied; it now waits for the same close behind the unread byte, and checks the same two results.

--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -41,10 +41,11 @@
 	overLimit      bool // its request is refused, as there are too many connections
 	usesRejectSlot bool // it has a reject slot instead of a descriptor from the quota
 
-	probe        *sock.Peeker // used by the connection's own goroutine
-	attemptProbe closeProbe   // used by attempts
-	answered     bool         // a request on it was answered
-	waited       bool         // the last request had to wait for its answer
+	received     *sock.Receiver // what reads reads from
+	probe        *sock.Peeker   // used by the connection's own goroutine
+	attemptProbe closeProbe     // used by attempts
+	answered     bool           // a request on it was answered
+	waited       bool           // the last request had to wait for its answer
 	reads        timing.FairReader
 	discarded    bool // data that followed a request was discarded, so that no further request can be read
 
@@ -57,10 +58,14 @@
 
 // newClientConn returns a connection from which nothing was read.
 func (s *Front) newClientConn(conn net.Conn) *clientConn {
-	c := &clientConn{Conn: conn, start: time.Now(), probe: sock.NewPeeker(conn), attemptProbe: closeProbe{probe: sock.NewPeeker(conn)}}
-	c.reads = timing.FairReader{Source: conn, Shared: s.work,
+	c := &clientConn{Conn: conn, start: time.Now(), probe: sock.NewPeeker(conn), attemptProbe: closeProbe{probe: sock.NewPeeker(conn)},
+		received: sock.NewReceiver(conn, s.sinceLastReceive)}
+	c.reads = timing.FairReader{Source: c.received, Shared: s.work,
 		HasInput: func() bool { return c.probe.Pending() == sock.Readable },
-		Ending:   func() bool { return c.probe.Peer() == sock.PeerClosed || s.isEvicted(c) }}
+		Ending: func() bool {
+			c.received.Observe()
+			return c.probe.Peer() == sock.PeerClosed || s.isEvicted(c)
+		}}
 	c.limit.R, c.limit.N = scanningReader{&c.reads, &c.framing}, message.MaxHeadBytes
 	c.head = headBuffer{source: &c.limit, memory: s.bodies}
 	c.in = bufio.NewReader(&c.head)
@@ -80,24 +85,46 @@
 	return c.in.Buffered() - before, err
 }
 
-// peerAfterRequest returns, without blocking, whether the client has closed the connection after the request that was read. It reads
-// up to fastDiscardBytes of what the client sent behind it.
+// isBuffered reports whether a part of the next request was read.
+func (c *clientConn) isBuffered() bool { return c.in.Buffered()+len(c.head.unread()) > 0 }
+
+// consumed returns how many bytes of the connection belong to the requests that were read so far.
+func (c *clientConn) consumed() int64 {
+	return c.received.Position() - int64(c.in.Buffered()+len(c.head.unread()))
+}
+
+// arrivedBy returns when the first count bytes of the connection, which were read, had arrived.
+func (c *clientConn) arrivedBy(count int64) time.Time {
+	if at, ok := c.received.ArrivedBy(count); ok {
+		return at
+	}
+	return time.Now()
+}
+
+// peerAfterRequest returns, without blocking, whether the client has closed the connection after the request that was read. If so much
+// follows the request that this can't be known, it discards up to fastDiscardBytes of that.
 func (c *clientConn) peerAfterRequest() sock.PeerState {
-	for read := 0; read < fastDiscardBytes; {
-		switch c.probe.Pending() {
-		case sock.Empty:
-			return sock.PeerPresent
-		case sock.Closed:
-			return sock.PeerClosed
-		}
-		c.SetReadDeadline(time.Time{}) // an expired deadline, of reading the request or of an eviction, must not count as a close
+	state := c.probe.Peer()
+	if state != sock.PeerUnknown {
+		return state
+	}
+	c.SetReadDeadline(time.Time{}) // an expired deadline, of reading the request or of an eviction, must not count as a close
+	if err := c.discardArrived(fastDiscardBytes); err != nil {
+		return sock.PeerClosed
+	}
+	return c.probe.Peer()
+}
+
+// discardArrived reads what has arrived behind a request, up to limit bytes. The kernel may accept more only once all of it was read.
+func (c *clientConn) discardArrived(limit int) error {
+	for read := 0; read < limit && c.probe.Pending() == sock.Readable; {
 		n, err := c.readAhead()
 		if err != nil {
-			return sock.PeerClosed
+			return err
 		}
 		read += n
 	}
-	return c.probe.Peer()
+	return nil
 }
 
 // closeProbe checks a connection for a close. It may be used by several goroutines.
@@ -127,11 +154,14 @@
 	}
 }
 
-// watchForClose keeps reading while a request is being answered and reports whether the client closed the connection. A
-// read deadline in the past ends it and is not a close.
+// watchForClose watches the connection while a request is being answered and reports whether the client closed it. Further requests
+// stay in the kernel; what is more than that is read and discarded. A read deadline in the past ends it and is not a close.
 func (c *clientConn) watchForClose() (closed bool) {
 	for {
-		if _, err := c.readAhead(); err != nil {
+		if state := c.received.Watch(); state != sock.PeerUnknown {
+			return state == sock.PeerClosed
+		}
+		if err := c.discardArrived(fastDiscardBytes); err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 	}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -41,8 +41,8 @@
 	idleTimeout   = 5 * time.Second
 	lingerTimeout = 100 * time.Millisecond // for the client to read its last answer before the connection is reset
 	lingerBytes   = 256 << 10              // what is read of further data from the client meanwhile
-	// Data that follows a request while it is answered is kept up to the size of the connection's buffer. The rest is read
-	// and discarded, as the client's close may follow it: up to fastDiscardBytes before the request is sent, the rest meanwhile.
+	// What follows a request while it is answered stays in the kernel. If that is so much that a close behind it can't be known, it is
+	// read and discarded: up to fastDiscardBytes before the request is sent, the rest meanwhile.
 	fastDiscardBytes = 1 << 20
 	// minRejectSlots are one for a new connection and one for the connection that is evicted for it.
 	minRejectSlots = 2
@@ -235,10 +235,14 @@
 		}
 		a, reason := s.answer(c, r)
 		last := r.In.Close || c.overLimit || c.usesRejectSlot || s.closing.Load() || !r.Body.IsDrained() || c.discarded || reason == "" && s.closesAfterAnswer(c)
+		if reason == clientDisconnected {
+			c.discardUnread()
+		}
 		if reason != "" {
 			return reason
 		}
-		err := c.write(r.In, a, last)
+		var err error
+		c.received.ObserveWhile(func() { err = c.write(r.In, a, last) })
 		a.reply.Release()
 		if err != nil {
 			return answerNotRead
@@ -256,7 +260,7 @@
 		if c.waited { // for a backend
 			c.reads.DropRequest()
 		}
-		c.reads.EndRequest(c.in.Buffered()+len(c.head.unread()) > 0)
+		c.reads.EndRequest(c.isBuffered())
 	}
 }
 
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -160,7 +160,7 @@
 		t.Fatal("an expired deadline counts as a close")
 	}
 	client.Close()
-	for c.probe.Pending() != sock.Closed {
+	for c.probe.Peer() != sock.PeerClosed { // the data before it is still unread
 		time.Sleep(time.Millisecond)
 	}
 	if c.peerAfterRequest() != sock.PeerClosed {
--- a/internal/httpfront/read.go
+++ b/internal/httpfront/read.go
@@ -26,21 +26,21 @@
 	if err != nil || rej != nil {
 		return nil, rej
 	}
-	arrived := time.Now()
+	now := time.Now()
 	if c.answered {
-		end = arrived.Add(headTimeout)
+		end = now.Add(headTimeout)
 	}
-	// The client timeout runs from when the request arrived at this machine, not from when it was read.
+	arrived := c.arrivedBy(c.consumed() + 1)
 	delay := time.Duration(0)
-	if !pipelined {
-		delay = s.sinceLastReceive(c.Conn)
+	if !pipelined { // else it has waited for the answer to the one before
+		delay = now.Sub(arrived)
 	}
 	s.noteRequestStart(c, end)
 	r, rej := s.readHead(c, end)
 	if rej != nil {
 		return nil, rej
 	}
-	r.Arrived = arrived.Add(-delay)
+	r.Arrived = arrived
 	if r.ID == "" { // a readiness request has no id
 		return r, nil
 	}
@@ -52,6 +52,9 @@
 		r.Release()
 		return nil, rej
 	}
+	// The client's time runs from when the last byte had arrived on this machine, not from when it was read. The rest of a body that is
+	// streamed is still to come.
+	r.Arrived = c.arrivedBy(c.consumed())
 	return r, nil
 }
 
@@ -59,7 +62,7 @@
 // whether that byte had arrived before the call. An error means that there is no request.
 func (c *clientConn) awaitRequest() (buffered bool, rej *message.Rejection, err error) {
 	for lines := 0; ; lines++ {
-		buffered = c.in.Buffered()+len(c.head.unread()) > 0
+		buffered = c.isBuffered()
 		length, err := c.emptyLine()
 		if err != nil {
 			return false, nil, err
--- a/internal/httpfront/write.go
+++ b/internal/httpfront/write.go
@@ -63,6 +63,13 @@
 	io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
+// discardUnread reads what a client that has left sent before it, which the kernel has: closing over unread data resets the connection,
+// and a client that has closed its sending side only may still be reading.
+func (c *clientConn) discardUnread() {
+	c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	io.Copy(io.Discard, c.Conn)
+}
+
 // write sends an answer. An error means that the client has disconnected or does not read.
 func (c *clientConn) write(in *http.Request, a answer, last bool) error {
 	h := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
--- a/internal/timing/fairreader.go
+++ b/internal/timing/fairreader.go
@@ -16,10 +16,10 @@
 	maxRequestWork = 250 * time.Microsecond
 	maxWorkPerByte = 100 * time.Nanosecond
 	// A pausing connection checks a few times whether it is to end, at intervals within these bounds: each check costs system calls,
-	// and thousands may pause.
+	// and thousands may pause. Its reader may observe meanwhile what arrives, with an error of up to an interval.
 	pauseChecks      = 8
 	minCheckInterval = 5 * time.Millisecond
-	maxCheckInterval = 100 * time.Millisecond
+	maxCheckInterval = 40 * time.Millisecond
 	// busyPart is the part of the time for which a connection has to be worked for to be busy, also if all that has arrived was read.
 	busyPart = 1.0 / 32
 )
