No attempt starts after its client's time, also in a process that was held up

Cause: Attempt.MayStart, the last check before the first byte, knew the drain's grace, the repeat window and the client's close, but not the client's time. That ended an attempt only through timers, which a process that is held up handles late: the attempt was then written for a client that no longer waits.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -76,7 +76,7 @@
 	Tenant            string
 	RequiredProtocols uint8         // bit set of protocols that its backend has to speak, see ProtocolRPC
 	ClientRetry       bool          // the client has marked it as a retry
-	Arrived           time.Time     // when its first byte was received
+	Arrived           time.Time     // when its last byte was received; the last one before its body, if that is streamed
 	ClientTimeout     time.Duration // how long the client waits, counted from Arrived
 	Payload           any           // what carriers send; its Release method, if any, is called when the request is closed
 	// Disconnected reports, without blocking, whether the client has disconnected; nil if that can't be detected. It must be
@@ -88,6 +88,7 @@
 	mayHaveRun   bool // one of its attempts may have run
 	served       bool // its answer is a backend's
 	deadline     time.Duration
+	expires      time.Time // when the client stops waiting; zero before Submit
 	attempts     []*Attempt
 	first        Attempt     // embedded, as most requests need only one attempt: saves an allocation
 	firstList    [1]*Attempt // backing array of attempts, for the same reason
@@ -130,10 +131,11 @@
 	cancel context.CancelFunc
 }
 
-// MayStart reports whether the attempt may still be written: neither the drain grace of its backend nor WriteDeadline has
-// passed, and its client still waits for an answer. Carriers call it right before they write the first byte.
+// MayStart reports whether the attempt may still be written: neither the drain grace of its backend nor WriteDeadline nor the client's
+// time has passed, and its client still waits for an answer. Carriers call it right before they write the first byte.
 func (a *Attempt) MayStart() bool {
-	if a.Backend.WritesStopped() || !a.WriteDeadline.IsZero() && !time.Now().Before(a.WriteDeadline) {
+	now := time.Now()
+	if a.Backend.WritesStopped() || hasPassed(now, a.WriteDeadline) || hasPassed(now, a.Request.expires) {
 		return false
 	}
 	// Checked after the clock: a process that stalls while reading the clock resumes before its front has noticed that the
@@ -141,6 +143,9 @@
 	return !a.Request.answered.Load() && (a.Request.Disconnected == nil || !a.Request.Disconnected())
 }
 
+// hasPassed reports whether a deadline has passed; the zero time is none.
+func hasPassed(now, deadline time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
+
 // Deliver answers the request with a reply that is still being received, and reports false if it already has an answer. The
 // attempt's Result later says whether the reply was completed.
 func (a *Attempt) Deliver(reply any) bool {
@@ -292,6 +297,7 @@
 	}
 	remaining = max(0, remaining)
 	r.deadline, r.done = now+remaining, make(chan Answer, 1)
+	r.expires = r.Arrived.Add(r.ClientTimeout)
 	if e.refuseLate(r) {
 		return nil
 	}
