--- a/internal/sock/receiver.go
+++ b/internal/sock/receiver.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"craneglade/internal/arrival"
 )
 
@@ -25,7 +27,9 @@
 	watched   *Peeker // used by Watch
 
 	mu        sync.Mutex
-	read      int64       // bytes read
+	read      int64 // bytes read
+	unread    int   // set by count
+	count     func(fd uintptr)
 	arrivals  arrival.Log // times count from start
 	observing *time.Timer // calls observeAgain; nil until ObserveWhile was called first
 	waiting   int         // calls of ObserveWhile that have not returned
@@ -41,6 +45,7 @@
 	if s, ok := c.(syscall.Conn); ok {
 		r.raw, _ = s.SyscallConn()
 	}
+	r.count = func(fd uintptr) { r.unread = queueBytes(int(fd), unix.SIOCINQ) }
 	return r
 }
 
@@ -68,7 +73,11 @@
 // observe is Observe with r.mu held. The kernel tells when the latest bytes arrived: others that it observes for the first time have
 // arrived no later.
 func (r *Receiver) observe() {
-	total := r.read + int64(Unread(r.conn))
+	r.unread = 0
+	if r.raw != nil {
+		r.raw.Control(r.count) // an error means that the socket is closed on this side
+	}
+	total := r.read + int64(r.unread)
 	if total > r.arrivals.Total() {
 		waited := r.sinceLast(r.conn)
 		r.arrivals.Observe(time.Since(r.start)-waited, total)
