JSON-RPC calls wait in reserved memory, each for its own client's time at most

Batches and calls with deadlines of their own broke in the same way.

Cause: at `inflight` open calls the connection's only reader blocked in conn.admit with one call in its hands, and all others waited in the kernel. serveMessage took a call's time from when it got to read it.

Now the reader reads on. A call's time counts from its last byte on this machine (sock.Receiver), also while the reader waits for a turn or in a write. Only where another waiting call could take the memory that open ones need does the rest stay in the kernel, observed every 10 ms, until it has to be read to be refused in time. Refusals outside the reader take part in the turns of busy connections (timing.Turn).

--- a/cmd/craneglade/rpc_memory_test.go
+++ b/cmd/craneglade/rpc_memory_test.go
@@ -47,7 +47,8 @@
 	delay  time.Duration // until a call is answered
 	answer string
 	mu     sync.Mutex
-	calls  map[int]int // number of calls by parameter
+	calls  map[int]int       // number of calls by parameter
+	latest map[int]time.Time // when the latest of them was received; nil if that is not recorded
 
 	holdUntil chan struct{} // calls are answered when it is closed, in place of delay; set before the first call, nil for none
 }
@@ -68,6 +69,9 @@
 		}
 		b.mu.Lock()
 		b.calls[int(params[0].(float64))]++
+		if b.latest != nil {
+			b.latest[int(params[0].(float64))] = time.Now()
+		}
 		b.mu.Unlock()
 		answer := func() {
 			writing.Lock()
@@ -121,6 +125,12 @@
 func startLimitedRPCNode(t *testing.T, l limits, delay, clientTimeout time.Duration, inflight int) *rpcNode {
 	t.Helper()
 	b := &longAnswers{delay: delay, answer: strings.Repeat("q", rpcAnswerBytes), calls: map[int]int{}}
+	return startRPCNodeBefore(t, l, b, fmt.Sprintf("inflight = %d\n[[jsonrpc.method]]\nname = \"sendQuote\"\nclass = \"quote\"\npatience = %q\n", inflight, clientTimeout.String()))
+}
+
+// startRPCNodeBefore starts a node in front of rpcBackends of one kind. settings follow the address in the node's section jsonrpc.
+func startRPCNodeBefore(t *testing.T, l limits, b *longAnswers, settings string) *rpcNode {
+	t.Helper()
 	var listed []stand.Entry
 	for i := range rpcBackends {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -149,9 +159,7 @@
 	t.Cleanup(discovery.Close)
 	own := filepath.Join(t.TempDir(), "own.toml")
 	n := &rpcNode{addr: freeAddr(t), backends: b}
-	settings := fmt.Sprintf("[jsonrpc]\nlisten = %q\ninflight = %d\n[[jsonrpc.method]]\nname = \"sendQuote\"\nclass = \"quote\"\npatience = %q\n", n.addr, inflight,
-		clientTimeout.String())
-	if err := os.WriteFile(own, []byte(settings), 0o600); err != nil {
+	if err := os.WriteFile(own, fmt.Appendf(nil, "[jsonrpc]\nlisten = %q\n%s", n.addr, settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	text := strings.Replace(config(""), platformSettings, rpcMemorySettings, 1)
--- a/internal/bodies/budget.go
+++ b/internal/bodies/budget.go
@@ -154,14 +154,19 @@
 // connection gets at most half of that, so that a client with many long answers leaves room for others. held is what the
 // connection has reserved already. ReleaseCall releases it.
 func (b *Budget) ReserveCall(held, size int64) bool {
-	limit := b.RPCLimit() / 4 * 3
-	if held+size > limit/2 || b.calls+size > limit || !b.fitsRPC(size) {
+	if held+size > b.ConnectionLimit() || b.calls+size > b.callLimit() || !b.fitsRPC(size) {
 		return false
 	}
 	b.calls += size
 	return true
 }
 
+// callLimit returns how much memory calls may reserve.
+func (b *Budget) callLimit() int64 { return b.RPCLimit() / 4 * 3 }
+
+// ConnectionLimit returns how much memory one connection may have reserved when it reserves more for a call.
+func (b *Budget) ConnectionLimit() int64 { return b.callLimit() / 2 }
+
 // ReleaseCall releases what ReserveCall reserved.
 func (b *Budget) ReleaseCall(size int64) { b.calls -= size }
 
--- a/internal/message/rpcmemory.go
+++ b/internal/message/rpcmemory.go
@@ -30,6 +30,13 @@
 	s.budget.ReleaseCall(size)
 }
 
+// ConnectionLimit returns how much memory one connection may have reserved when it reserves more for a JSON-RPC call, in bytes.
+func (s *Store) ConnectionLimit() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.ConnectionLimit()
+}
+
 // ReservedForRPC returns the memory reserved for JSON-RPC, in bytes.
 func (s *Store) ReservedForRPC() int64 {
 	s.mu.Lock()
--- a/internal/rpcfront/answer.go
+++ b/internal/rpcfront/answer.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// writeFromReader is write for the connection's reader, which reads nothing meanwhile.
+func (c *conn) writeFromReader(m message) { c.received.ObserveWhile(func() { c.write(m) }) }
+
 // writeParts writes the parts of a message. The client has to read something every writeTimeout, and all of it in the time that it needs
 // at minReadBytes in that time.
 func (c *conn) writeParts(parts [][]byte) error {
--- a/internal/rpcfront/batch.go
+++ b/internal/rpcfront/batch.go
@@ -20,14 +20,14 @@
 
 // batch answers the members of a batch with one array, in time for the shortest deadline among them. Members that miss it fail
 // individually. An error means that the batch is malformed, or that there is no memory to answer it.
-func (c *conn) batch(text jsontext.Value, arrived time.Time, memory *messageMemory) (err error) {
+func (c *conn) batch(text jsontext.Value, memory *messageMemory) (err error) {
 	f, count := c.front, 0
 	f.cfg.Parsing.Run(func() { count, err = jsonrpc.CountMembers(text) })
 	if err != nil {
 		return err
 	}
 	if count == 0 || count > f.cfg.MaxBatch {
-		c.write(message{jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.InvalidRequest, "Invalid Request",
+		c.writeFromReader(message{jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.InvalidRequest, "Invalid Request",
 			quote(fmt.Sprintf("a batch has 1 to %d members", f.cfg.MaxBatch)))})
 		return nil
 	}
@@ -36,7 +36,7 @@
 	}
 	b := &batchAnswer{conn: c, memory: memory, pending: 1, parts: make([]message, count)}
 	var calls []memberCall
-	f.cfg.Parsing.Run(func() { calls, err = c.parseBatch(text, arrived, b) })
+	f.cfg.Parsing.Run(func() { calls, err = c.parseBatch(text, b) })
 	if err != nil {
 		return err
 	}
@@ -47,19 +47,19 @@
 		b.addPending()
 		c.start(m.call, m.id, memory, func(answer message, size int64) { b.set(m.index, answer, size) })
 	}
-	b.set(-1, nil, 0)
+	c.received.ObserveWhile(func() { b.set(-1, nil, 0) }) // which writes the answer if no call is left
 	return nil
 }
 
 // parseBatch returns the calls of a batch, in order. It answers members that are invalid, and all calls if there is no memory for
 // them: those are not kept until the others are parsed.
-func (c *conn) parseBatch(text jsontext.Value, arrived time.Time, b *batchAnswer) (calls []memberCall, err error) {
+func (c *conn) parseBatch(text jsontext.Value, b *batchAnswer) (calls []memberCall, err error) {
 	members, err := jsonrpc.Members(text)
 	if err != nil {
 		return nil, err
 	}
 	for i, v := range members {
-		call, id, errAnswer := c.parse(v, arrived)
+		call, id, errAnswer := c.parse(v)
 		switch {
 		case call == nil:
 			b.parts[i] = errAnswer
--- a/internal/rpcfront/conn.go
+++ b/internal/rpcfront/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-json-experiment/json/jsontext"
 
+	"craneglade/internal/admission"
 	"craneglade/internal/jsonrpc"
 	"craneglade/internal/sock"
 	"craneglade/internal/timing"
@@ -31,46 +32,59 @@
 type conn struct {
 	net.Conn
 	front    *Front
-	released chan struct{} // capacity 1: a call has ended or memory was returned
-	ended    chan struct{} // closed when nothing of the connection is left
-	reserved atomic.Int64  // memory, in bytes
+	received *sock.Receiver // what the reader reads from
+	released chan struct{}  // capacity 1: a call has ended or memory was returned
+	ended    chan struct{}  // closed when nothing of the connection is left
 	writing  sync.Mutex
 	probing  sync.Mutex
 	probe    *sock.Peeker    // guarded by probing
 	ctx      context.Context // ends with the connection
 	cancel   context.CancelFunc
-	calls    sync.WaitGroup
+	calls    sync.WaitGroup // without an answer
+
+	reserving   sync.Mutex   // held while memory is reserved
+	reserved    atomic.Int64 // memory, in bytes
+	memoryShort atomic.Bool  // the first of the waiting calls needs memory of the open ones
+
+	opened atomic.Int64 // number of calls without an answer that were passed to the engine
+
+	admitting sync.Mutex                        // guards the following
+	waiting   admission.WaitQueue[*pendingCall] // not open yet
+	refusals  timing.Turn                       // in which waiting calls are refused
+	wakeUp    *time.Timer                       // calls admitWaiting; nil until a call has waited
 
 	// Used by the reader.
-	reads     timing.FairReader
-	atBackend bool // the latest message was a call that waits for a backend
+	reads          timing.FairReader
+	in             *bufio.Reader // of reads
+	messageArrived time.Time     // when the current message had arrived, as far as it was read
+	atBackend      bool          // the latest message was a call that waits for a backend
 
 	// Guarded by Front.mu.
 	idleElement   *list.Element // in Front.idleConns; nil if busy
 	hasDescriptor bool          // it counts against the descriptor quota
 
-	mu        sync.Mutex
-	openIDs   map[string]bool // ids of open calls, in the client's notation
-	openCalls int
-	closing   bool // it ends once no call is open
-	framing   jsonrpc.Framing
+	mu         sync.Mutex
+	openIDs    map[string]bool // ids of calls without an answer, in the client's notation
+	unanswered int             // number of calls without an answer
+	closing    bool            // it ends once all calls are answered
+	framing    jsonrpc.Framing
 }
 
-// closeWhenIdle makes a connection end once no call on it is open.
+// closeWhenIdle makes a connection end once all calls on it are answered.
 func (c *conn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	if c.openCalls == 0 {
+	if c.unanswered == 0 {
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// callStarted counts an open call; callDone ends it.
+// callStarted counts a call that needs an answer; callDone ends it.
 func (c *conn) callStarted() {
 	c.mu.Lock()
-	c.openCalls++
-	first := c.openCalls == 1
+	c.unanswered++
+	first := c.unanswered == 1
 	c.mu.Unlock()
 	if first {
 		c.front.mu.Lock()
@@ -85,9 +99,9 @@
 	defer f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.openCalls--
+	c.unanswered--
 	c.signalReleased()
-	if c.openCalls > 0 {
+	if c.unanswered > 0 {
 		return
 	}
 	if c.hasDescriptor && c.idleElement == nil {
@@ -98,18 +112,18 @@
 	}
 }
 
-// openCallCount returns the number of open calls.
-func (c *conn) openCallCount() int {
+// unansweredCount returns the number of calls without an answer.
+func (c *conn) unansweredCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.openCalls
+	return c.unanswered
 }
 
 // setReadDeadline sets the read deadline, unless the connection is to end now.
 func (c *conn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing || c.openCalls > 0 {
+	if !c.closing || c.unanswered > 0 {
 		c.SetReadDeadline(t)
 	}
 }
@@ -126,13 +140,17 @@
 
 // serve reads calls until the connection ends or a frame is malformed.
 func (c *conn) serve() {
-	c.reads = timing.FairReader{Source: c.Conn, Shared: c.front.cfg.Work,
+	c.reads = timing.FairReader{Source: c.received, Shared: c.front.cfg.Work,
 		HasInput: func() bool { return sock.Pending(c.Conn) == sock.Readable },
-		Ending:   func() bool { return c.peer() == sock.PeerClosed }}
-	in := bufio.NewReader(&c.reads)
-	r := jsonrpc.NewReader(in)
+		Ending: func() bool {
+			c.received.Observe()
+			return c.peer() == sock.PeerClosed
+		}}
+	c.in = bufio.NewReader(&c.reads)
+	r := jsonrpc.NewReader(c.in)
 	r.MaxNesting = maxNesting
 	for first := true; ; first = false {
+		c.awaitRoom()
 		wait := c.front.cfg.IdleTimeout
 		if first {
 			wait = firstByteTimeout
@@ -141,7 +159,7 @@
 		if err := r.Wait(); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				c.mu.Lock()
-				busy := c.openCalls > 0 && !c.closing
+				busy := c.unanswered > 0 && !c.closing
 				c.mu.Unlock()
 				if busy { // it waits for answers and is not idle
 					continue
@@ -159,12 +177,14 @@
 // serveMessage reads a message whose first byte is available, and starts its calls. It reports whether another message can
 // follow.
 func (c *conn) serveMessage(r *jsonrpc.Reader) bool {
-	arrived := time.Now()
-	c.setReadDeadline(arrived.Add(frameTimeout))
+	c.setReadDeadline(time.Now().Add(frameTimeout))
+	c.messageArrived = c.arrivedBy(c.consumed() + 1)
 	memory := newMessageMemory(c)
 	defer memory.Release()
 	r.Grow = memory.growBuffer
 	frame, err := r.Next()
+	c.messageArrived = c.arrivedBy(c.consumed())
+	frame = memory.trim(frame)
 	c.mu.Lock()
 	c.framing = r.Framing()
 	c.mu.Unlock()
@@ -174,13 +194,13 @@
 		c.front.cfg.Parsing.Run(func() { text, err = jsonrpc.Value(frame) })
 	}
 	if err == nil && jsonrpc.IsBatch(text) {
-		err = c.batch(text, arrived, memory)
+		err = c.batch(text, memory)
 	} else if err == nil {
-		err = c.single(text, arrived, memory)
+		err = c.single(text, memory)
 	}
 	switch {
 	case err == nil:
-		if c.atBackend && c.openCallCount() <= c.front.cfg.MaxInflight/2 { // else its client sends faster than it is served
+		if c.atBackend && c.unansweredCount() <= c.front.cfg.MaxInflight/2 { // else its client sends faster than it is served
 			c.reads.DropRequest()
 		}
 		c.reads.EndRequest(r.Buffered())
--- a/internal/rpcfront/front.go
+++ b/internal/rpcfront/front.go
@@ -45,7 +45,7 @@
 	Quota       *quota.Quota
 	Memory      Memory
 	Methods     map[string]Method
-	MaxInflight int           // open calls on one connection; at this limit, nothing is read from it
+	MaxInflight int           // open calls on one connection; others wait
 	MaxBatch    int           // members of a batch
 	IdleTimeout time.Duration // for connections without an open call
 	// Parsing bounds how many messages are parsed at the same time. That needs memory for the names of members and the levels of
@@ -62,6 +62,7 @@
 	idPrefix     string        // of the ids of calls
 	lastCall     atomic.Uint64 // number of the latest call
 	wg           sync.WaitGroup
+	shortest     time.Duration // of the methods' client timeouts
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -73,7 +74,13 @@
 	// The engine's ids include those of HTTP clients: a byte that no header can contain keeps the two apart. Backends may be sent
 	// the ids, and must not take a call for one of another node or of an earlier process of this one.
 	prefix := "\x00" + strconv.FormatUint(rand.Uint64(), 36) + "-"
-	return &Front{cfg: cfg, idPrefix: prefix, conns: map[*conn]struct{}{}}
+	f := &Front{cfg: cfg, idPrefix: prefix, conns: map[*conn]struct{}{}}
+	for _, m := range cfg.Methods {
+		if f.shortest == 0 || m.ClientTimeout < f.shortest {
+			f.shortest = m.ClientTimeout
+		}
+	}
+	return f
 }
 
 // Serve serves clients on ln until ctx ends, and then until all accepted calls are answered, at the latest by the end of the
@@ -88,6 +95,7 @@
 	}
 	shutdown := f.cfg.Engine.Shutdown(time.Now())
 	f.shuttingDown.Store(true)
+	f.forEach((*conn).admitWaiting) // which refuses all
 	time.Sleep(time.Until(shutdown.StartedAt.Add(acceptAfterShutdown)))
 	err := sock.CloseListener(ln, backlogTimeout)
 	if e := <-failed; !errors.Is(e, net.ErrClosed) {
@@ -135,7 +143,8 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := &conn{Conn: nc, front: f, probe: sock.NewPeeker(nc), released: make(chan struct{}, 1), ended: make(chan struct{}), openIDs: map[string]bool{}}
+		c := &conn{Conn: nc, front: f, received: sock.NewReceiver(nc, nil), probe: sock.NewPeeker(nc), released: make(chan struct{}, 1), ended: make(chan struct{}),
+			openIDs: map[string]bool{}, refusals: timing.NewTurn(f.cfg.Work)}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		if !f.cfg.Quota.AcquireOrReclaim(f.EvictIdle) {
 			c.write(refusal(jsonrpc.Null, "no room for a connection", refuseRetryAfter))
@@ -149,7 +158,8 @@
 		f.wg.Go(func() {
 			defer close(c.ended)
 			c.serve()
-			c.cancel() // the client has disconnected: open calls are cancelled
+			c.cancel()       // the client has disconnected: open calls are cancelled
+			c.admitWaiting() // and waiting ones dropped
 			c.calls.Wait()
 			c.Close()
 			f.mu.Lock()
--- a/internal/rpcfront/memory.go
+++ b/internal/rpcfront/memory.go
@@ -1,6 +1,7 @@
 package rpcfront
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"craneglade/internal/jsonrpc"
@@ -37,11 +38,14 @@
 	ReserveCall(held, size int64) bool
 	// ReleaseCall returns size bytes that ReserveCall took.
 	ReleaseCall(size int64)
+	// ConnectionLimit returns how much one connection may have reserved when it reserves more for a call.
+	ConnectionLimit() int64
 }
 
-// reserveCall reserves memory for calls, and reports whether it was available. Only the connection's reader reserves memory, so
-// that reserved can't grow between the check and the addition.
+// reserveCall reserves memory for calls, and reports whether it was available.
 func (c *conn) reserveCall(size int64) bool {
+	c.reserving.Lock() // reserved must not grow between the check and the addition
+	defer c.reserving.Unlock()
 	if !c.front.cfg.Memory.ReserveCall(c.reserved.Load(), size) {
 		return false
 	}
@@ -56,7 +60,7 @@
 	c.signalReleased()
 }
 
-// signalReleased wakes the reader if it waits in admit.
+// signalReleased wakes the reader if it waits in awaitRelease.
 func (c *conn) signalReleased() {
 	select {
 	case c.released <- struct{}{}:
@@ -83,24 +87,42 @@
 	return m
 }
 
-// growBuffer reserves the memory for a message whose buffer grows to size bytes, and reports whether it was available.
-func (m *messageMemory) growBuffer(size int) bool { return m.reserveText(int64(size)-m.text) == nil }
+// growBuffer reserves the memory for a message whose buffer grows to size bytes, and reports whether it was available. It waits while
+// calls of the connection may return some.
+func (m *messageMemory) growBuffer(size int) bool {
+	return m.conn.awaitReservation(func() bool { return m.reserveText(int64(size)-m.text) == nil })
+}
 
 // reserveText reserves more memory for a message or for answers that refuse it. It returns jsonrpc.ErrNoMemory if there is none.
 func (m *messageMemory) reserveText(more int64) error {
-	if !m.conn.front.cfg.Memory.ReserveMessage(more) {
+	c := m.conn
+	c.reserving.Lock()
+	defer c.reserving.Unlock()
+	if !c.front.cfg.Memory.ReserveMessage(more) {
 		return jsonrpc.ErrNoMemory
 	}
 	m.text += more
-	m.conn.reserved.Add(more)
+	c.reserved.Add(more)
 	return nil
 }
 
-// reserveCalls reserves the memory for the calls of a complete message. If it is not available, the calls are refused, for which
-// less is reserved. It returns jsonrpc.ErrNoMemory if there is not even that.
+// trim returns a complete message in a buffer of its size, if its calls have to wait, and returns the memory that this saves: many may wait.
+func (m *messageMemory) trim(frame []byte) []byte {
+	saved := m.text - int64(len(frame))
+	if saved <= 0 || int(m.conn.opened.Load()) < m.conn.front.cfg.MaxInflight {
+		return frame
+	}
+	m.text -= saved
+	m.conn.front.cfg.Memory.ReleaseMessage(saved)
+	m.conn.reserved.Add(-saved)
+	return slices.Clone(frame)
+}
+
+// reserveCalls reserves the memory for the calls of a complete message. If it is not available, and no call of the connection may return
+// some in time, the calls are refused, for which less is reserved. It returns jsonrpc.ErrNoMemory if there is not even that.
 func (m *messageMemory) reserveCalls(count int) error {
 	size := parsedCopies*m.text + int64(count)*memberBytes
-	if m.hasCalls = m.conn.reserveCall(size); m.hasCalls {
+	if m.hasCalls = m.conn.awaitReservation(func() bool { return m.conn.reserveCall(size) }); m.hasCalls {
 		m.calls = size
 		return nil
 	}
