httpfront: waiting for an answer and cancelling are functions of their own

answer had grown to 70 lines and spelled the refusal of an unsent request out twice, with its retry time as a bare number. No change of behaviour; the tests of httpfront and node pass under the race detector.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -44,6 +44,7 @@
 	// What follows a request while it is answered stays in the kernel. If that is so much that a close behind it can't be known, it is
 	// read and discarded: up to fastDiscardBytes before the request is sent, the rest meanwhile.
 	fastDiscardBytes = 1 << 20
+	unsentRetryAfter = 250 * time.Millisecond // for a request that is refused before anything is done for it
 	// minRejectSlots are one for a new connection and one for the connection that is evicted for it.
 	minRejectSlots = 2
 )
@@ -294,9 +295,8 @@
 	if r.ID == "" {
 		return answer{status: s.readiness()}, ""
 	}
-	if c.overLimit || r.Shed { // nothing was sent to a backend: the client may safely retry, whatever the class
-		r.Release()
-		return answer{status: http.StatusServiceUnavailable, body: []byte("too much at once\n"), retryAfter: 250 * time.Millisecond}, ""
+	if c.overLimit || r.Shed {
+		return refuseUnsent(r, "too much at once\n"), ""
 	}
 	if !r.Body.IsDrained() {
 		r.Disconnected, r.Body.Departed = c.closedBehind(r.Body), c.attemptProbe.closed
@@ -306,9 +306,8 @@
 		case sock.PeerClosed:
 			r.Release()
 			return answer{}, clientDisconnected
-		case sock.PeerUnknown: // nothing was sent to a backend
-			r.Release()
-			return answer{status: http.StatusServiceUnavailable, body: []byte("too much follows the request\n"), retryAfter: 250 * time.Millisecond}, ""
+		case sock.PeerUnknown:
+			return refuseUnsent(r, "too much follows the request\n"), ""
 		}
 	}
 	r.ClientID = true
@@ -330,6 +329,17 @@
 		case <-r.Body.Drained:
 		}
 	}
+	return s.awaitAnswer(c, r)
+}
+
+// refuseUnsent returns the answer to a request that was not passed to the engine: the client may safely retry, whatever its class.
+func refuseUnsent(r *message.Request, text string) answer {
+	r.Release()
+	return answer{status: http.StatusServiceUnavailable, body: []byte(text), retryAfter: unsentRetryAfter}
+}
+
+// awaitAnswer waits for the answer of a request that was read completely, and cancels the request if its client closes the connection.
+func (s *Front) awaitAnswer(c *clientConn, r *message.Request) (a answer, reason closeReason) {
 	c.SetReadDeadline(time.Time{}) // watching has no deadline, also if the connection closes after this answer
 	closed := make(chan bool, 1)
 	go func() { closed <- c.watchForClose() }()
@@ -342,20 +352,25 @@
 		if !gone { // the read deadline was set by an eviction or the shutdown
 			return toAnswer(<-r.Done()), ""
 		}
-		s.engine.Cancel(&r.Request)
-		select {
-		case a := <-r.Done():
-			t := toAnswer(a)
-			if t.stream != nil { // streaming started just now
-				t.stream.Finish(context.Canceled)
-			}
-			t.reply.Release()
-		default:
-		}
+		s.cancel(r)
 		return answer{}, clientDisconnected
 	}
 }
 
+// cancel cancels a request whose client has left, and drops an answer that came just now.
+func (s *Front) cancel(r *message.Request) {
+	s.engine.Cancel(&r.Request)
+	select {
+	case a := <-r.Done():
+		t := toAnswer(a)
+		if t.stream != nil { // streaming started just now
+			t.stream.Finish(context.Canceled)
+		}
+		t.reply.Release()
+	default:
+	}
+}
+
 // readiness returns the status of an answer to /ready.
 func (s *Front) readiness() int {
 	if !s.engine.Ready() || s.shuttingDown.Load() {
--- a/internal/httpfront/head.go
+++ b/internal/httpfront/head.go
@@ -129,5 +129,5 @@
 
 // noMemoryForRequest returns the answer to a request for which there is no memory. Nothing of it was sent to a backend.
 func noMemoryForRequest() *message.Rejection {
-	return &message.Rejection{Status: http.StatusServiceUnavailable, Text: "no memory is left for a request", RetryAfter: 250 * time.Millisecond}
+	return &message.Rejection{Status: http.StatusServiceUnavailable, Text: "no memory is left for a request", RetryAfter: unsentRetryAfter}
 }
