Waiting JSON-RPC calls take no more memory than as many open ones

What callers would see: since calls wait in memory, one client that sends without end on two connections of a node of 192 MB could hold all that calls get, and other clients' calls would be refused with "no memory for a call". Found by reading the change, not seen in a run of the node. A connection's waiting calls now take what `inflight` open ones may take; the rest stays in the kernel, as before the change. A message that needs more than a connection may ever have is refused at once again, in place of waiting for calls that can't return enough.

--- a/internal/node/rpc_waiting_test.go
+++ b/internal/node/rpc_waiting_test.go
@@ -137,3 +137,31 @@
 	}
 	r.waitMemoryReturned(t, "the connection's end")
 }
+
+// Calls that wait take no more memory than as many as may be open, however many a client sends: other clients share it.
+func TestWaitingCallsLeaveMemoryForOthers(t *testing.T) {
+	t.Parallel()
+	const limit = 2 * fewInflight * openCallBytes
+	r, b, c, unblock := startWithWaitingCalls(t, 0)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for id := range 5000 {
+			fmt.Fprintf(c, `{"jsonrpc":"2.0","id":%d,"method":"sendQuote","params":{}}`, fewWaiting+id) // an error shows up as missing memory
+		}
+	}()
+	wait(t, "a connection with as many waiting calls as it may have", func() bool { return r.bodies.ReservedForRPC() > limit*9/10 })
+	for range 100 {
+		if reserved := r.bodies.ReservedForRPC(); reserved > limit {
+			t.Fatalf("%d bytes are reserved, want %d at most", reserved, limit)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if n := b.calls("sendQuote"); n != fewInflight {
+		t.Errorf("%d calls were sent", n)
+	}
+	c.Close()
+	<-sent
+	unblock()
+	r.waitMemoryReturned(t, "the client left")
+}
--- a/internal/rpcfront/memory.go
+++ b/internal/rpcfront/memory.go
@@ -122,7 +122,13 @@
 // some in time, the calls are refused, for which less is reserved. It returns jsonrpc.ErrNoMemory if there is not even that.
 func (m *messageMemory) reserveCalls(count int) error {
 	size := parsedCopies*m.text + int64(count)*memberBytes
-	if m.hasCalls = m.conn.awaitReservation(func() bool { return m.conn.reserveCall(size) }); m.hasCalls {
+	reserve := func() bool { return m.conn.reserveCall(size) }
+	if m.text+size > m.conn.front.cfg.Memory.ConnectionLimit() {
+		m.hasCalls = reserve() // waiting would not help
+	} else {
+		m.hasCalls = m.conn.awaitReservation(reserve)
+	}
+	if m.hasCalls {
 		m.calls = size
 		return nil
 	}
--- a/internal/rpcfront/readahead.go
+++ b/internal/rpcfront/readahead.go
@@ -36,14 +36,17 @@
 	c.awaitRelease(c.hasRoom, func() (time.Time, bool) { return c.received.ArrivedBy(c.consumed() + 1) })
 }
 
-// hasRoom reports whether the memory for calls that wait leaves enough to open as many as may be open.
+// hasRoom reports whether the memory for calls that wait leaves enough to open as many as may be open, and is not more than they need: other
+// connections share it.
 func (c *conn) hasRoom() bool {
 	opened := int(c.opened.Load())
 	if c.unansweredCount() == opened { // none waits
 		return true
 	}
-	toOpen := int64(c.front.cfg.MaxInflight-opened) * openCallBytes
-	return !c.memoryShort.Load() && c.reserved.Load()+toOpen+waitingCallBytes <= c.front.cfg.Memory.ConnectionLimit()
+	mostOpen := int64(c.front.cfg.MaxInflight) * openCallBytes
+	limit := min(c.front.cfg.Memory.ConnectionLimit(), 2*mostOpen)
+	toOpen := mostOpen - int64(opened)*openCallBytes
+	return !c.memoryShort.Load() && c.reserved.Load()+toOpen+waitingCallBytes <= limit
 }
 
 // awaitReservation reserves memory for the message that is being read, and reports whether it could. It blocks the reader while there is
