A waiting JSON-RPC call is not forgotten where its turn came between two looks at the clock

Cause: admit held a call until nextOpening; setWakeUp, microseconds later, found that time passed and set the timer for the call's own deadline, a minute on. It had been possible since calls wait (for turns), and became likely with pauses of 200 us. Now admit notes that it holds a call, and the timer is set for that time, passed or not.

--- a/internal/rpcfront/admit.go
+++ b/internal/rpcfront/admit.go
@@ -164,8 +164,12 @@
 	if c.front.shuttingDown.Load() {
 		return nodeIsLeaving, false
 	}
+	c.held = false
 	opened := int(c.opened.Load())
-	if opened >= c.front.cfg.MaxInflight || time.Now().Before(c.nextOpening()) {
+	if opened >= c.front.cfg.MaxInflight {
+		return "", true
+	}
+	if c.held = time.Now().Before(c.nextOpening()); c.held {
 		return "", true
 	}
 	if !c.reserveCall(openCallBytes) {
@@ -200,7 +204,7 @@
 // setWakeUp makes admitWaiting run when the first waiting call has to be refused, or the next one may be opened. c.admitting is held.
 func (c *conn) setWakeUp() {
 	at, ok := c.waiting.NextDeadline()
-	if next := c.nextOpening(); ok && next.After(time.Now()) && next.Before(at) {
+	if next := c.nextOpening(); ok && c.held && next.Before(at) { // it may have passed since admit has looked
 		at = next
 	}
 	switch {
--- a/internal/rpcfront/conn.go
+++ b/internal/rpcfront/conn.go
@@ -53,6 +53,7 @@
 	refusals  timing.Turn                       // in which waiting calls are refused
 	// pausedUntil is when the next call may be opened after one that the engine refused.
 	pausedUntil time.Time
+	held        bool        // the first waiting call waits for nextOpening alone
 	wakeUp      *time.Timer // calls admitWaiting; nil until a call has waited
 
 	// Used by the reader.
